--- a/build/bundle.mjs
+++ b/build/bundle.mjs
@@ -7,8 +7,23 @@
 const tests = readdirSync('tests').filter((name) => name.endsWith('.test.ts'));
 rmSync('dist', { recursive: true, force: true });
 // Why module first: jsonc-parser's other entry loads its parts in a way no bundler follows.
-const common = { bundle: true, platform: 'node', target: 'node20', format: 'cjs', outExtension: { '.js': '.cjs' }, external: ['msgpackr-extract', 'esbuild'], logLevel: 'warning', sourcemap: 'linked', mainFields: ['module', 'main'] };
-await build({ ...common, entryPoints: Object.fromEntries(programs.map((name) => [name, path.join('source', name, 'main.ts')])), outdir: 'dist', banner: { js: '#!/usr/bin/env node' } });
+const common = {
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outExtension: { '.js': '.cjs' },
+  external: ['msgpackr-extract', 'esbuild'],
+  logLevel: 'warning',
+  sourcemap: 'linked',
+  mainFields: ['module', 'main'],
+};
+await build({
+  ...common,
+  entryPoints: Object.fromEntries(programs.map((name) => [name, path.join('source', name, 'main.ts')])),
+  outdir: 'dist',
+  banner: { js: '#!/usr/bin/env node' },
+});
 if (tests.length > 0) {
   await build({ ...common, entryPoints: tests.map((name) => path.join('tests', name)), outdir: 'dist/tests' });
 }
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,21 +1,20 @@
 import tseslint from 'typescript-eslint';
 
-export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**'] },
-  ...tseslint.configs.recommended,
-  {
-    files: ['source/**/*.ts', 'tests/**/*.ts'],
-    languageOptions: { parserOptions: { project: './tsconfig.json' } },
-    rules: {
-      '@typescript-eslint/no-floating-promises': ['error', { allowForKnownSafeCalls: [{ from: 'package', name: ['test', 'describe', 'it'], package: 'node:test' }] }],
-      '@typescript-eslint/no-misused-promises': 'error',
-      '@typescript-eslint/prefer-readonly': 'error',
-      '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
-      '@typescript-eslint/consistent-type-imports': 'error',
-      eqeqeq: 'error',
-      'prefer-const': 'error',
-      // Product code reads time only through Clock, so that the simulator decides what time it is.
-      'no-restricted-properties': ['error', { object: 'Date', property: 'now' }, { object: 'Math', property: 'random' }],
-    },
+export default tseslint.config({ ignores: ['dist/**', 'node_modules/**'] }, ...tseslint.configs.recommended, {
+  files: ['source/**/*.ts', 'tests/**/*.ts'],
+  languageOptions: { parserOptions: { project: './tsconfig.json' } },
+  rules: {
+    '@typescript-eslint/no-floating-promises': [
+      'error',
+      { allowForKnownSafeCalls: [{ from: 'package', name: ['test', 'describe', 'it'], package: 'node:test' }] },
+    ],
+    '@typescript-eslint/no-misused-promises': 'error',
+    '@typescript-eslint/prefer-readonly': 'error',
+    '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
+    '@typescript-eslint/consistent-type-imports': 'error',
+    eqeqeq: 'error',
+    'prefer-const': 'error',
+    // Product code reads time only through Clock, so that the simulator decides what time it is.
+    'no-restricted-properties': ['error', { object: 'Date', property: 'now' }, { object: 'Math', property: 'random' }],
   },
-);
+});
--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -67,7 +67,11 @@
   private readonly repairing = new Set<DocumentKey>();
   private readonly quietUntil = new Map<DocumentKey, number>();
 
-  public constructor(private readonly effects: Effects, disk: Disk, private readonly settings: KeeperSettings) {
+  public constructor(
+    private readonly effects: Effects,
+    disk: Disk,
+    private readonly settings: KeeperSettings,
+  ) {
     const { clock, random, transport } = effects;
     this.log = Logs.part(`keeper:${settings.name}`);
     this.ledger = new Ledger(disk, clock, Logs.part(`keeper:${settings.name}:notice`), settings.rewriteBytes);
@@ -76,32 +80,69 @@
     this.duties = new DutyVoter(this.core, clock);
     this.ages = new WeightsAges(clock);
     this.standing = new StandingKeeper(
-      this.core, transport, random,
-      { seeds: settings.seeds, member: settings.member, replaces: settings.replaces, askMicroseconds: settings.askMicroseconds, founders: settings.founders },
+      this.core,
+      transport,
+      random,
+      {
+        seeds: settings.seeds,
+        member: settings.member,
+        replaces: settings.replaces,
+        askMicroseconds: settings.askMicroseconds,
+        founders: settings.founders,
+      },
       Logs.part(`keeper:${settings.name}:notice`),
       () => this.duties.waitOneLease(settings.leaseMicroseconds),
     );
-    const ownershipSettings = { askMicroseconds: settings.askMicroseconds, changeMicroseconds: settings.changeMicroseconds, firstMembersText: () => this.firstMembersText() };
-    this.ownerships = new Map(DocumentKeys.map((key) => [key, new Ownership(key, this.core, this.acceptor, transport, clock, random, ownershipSettings, this.log)]));
+    const ownershipSettings = {
+      askMicroseconds: settings.askMicroseconds,
+      changeMicroseconds: settings.changeMicroseconds,
+      firstMembersText: () => this.firstMembersText(),
+    };
+    this.ownerships = new Map(
+      DocumentKeys.map((key) => [
+        key,
+        new Ownership(key, this.core, this.acceptor, transport, clock, random, ownershipSettings, this.log),
+      ]),
+    );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     this.tickers = [
-      new Ticker(clock, () => (this.core.votes() ? 1_000_000 : 150_000), () => this.standingStep(), failed),
-      new Ticker(clock, () => settings.heartbeatMicroseconds, () => this.heartbeat(), failed),
-      new Ticker(clock, () => 100_000 + Math.floor(random.fraction() * 100_000), () => this.fillVacancies(), failed),
+      new Ticker(
+        clock,
+        () => (this.core.votes() ? 1_000_000 : 150_000),
+        () => this.standingStep(),
+        failed,
+      ),
+      new Ticker(
+        clock,
+        () => settings.heartbeatMicroseconds,
+        () => this.heartbeat(),
+        failed,
+      ),
+      new Ticker(
+        clock,
+        () => 100_000 + Math.floor(random.fraction() * 100_000),
+        () => this.fillVacancies(),
+        failed,
+      ),
     ];
   }
 
-  public async start(): Promise<Readonly<{ kind: 'started'; address: string }> | Readonly<{ kind: 'corrupt'; at: number }>> {
+  public async start(): Promise<
+    Readonly<{ kind: 'started'; address: string }> | Readonly<{ kind: 'corrupt'; at: number }>
+  > {
     const opened = await this.ledger.open();
     if (opened.kind === 'corrupt') return opened;
     this.ledger.news.on('broken', (text) => void this.news.emit('broken', text));
     this.ledger.news.on('synced', (events) => {
-      for (const event of events) if (event.kind === 'accepted' && event.key === 'blueprint') this.ages.accepted(event.entry);
+      for (const event of events)
+        if (event.kind === 'accepted' && event.key === 'blueprint') this.ages.accepted(event.entry);
     });
     const blueprint = KeeperStates.cell(this.core.state, 'blueprint').accepted;
     if (blueprint !== null) this.ages.restored(blueprint.entry);
     if (!opened.fresh) this.duties.waitOneLease(this.settings.leaseMicroseconds);
-    this.listener = await this.effects.transport.listen(this.settings.member.address, (message) => this.handle(message));
+    this.listener = await this.effects.transport.listen(this.settings.member.address, (message) =>
+      this.handle(message),
+    );
     for (const ticker of this.tickers) ticker.start();
     return { kind: 'started', address: this.listener.address };
   }
@@ -120,8 +161,13 @@
       if (own !== undefined) return { kind: 'read', revision: own.revision, text: own.text };
       const owner = this.ownerAddress(key);
       if (owner !== undefined) {
-        const answer = await this.effects.transport.ask(owner, { kind: 'readThrough', key }, this.settings.askMicroseconds * 2);
-        if (answer.kind === 'answered' && answer.message.kind === 'read') return answer.message as unknown as ReadOutcome;
+        const answer = await this.effects.transport.ask(
+          owner,
+          { kind: 'readThrough', key },
+          this.settings.askMicroseconds * 2,
+        );
+        if (answer.kind === 'answered' && answer.message.kind === 'read')
+          return answer.message as unknown as ReadOutcome;
       }
       if (this.effects.clock.nowMicroseconds() >= until) return { kind: 'noMajority' };
       await this.ownership(key).win();
@@ -134,7 +180,11 @@
     const owner = ownership.state.kind === 'owning' ? undefined : this.ownerAddress(order.key);
     let maySettle = false;
     if (owner !== undefined) {
-      const answer = await this.effects.transport.ask(owner, { kind: 'change', order }, this.settings.changeMicroseconds + this.settings.askMicroseconds);
+      const answer = await this.effects.transport.ask(
+        owner,
+        { kind: 'change', order },
+        this.settings.changeMicroseconds + this.settings.askMicroseconds,
+      );
       if (answer.kind === 'answered' && answer.message.kind === 'changed') {
         const outcome = answer.message['outcome'] as ChangeOutcome | null;
         if (outcome !== null) return outcome;
@@ -143,13 +193,22 @@
     // Why take over: the owner was silent or is none any more. The change id keeps one outcome.
     const outcome = await ownership.change(order);
     if (outcome !== undefined) return outcome;
-    return maySettle ? { kind: 'unknown' } : { kind: 'refused', reason: 'noMajority', faults: [{ path: '', fault: 'no majority of keepers answers' }], revision: 0 };
+    return maySettle
+      ? { kind: 'unknown' }
+      : {
+          kind: 'refused',
+          reason: 'noMajority',
+          faults: [{ path: '', fault: 'no majority of keepers answers' }],
+          revision: 0,
+        };
   }
 
   /** Agents that named this keeper as a seed not long ago. */
   public agents(): readonly unknown[] {
     const now = this.effects.clock.nowMicroseconds();
-    return [...this.askers.values()].filter(({ atMicroseconds }) => now - atMicroseconds <= askerKeptMicroseconds).map(({ fact }) => fact.value);
+    return [...this.askers.values()]
+      .filter(({ atMicroseconds }) => now - atMicroseconds <= askerKeptMicroseconds)
+      .map(({ fact }) => fact.value);
   }
 
   public owners(): Readonly<Record<string, Readonly<{ owner: string; epoch: string; revision: number }>>> {
@@ -157,8 +216,13 @@
       DocumentKeys.map((key) => {
         const own = this.ownership(key).word();
         const heard = this.heard.get(key);
-        if (own !== undefined) return [key, { owner: this.settings.name, epoch: Epochs.text(own.epoch), revision: own.revision }];
-        if (heard === undefined || this.ownerAddress(key) === undefined) return [key, { owner: '', epoch: '', revision: KeeperStates.cell(this.core.state, key).accepted?.entry.revision ?? 0 }];
+        if (own !== undefined)
+          return [key, { owner: this.settings.name, epoch: Epochs.text(own.epoch), revision: own.revision }];
+        if (heard === undefined || this.ownerAddress(key) === undefined)
+          return [
+            key,
+            { owner: '', epoch: '', revision: KeeperStates.cell(this.core.state, key).accepted?.entry.revision ?? 0 },
+          ];
         return [key, { owner: heard.owner, epoch: Epochs.text(heard.word.epoch), revision: heard.word.revision }];
       }),
     );
@@ -200,7 +264,13 @@
         this.hearAsker(message['own']);
         // Why silent without a voice: an answer of a keeper still catching up could hide what was taken.
         return this.core.votes() && (message['fleet'] === '' || message['fleet'] === this.core.state.fleet)
-          ? { kind: 'words', stamp: this.core.stamp(), membersRevision: this.core.members().revision, view: this.core.members(), words: this.words() }
+          ? {
+              kind: 'words',
+              stamp: this.core.stamp(),
+              membersRevision: this.core.members().revision,
+              view: this.core.members(),
+              words: this.words(),
+            }
           : { kind: 'noVote' };
       case 'body':
         return this.body(message);
@@ -212,17 +282,31 @@
       case 'readThrough': {
         const key = message['key'];
         const entry = isDocumentKey(key) ? await this.ownership(key).readThrough() : undefined;
-        return entry === undefined ? { kind: 'notOwner' } : { kind: 'read', revision: entry.revision, text: entry.text };
+        return entry === undefined
+          ? { kind: 'notOwner' }
+          : { kind: 'read', revision: entry.revision, text: entry.text };
       }
       case 'change': {
         const order = message['order'] as ChangeOrder;
         const ownership = this.ownership(order.key);
-        return { kind: 'changed', outcome: ownership.state.kind === 'owning' ? ((await ownership.change(order)) ?? null) : null };
+        return {
+          kind: 'changed',
+          outcome: ownership.state.kind === 'owning' ? ((await ownership.change(order)) ?? null) : null,
+        };
       }
       case 'entry': {
         const key = message['key'];
         const own = isDocumentKey(key) ? this.ownership(key).state : undefined;
-        return own?.kind === 'owning' && isDocumentKey(key) ? ({ kind: 'accept', fleet: this.core.state.fleet, membersRevision: this.core.members().revision, key, epoch: own.epoch, entry: own.entry } satisfies Accept) : { kind: 'notOwner' };
+        return own?.kind === 'owning' && isDocumentKey(key)
+          ? ({
+              kind: 'accept',
+              fleet: this.core.state.fleet,
+              membersRevision: this.core.members().revision,
+              key,
+              epoch: own.epoch,
+              entry: own.entry,
+            } satisfies Accept)
+          : { kind: 'notOwner' };
       }
       case 'replace':
         return this.replace(message);
@@ -246,13 +330,19 @@
 
   private ownerAddress(key: DocumentKey): string | undefined {
     const heard = this.heard.get(key);
-    if (heard === undefined || this.effects.clock.nowMicroseconds() - heard.atMicroseconds > this.settings.ownerSilentMicroseconds) return undefined;
+    if (
+      heard === undefined ||
+      this.effects.clock.nowMicroseconds() - heard.atMicroseconds > this.settings.ownerSilentMicroseconds
+    )
+      return undefined;
     return this.core.members().members[heard.owner]?.address;
   }
 
   private firstMembersText(): string {
     const members = this.core.state.firstMembers;
-    return JSON.stringify({ members: Object.fromEntries(Object.entries(members).sort(([left], [right]) => (left < right ? -1 : 1))) });
+    return JSON.stringify({
+      members: Object.fromEntries(Object.entries(members).sort(([left], [right]) => (left < right ? -1 : 1))),
+    });
   }
 
   private async standingStep(): Promise<void> {
@@ -268,7 +358,11 @@
     const words = DocumentKeys.flatMap((key) => this.ownership(key).word() ?? []);
     if (words.length === 0) return;
     const message = { kind: 'owners', fleet: this.core.state.fleet, owner: this.settings.name, words };
-    await Promise.all(this.core.others().map(([, member]) => this.effects.transport.ask(member.address, message, this.settings.askMicroseconds)));
+    await Promise.all(
+      this.core
+        .others()
+        .map(([, member]) => this.effects.transport.ask(member.address, message, this.settings.askMicroseconds)),
+    );
   }
 
   private hearOwners(message: Message): Message {
@@ -276,7 +370,11 @@
     for (const word of message['words'] as readonly OwnerWord[]) {
       const heard = this.heard.get(word.key);
       if (heard !== undefined && Epochs.compare(heard.word.epoch, word.epoch) > 0) continue;
-      this.heard.set(word.key, { word, owner: String(message['owner']), atMicroseconds: this.effects.clock.nowMicroseconds() });
+      this.heard.set(word.key, {
+        word,
+        owner: String(message['owner']),
+        atMicroseconds: this.effects.clock.nowMicroseconds(),
+      });
       if ((this.decided.get(word.key)?.revision ?? 0) <= word.revision) this.decided.set(word.key, word);
       this.ownership(word.key).outranked(word.epoch);
       void this.repair(word, String(message['owner']));
@@ -287,13 +385,22 @@
   /** A keeper that was away takes what it missed from the owner, instead of staying behind until the next change. */
   private async repair(word: OwnerWord, owner: string): Promise<void> {
     const accepted = KeeperStates.cell(this.core.ledger.pending, word.key).accepted;
-    const behind = word.revision > 0 && (accepted === null || Epochs.compare(accepted.epoch, word.epoch) < 0 || (Epochs.compare(accepted.epoch, word.epoch) === 0 && accepted.entry.revision < word.revision));
+    const behind =
+      word.revision > 0 &&
+      (accepted === null ||
+        Epochs.compare(accepted.epoch, word.epoch) < 0 ||
+        (Epochs.compare(accepted.epoch, word.epoch) === 0 && accepted.entry.revision < word.revision));
     const address = this.core.members().members[owner]?.address;
     if (!behind || !this.core.votes() || address === undefined || this.repairing.has(word.key)) return;
     this.repairing.add(word.key);
     try {
-      const answer = await this.effects.transport.ask(address, { kind: 'entry', key: word.key }, this.settings.askMicroseconds * 2);
-      if (answer.kind === 'answered' && answer.message.kind === 'accept') await this.acceptor.accept(answer.message as unknown as Accept);
+      const answer = await this.effects.transport.ask(
+        address,
+        { kind: 'entry', key: word.key },
+        this.settings.askMicroseconds * 2,
+      );
+      if (answer.kind === 'answered' && answer.message.kind === 'accept')
+        await this.acceptor.accept(answer.message as unknown as Accept);
     } finally {
       this.repairing.delete(word.key);
     }
@@ -311,7 +418,9 @@
       const quiet = this.quietUntil.get(key);
       if (quiet === undefined) {
         // Why by rank: the keys spread over the keepers, and two rarely try at once.
-        const rank = Rendezvous.order(`owner/${key}`, Object.keys(this.core.members().members)).indexOf(this.settings.name);
+        const rank = Rendezvous.order(`owner/${key}`, Object.keys(this.core.members().members)).indexOf(
+          this.settings.name,
+        );
         this.quietUntil.set(key, now + Math.max(0, rank) * 250_000);
       } else if (now >= quiet) {
         const won = await ownership.win();
@@ -325,22 +434,41 @@
     this.hearAsker(message['own']);
     const now = this.effects.clock.nowMicroseconds();
     // Why only recent ones: a keeper does not watch agents, and must not bring the dead back.
-    for (const [key, { atMicroseconds }] of this.askers) if (now - atMicroseconds > askerKeptMicroseconds) this.askers.delete(key);
-    return { kind: 'newsBack', statements: [], sum: '', digest: null, marks: {}, revisions: {}, facts: [...this.askers.values()].map(({ fact }) => fact) };
+    for (const [key, { atMicroseconds }] of this.askers)
+      if (now - atMicroseconds > askerKeptMicroseconds) this.askers.delete(key);
+    return {
+      kind: 'newsBack',
+      statements: [],
+      sum: '',
+      digest: null,
+      marks: {},
+      revisions: {},
+      facts: [...this.askers.values()].map(({ fact }) => fact),
+    };
   }
 
   private hearAsker(own: unknown): void {
     const facts = [own];
     if (!Facts.isList(facts)) return;
-    for (const fact of facts) if (fact.key.startsWith('member/') && (this.askers.has(fact.key) || this.askers.size < FactLimits.perMessage)) this.askers.set(fact.key, { fact, atMicroseconds: this.effects.clock.nowMicroseconds() });
+    for (const fact of facts)
+      if (fact.key.startsWith('member/') && (this.askers.has(fact.key) || this.askers.size < FactLimits.perMessage))
+        this.askers.set(fact.key, { fact, atMicroseconds: this.effects.clock.nowMicroseconds() });
   }
 
   private body(message: Message): Message {
     const key = message['key'];
     if (!isDocumentKey(key)) throw new Error('no such key');
     const accepted = KeeperStates.cell(this.core.state, key).accepted;
-    if (!this.core.votes() || accepted === null || accepted.entry.digest !== message['digest']) return { kind: 'noBody' };
-    return { kind: 'body', key, revision: accepted.entry.revision, digest: accepted.entry.digest, text: accepted.entry.text, fleet: this.core.state.fleet };
+    if (!this.core.votes() || accepted === null || accepted.entry.digest !== message['digest'])
+      return { kind: 'noBody' };
+    return {
+      kind: 'body',
+      key,
+      revision: accepted.entry.revision,
+      digest: accepted.entry.digest,
+      text: accepted.entry.text,
+      fleet: this.core.state.fleet,
+    };
   }
 
   private async replace(message: Message): Promise<Message> {
@@ -353,7 +481,13 @@
     delete members[gone];
     members[name] = message['member'] as CoreMember;
     const text = JSON.stringify({ members });
-    const outcome = await this.change({ key: 'core-members', form: 'whole', text, ifMatch: read.revision, id: `replace ${gone} by ${name} at ${read.revision}` });
+    const outcome = await this.change({
+      key: 'core-members',
+      form: 'whole',
+      text,
+      ifMatch: read.revision,
+      id: `replace ${gone} by ${name} at ${read.revision}`,
+    });
     return { kind: 'changed', outcome };
   }
 }
--- a/source/core-keeper/duties/dutyVoter.ts
+++ b/source/core-keeper/duties/dutyVoter.ts
@@ -2,7 +2,13 @@
 import type { KeeperCore } from '../register/keeperCore';
 
 export type Ballot = Readonly<{ duty: string; candidate: string; term: number; leaseMicroseconds: number }>;
-export type BallotAnswer = Readonly<{ duty: string; granted: boolean; term: number; holder: string; waitMicroseconds: number }>;
+export type BallotAnswer = Readonly<{
+  duty: string;
+  granted: boolean;
+  term: number;
+  holder: string;
+  waitMicroseconds: number;
+}>;
 
 type Lease = Readonly<{ holder: string; term: number; untilMicroseconds: number }>;
 
@@ -14,7 +20,10 @@
   private readonly leases = new Map<string, Lease>();
   private votesFromMicroseconds: number;
 
-  public constructor(private readonly core: KeeperCore, private readonly clock: Clock) {
+  public constructor(
+    private readonly core: KeeperCore,
+    private readonly clock: Clock,
+  ) {
     this.votesFromMicroseconds = clock.nowMicroseconds();
   }
 
@@ -25,7 +34,12 @@
 
   public holders(): Readonly<Record<string, Readonly<{ holder: string; term: number; leftMicroseconds: number }>>> {
     const now = this.clock.nowMicroseconds();
-    return Object.fromEntries([...this.leases].map(([duty, lease]) => [duty, { holder: lease.holder, term: lease.term, leftMicroseconds: Math.max(0, lease.untilMicroseconds - now) }]));
+    return Object.fromEntries(
+      [...this.leases].map(([duty, lease]) => [
+        duty,
+        { holder: lease.holder, term: lease.term, leftMicroseconds: Math.max(0, lease.untilMicroseconds - now) },
+      ]),
+    );
   }
 
   public async vote(ballots: readonly Ballot[]): Promise<readonly BallotAnswer[]> {
@@ -43,23 +57,36 @@
   private async voteOne(ballot: Ballot): Promise<BallotAnswer> {
     const now = this.clock.nowMicroseconds();
     const stored = this.core.ledger.pending.duties[ballot.duty] ?? { term: 0, holder: '' };
-    const no = (waitMicroseconds: number): BallotAnswer => ({ duty: ballot.duty, granted: false, term: stored.term, holder: stored.holder, waitMicroseconds });
+    const no = (waitMicroseconds: number): BallotAnswer => ({
+      duty: ballot.duty,
+      granted: false,
+      term: stored.term,
+      holder: stored.holder,
+      waitMicroseconds,
+    });
     if (!this.core.votes()) return no(1_000_000);
     const leaseMicroseconds = Math.min(ballot.leaseMicroseconds, mostLeaseMicroseconds);
     const renewal = ballot.term === stored.term && ballot.candidate === stored.holder;
     // Why a renewal is fine while waiting: it asks for nothing that another could hold.
     if (now < this.votesFromMicroseconds && !renewal) return no(this.votesFromMicroseconds - now);
     const lease = this.leases.get(ballot.duty);
-    if (lease !== undefined && lease.holder !== ballot.candidate && lease.untilMicroseconds > now) return no(lease.untilMicroseconds - now);
+    if (lease !== undefined && lease.holder !== ballot.candidate && lease.untilMicroseconds > now)
+      return no(lease.untilMicroseconds - now);
     if (!renewal) {
       if (ballot.term <= stored.term) return no(0);
-      const written = await this.core.ledger.write([{ kind: 'dutyGranted', duty: ballot.duty, term: ballot.term, holder: ballot.candidate }]);
+      const written = await this.core.ledger.write([
+        { kind: 'dutyGranted', duty: ballot.duty, term: ballot.term, holder: ballot.candidate },
+      ]);
       if (written !== 'synced') return no(1_000_000);
       // Why look again: while the disk wrote, a later ballot may have taken the duty further.
       const after = this.core.ledger.pending.duties[ballot.duty];
       if (after?.term !== ballot.term) return no(0);
     }
-    this.leases.set(ballot.duty, { holder: ballot.candidate, term: ballot.term, untilMicroseconds: this.clock.nowMicroseconds() + leaseMicroseconds });
+    this.leases.set(ballot.duty, {
+      holder: ballot.candidate,
+      term: ballot.term,
+      untilMicroseconds: this.clock.nowMicroseconds() + leaseMicroseconds,
+    });
     return { duty: ballot.duty, granted: true, term: ballot.term, holder: ballot.candidate, waitMicroseconds: 0 };
   }
 }
--- a/source/core-keeper/ledger/keeperState.ts
+++ b/source/core-keeper/ledger/keeperState.ts
@@ -65,12 +65,21 @@
 
 const joinKnown = (left: Incarnations, right: Incarnations): Incarnations => {
   const joined: Record<string, number> = { ...left };
-  for (const [keeper, incarnation] of Object.entries(right)) joined[keeper] = Math.max(joined[keeper] ?? 0, incarnation);
+  for (const [keeper, incarnation] of Object.entries(right))
+    joined[keeper] = Math.max(joined[keeper] ?? 0, incarnation);
   return joined;
 };
 
 export const KeeperStates = {
-  start: { standing: 'empty', fleet: '', incarnation: 0, known: {}, firstMembers: {}, cells: {}, duties: {} } as KeeperState,
+  start: {
+    standing: 'empty',
+    fleet: '',
+    incarnation: 0,
+    known: {},
+    firstMembers: {},
+    cells: {},
+    duties: {},
+  } as KeeperState,
   cell: (state: KeeperState, key: DocumentKey): Cell => state.cells[key] ?? emptyCell,
   outranks,
 
@@ -100,11 +109,23 @@
         return { ...state, known: joinKnown(state.known, { [event.keeper]: event.incarnation }) };
       case 'promised': {
         const cell = KeeperStates.cell(state, event.key);
-        return { ...state, cells: { ...state.cells, [event.key]: { ...cell, promised: higher(cell.promised, event.epoch) } } };
+        return {
+          ...state,
+          cells: { ...state.cells, [event.key]: { ...cell, promised: higher(cell.promised, event.epoch) } },
+        };
       }
       case 'accepted': {
         const cell = KeeperStates.cell(state, event.key);
-        return { ...state, cells: { ...state.cells, [event.key]: { promised: higher(cell.promised, event.epoch), accepted: { epoch: event.epoch, entry: event.entry } } } };
+        return {
+          ...state,
+          cells: {
+            ...state.cells,
+            [event.key]: {
+              promised: higher(cell.promised, event.epoch),
+              accepted: { epoch: event.epoch, entry: event.entry },
+            },
+          },
+        };
       }
       case 'dutyGranted':
         return { ...state, duties: { ...state.duties, [event.duty]: { term: event.term, holder: event.holder } } };
--- a/source/core-keeper/ledger/ledger.ts
+++ b/source/core-keeper/ledger/ledger.ts
@@ -8,7 +8,11 @@
 export type LedgerOpened = Readonly<{ kind: 'opened'; fresh: boolean }> | Readonly<{ kind: 'corrupt'; at: number }>;
 export type Written = 'synced' | 'full' | 'lost';
 
-type Waiting = Readonly<{ events: readonly KeeperEvent[]; settle: (written: Written) => void; sinceMicroseconds: number }>;
+type Waiting = Readonly<{
+  events: readonly KeeperEvent[];
+  settle: (written: Written) => void;
+  sinceMicroseconds: number;
+}>;
 
 const fileName = 'keeper.ledger';
 
--- a/source/core-keeper/ledger/records.ts
+++ b/source/core-keeper/ledger/records.ts
@@ -9,13 +9,13 @@
 const mostBytes = 64 * 1024 * 1024;
 
 export type RecordsRead =
-  | Readonly<{ kind: 'sound'; bodies: readonly unknown[]; length: number }>
-  | Readonly<{ kind: 'corrupt'; at: number }>;
+  Readonly<{ kind: 'sound'; bodies: readonly unknown[]; length: number }> | Readonly<{ kind: 'corrupt'; at: number }>;
 
 const recordAt = (bytes: Buffer, at: number): Readonly<{ body: Buffer; end: number }> | undefined => {
   if (at + headBytes > bytes.length) return undefined;
   const length = bytes.readUInt32BE(at);
-  if (length === 0 || length > mostBytes || crc32(bytes.subarray(at, at + 4)) !== bytes.readUInt32BE(at + 4)) return undefined;
+  if (length === 0 || length > mostBytes || crc32(bytes.subarray(at, at + 4)) !== bytes.readUInt32BE(at + 4))
+    return undefined;
   const end = at + headBytes + length;
   if (end > bytes.length) return undefined;
   const body = bytes.subarray(at + headBytes, end);
@@ -52,7 +52,8 @@
     // Why: a whole record whose body alone is wrong, with more behind it, was synced once and has rotted.
     if (headAt(bytes, at) && at + headBytes + bytes.readUInt32BE(at) < bytes.length) return { kind: 'corrupt', at };
     // Why look ahead: a good record behind a bad place means the bad place is no torn tail.
-    for (let ahead = at + 1; ahead + headBytes <= bytes.length; ahead += 1) if (recordAt(bytes, ahead) !== undefined) return { kind: 'corrupt', at };
+    for (let ahead = at + 1; ahead + headBytes <= bytes.length; ahead += 1)
+      if (recordAt(bytes, ahead) !== undefined) return { kind: 'corrupt', at };
     return { kind: 'sound', bodies, length: at };
   },
 } as const;
--- a/source/core-keeper/main.ts
+++ b/source/core-keeper/main.ts
@@ -12,29 +12,60 @@
 const schema: SettingSchema = {
   name: { doc: 'name of this keeper', format: SettingFormats.name, default: null, kind: 'text' },
   zone: { doc: 'zone of this machine', format: SettingFormats.text, default: '', kind: 'text' },
-  address: { doc: 'where other processes of the fleet reach it', format: SettingFormats.address, default: null, kind: 'text' },
+  address: {
+    doc: 'where other processes of the fleet reach it',
+    format: SettingFormats.address,
+    default: null,
+    kind: 'text',
+  },
   operators: { doc: 'where operators reach it over HTTP', format: SettingFormats.address, default: null, kind: 'text' },
-  seeds: { doc: 'addresses of the three keepers, its own included', format: SettingFormats.seeds, default: null, kind: 'list' },
+  seeds: {
+    doc: 'addresses of the three keepers, its own included',
+    format: SettingFormats.seeds,
+    default: null,
+    kind: 'list',
+  },
   folder: { doc: 'data folder', format: SettingFormats.text, default: null, kind: 'text' },
   replaces: { doc: 'name of the keeper it takes the place of', format: SettingFormats.text, default: '', kind: 'text' },
-  stopLimitMicroseconds: { doc: 'how long a stop may take', format: SettingFormats.whole, default: 10_000_000, kind: 'whole' },
+  stopLimitMicroseconds: {
+    doc: 'how long a stop may take',
+    format: SettingFormats.whole,
+    default: 10_000_000,
+    kind: 'whole',
+  },
 };
 
 Programs.run('core-keeper', async () => {
-  const settings = Settings.read('core-keeper', 'keeps the control state on its disk and answers operators', schema, process.argv.slice(2));
+  const settings = Settings.read(
+    'core-keeper',
+    'keeps the control state on its disk and answers operators',
+    schema,
+    process.argv.slice(2),
+  );
   const text = (name: string): string => String(settings[name]);
   const notice = Logs.part('keeper:notice');
   const transport = new TcpTransport(realClock);
   const disk = await nodeDisk(text('folder'));
   const member = { address: text('address'), operatorsAddress: text('operators'), zone: text('zone') };
-  const keeper = new CoreKeeper({ clock: realClock, random: realRandom, transport }, disk, { ...KeeperDefaults, name: text('name'), member, seeds: settings['seeds'] as readonly string[], replaces: text('replaces') });
+  const keeper = new CoreKeeper({ clock: realClock, random: realRandom, transport }, disk, {
+    ...KeeperDefaults,
+    name: text('name'),
+    member,
+    seeds: settings['seeds'] as readonly string[],
+    replaces: text('replaces'),
+  });
   const metrics = new Metrics();
   metrics.watch(() => [
     ['postdrum_keeper_votes', {}, keeper.core.votes() ? 1 : 0],
-    ...Object.entries(keeper.owners()).map(([key, { revision, owner }]) => ['postdrum_key_revision', { key, owner }, revision] as const),
+    ...Object.entries(keeper.owners()).map(
+      ([key, { revision, owner }]) => ['postdrum_key_revision', { key, owner }, revision] as const,
+    ),
   ]);
   const started = await keeper.start();
-  if (started.kind === 'corrupt') throw new Error(`the file in the data folder is damaged at byte ${started.at}; this keeper must not vote. Empty the folder, and it catches up from the others.`);
+  if (started.kind === 'corrupt')
+    throw new Error(
+      `the file in the data folder is damaged at byte ${started.at}; this keeper must not vote. Empty the folder, and it catches up from the others.`,
+    );
   keeper.news.on('broken', (sentence) => {
     process.stderr.write(`core-keeper: ${sentence}\n`);
     process.exit(4);
--- a/source/core-keeper/register/changes.ts
+++ b/source/core-keeper/register/changes.ts
@@ -9,11 +9,16 @@
 
 export const emptyEntry: Entry = { revision: 0, digest: '', text: '', changes: [] };
 
-export const Digests = { of: (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 32) } as const;
+export const Digests = {
+  of: (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 32),
+} as const;
 
 type Planned = Readonly<{ kind: 'write'; entry: Entry }> | Readonly<{ kind: 'answer'; outcome: ChangeOutcome }>;
 
-const refused = (reason: 'faults' | 'revision' | 'idUsed', faults: readonly Fault[], revision: number): Planned => ({ kind: 'answer', outcome: { kind: 'refused', reason, faults, revision } });
+const refused = (reason: 'faults' | 'revision' | 'idUsed', faults: readonly Fault[], revision: number): Planned => ({
+  kind: 'answer',
+  outcome: { kind: 'refused', reason, faults, revision },
+});
 
 const namesIn = (text: string): readonly string[] => {
   const checked = Blueprints.checkText('core-members', text);
@@ -35,13 +40,16 @@
     const orderDigest = Digests.of(`${order.form}\u0000${order.ifMatch}\u0000${order.text}`);
     const earlier = entry.changes.find(({ id }) => id === order.id);
     if (earlier !== undefined) {
-      if (earlier.orderDigest !== orderDigest) return refused('idUsed', [{ path: '', fault: 'this change id was used for another change' }], entry.revision);
+      if (earlier.orderDigest !== orderDigest)
+        return refused('idUsed', [{ path: '', fault: 'this change id was used for another change' }], entry.revision);
       return { kind: 'answer', outcome: { kind: 'taken', revision: earlier.revision } };
     }
-    if (order.ifMatch !== entry.revision) return refused('revision', [{ path: '', fault: `the present revision is ${entry.revision}` }], entry.revision);
+    if (order.ifMatch !== entry.revision)
+      return refused('revision', [{ path: '', fault: `the present revision is ${entry.revision}` }], entry.revision);
     let text = order.text;
     if (order.form === 'pieces') {
-      if (Buffer.byteLength(order.text) > BlueprintLimits.textBytes) return refused('faults', [{ path: '', fault: 'too long' }], entry.revision);
+      if (Buffer.byteLength(order.text) > BlueprintLimits.textBytes)
+        return refused('faults', [{ path: '', fault: 'too long' }], entry.revision);
       const pieces = Pieces.read(order.text);
       if (pieces.kind === 'faulty') return refused('faults', pieces.faults, entry.revision);
       text = entry.text;
@@ -69,5 +77,10 @@
   },
 
   /** The second step of a change of members: the list before no longer counts. */
-  settled: (entry: Entry): Entry => ({ revision: entry.revision + 1, digest: entry.digest, text: entry.text, changes: entry.changes }),
+  settled: (entry: Entry): Entry => ({
+    revision: entry.revision + 1,
+    digest: entry.digest,
+    text: entry.text,
+    changes: entry.changes,
+  }),
 } as const;
--- a/source/core-keeper/register/keeperCore.ts
+++ b/source/core-keeper/register/keeperCore.ts
@@ -5,7 +5,11 @@
 import { KeeperStates, type KeeperState } from '../ledger/keeperState';
 import type { Ledger } from '../ledger/ledger';
 
-export type MemberView = Readonly<{ revision: number; sets: readonly (readonly string[])[]; members: Readonly<Record<string, CoreMember>> }>;
+export type MemberView = Readonly<{
+  revision: number;
+  sets: readonly (readonly string[])[];
+  members: Readonly<Record<string, CoreMember>>;
+}>;
 
 const membersIn = (text: string): CoreMembers['members'] => {
   const checked = Blueprints.checkText('core-members', text);
@@ -29,7 +33,11 @@
   private viewOf: Entry | undefined;
   private view: MemberView = { revision: 0, sets: [], members: {} };
 
-  public constructor(public readonly name: string, public readonly ledger: Ledger, public readonly clock: Clock) {}
+  public constructor(
+    public readonly name: string,
+    public readonly ledger: Ledger,
+    public readonly clock: Clock,
+  ) {}
 
   public get state(): KeeperState {
     return this.ledger.synced;
@@ -42,7 +50,8 @@
 
   public members(): MemberView {
     const accepted = KeeperStates.cell(this.state, 'core-members').accepted;
-    if (accepted === null) return { revision: 0, sets: [Object.keys(this.state.firstMembers)], members: this.state.firstMembers };
+    if (accepted === null)
+      return { revision: 0, sets: [Object.keys(this.state.firstMembers)], members: this.state.firstMembers };
     if (accepted.entry !== this.viewOf) {
       this.view = MemberViews.of(accepted.entry);
       this.viewOf = accepted.entry;
--- a/source/core-keeper/register/messages.ts
+++ b/source/core-keeper/register/messages.ts
@@ -13,14 +13,38 @@
   | Readonly<{ kind: 'noVote' }>
   | Readonly<{ kind: 'full' }>;
 
-export type Prepare = Readonly<{ kind: 'prepare'; fleet: string; membersRevision: number; key: DocumentKey; epoch: Epoch }>;
-export type Accept = Readonly<{ kind: 'accept'; fleet: string; membersRevision: number; key: DocumentKey; epoch: Epoch; entry: Entry }>;
+export type Prepare = Readonly<{
+  kind: 'prepare';
+  fleet: string;
+  membersRevision: number;
+  key: DocumentKey;
+  epoch: Epoch;
+}>;
+export type Accept = Readonly<{
+  kind: 'accept';
+  fleet: string;
+  membersRevision: number;
+  key: DocumentKey;
+  epoch: Epoch;
+  entry: Entry;
+}>;
 
-export type ChangeOrder = Readonly<{ key: DocumentKey; form: 'whole' | 'pieces'; text: string; ifMatch: number; id: string }>;
+export type ChangeOrder = Readonly<{
+  key: DocumentKey;
+  form: 'whole' | 'pieces';
+  text: string;
+  ifMatch: number;
+  id: string;
+}>;
 
 export type ChangeOutcome =
   | Readonly<{ kind: 'taken'; revision: number }>
-  | Readonly<{ kind: 'refused'; reason: 'faults' | 'revision' | 'idUsed' | 'noMajority' | 'full'; faults: readonly Fault[]; revision: number }>
+  | Readonly<{
+      kind: 'refused';
+      reason: 'faults' | 'revision' | 'idUsed' | 'noMajority' | 'full';
+      faults: readonly Fault[];
+      revision: number;
+    }>
   | Readonly<{ kind: 'unknown' }>;
 
 export type OwnerWord = Readonly<{ key: DocumentKey; epoch: Epoch; revision: number; digest: string }>;
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -32,15 +32,22 @@
     case 'found':
       return { kind: 'settling', epoch: event.epoch, entry: event.entry };
     case 'decided':
-      return state.kind === 'settling' || state.kind === 'owning' ? { kind: 'owning', epoch: state.epoch, entry: event.entry } : state;
+      return state.kind === 'settling' || state.kind === 'owning'
+        ? { kind: 'owning', epoch: state.epoch, entry: event.entry }
+        : state;
     case 'lost':
       return { kind: 'none' };
   }
 };
 
-export type OwnershipSettings = Readonly<{ askMicroseconds: number; changeMicroseconds: number; firstMembersText: () => string }>;
+export type OwnershipSettings = Readonly<{
+  askMicroseconds: number;
+  changeMicroseconds: number;
+  firstMembersText: () => string;
+}>;
 
-type Gathered = Readonly<{ kind: 'reached'; accepted: Accepted | null }> | Readonly<{ kind: 'missed'; outrankedBy: Epoch }>;
+type Gathered =
+  Readonly<{ kind: 'reached'; accepted: Accepted | null }> | Readonly<{ kind: 'missed'; outrankedBy: Epoch }>;
 
 /** One key, seen from one keeper: won under a rising epoch, kept until outranked. */
 export class Ownership {
@@ -65,7 +72,14 @@
   }
 
   public word(): OwnerWord | undefined {
-    return this.present.kind === 'owning' ? { key: this.key, epoch: this.present.epoch, revision: this.present.entry.revision, digest: this.present.entry.digest } : undefined;
+    return this.present.kind === 'owning'
+      ? {
+          key: this.key,
+          epoch: this.present.epoch,
+          revision: this.present.entry.revision,
+          digest: this.present.entry.digest,
+        }
+      : undefined;
   }
 
   /** Another keeper's higher epoch: this one no longer owns the key. */
@@ -94,7 +108,10 @@
   private step(event: OwnershipEvent): void {
     const before = this.present.kind;
     this.present = reduceOwnership(this.present, event);
-    if (before !== this.present.kind && (this.present.kind === 'owning' || before === 'owning')) this.log(`The key ${this.key} is now ${this.present.kind === 'owning' ? `owned under ${Epochs.text(this.present.epoch)}` : 'not owned'}.`);
+    if (before !== this.present.kind && (this.present.kind === 'owning' || before === 'owning'))
+      this.log(
+        `The key ${this.key} is now ${this.present.kind === 'owning' ? `owned under ${Epochs.text(this.present.epoch)}` : 'not owned'}.`,
+      );
     void this.news.emit('state', this.present);
   }
 
@@ -140,27 +157,53 @@
     const given = new Map<string, PrepareAnswer>();
     for (;;) {
       const asked = Object.entries(view.members);
-      const order = { kind: 'prepare', fleet: this.core.state.fleet, membersRevision: first.revision, key: this.key, epoch } as const;
+      const order = {
+        kind: 'prepare',
+        fleet: this.core.state.fleet,
+        membersRevision: first.revision,
+        key: this.key,
+        epoch,
+      } as const;
       const answers = await Promise.all(
         asked.map(async ([name, member]): Promise<PrepareAnswer> => {
           // Why not ask twice: a promise once given stands, and a second ask under one epoch is refused.
-          const answer = given.get(name) ?? (name === this.core.name ? await this.acceptor.prepare(order) : await this.askOther<PrepareAnswer>(member.address, order));
+          const answer =
+            given.get(name) ??
+            (name === this.core.name
+              ? await this.acceptor.prepare(order)
+              : await this.askOther<PrepareAnswer>(member.address, order));
           if (answer.kind === 'promised') given.set(name, answer);
           return answer;
         }),
       );
-      const promised = Stamps.sound(answers.filter((answer) => answer.kind === 'promised')).filter((answer) => this.key === 'core-members' || answer.membersRevision <= first.revision);
+      const promised = Stamps.sound(answers.filter((answer) => answer.kind === 'promised')).filter(
+        (answer) => this.key === 'core-members' || answer.membersRevision <= first.revision,
+      );
       const outranked = answers.filter((answer) => answer.kind === 'outranked').map((answer) => answer.epoch);
       const outrankedBy = outranked.reduce((high, item) => (Epochs.compare(item, high) > 0 ? item : high), Epochs.none);
-      if (!Stamps.reached(view.sets, promised.map(({ stamp }) => stamp.keeper))) return { kind: 'missed', outrankedBy };
-      const accepted = promised.reduce<Accepted | null>((best, answer) => (answer.accepted !== null && KeeperStates.outranks(answer.accepted, best) ? answer.accepted : best), null);
-      if (this.key !== 'core-members' || accepted === null || accepted.entry.revision <= view.revision) return { kind: 'reached', accepted };
+      if (
+        !Stamps.reached(
+          view.sets,
+          promised.map(({ stamp }) => stamp.keeper),
+        )
+      )
+        return { kind: 'missed', outrankedBy };
+      const accepted = promised.reduce<Accepted | null>(
+        (best, answer) =>
+          answer.accepted !== null && KeeperStates.outranks(answer.accepted, best) ? answer.accepted : best,
+        null,
+      );
+      if (this.key !== 'core-members' || accepted === null || accepted.entry.revision <= view.revision)
+        return { kind: 'reached', accepted };
       // Why again: a newer list was found, and its own majority may know a newer one still.
       view = MemberViews.of(accepted.entry);
     }
   }
 
-  private async askOther<Result extends PrepareAnswer | AcceptAnswer>(address: string, order: Message): Promise<Result> {
+  private async askOther<Result extends PrepareAnswer | AcceptAnswer>(
+    address: string,
+    order: Message,
+  ): Promise<Result> {
     const answer = await this.transport.ask(address, order, this.settings.askMicroseconds);
     return (answer.kind === 'answered' ? answer.message : { kind: 'noVote' }) as unknown as Result;
   }
@@ -170,17 +213,30 @@
     if (this.present.kind !== 'owning' && this.present.kind !== 'settling') return 'missed';
     const epoch = this.present.epoch;
     const view = this.key === 'core-members' ? MemberViews.of(entry) : this.core.members();
-    const order = { kind: 'accept', fleet: this.core.state.fleet, membersRevision: this.core.members().revision, key: this.key, epoch, entry } as const;
+    const order = {
+      kind: 'accept',
+      fleet: this.core.state.fleet,
+      membersRevision: this.core.members().revision,
+      key: this.key,
+      epoch,
+      entry,
+    } as const;
     const answers: AcceptAnswer[] = [];
     const enough = (): boolean => {
-      const sound = Stamps.sound(answers.filter((answer) => answer.kind === 'accepted')).filter((answer) => this.key === 'core-members' || answer.membersRevision <= order.membersRevision);
-      return Stamps.reached(view.sets, sound.map(({ stamp }) => stamp.keeper));
+      const sound = Stamps.sound(answers.filter((answer) => answer.kind === 'accepted')).filter(
+        (answer) => this.key === 'core-members' || answer.membersRevision <= order.membersRevision,
+      );
+      return Stamps.reached(
+        view.sets,
+        sound.map(({ stamp }) => stamp.keeper),
+      );
     };
     const result = await new Promise<'reached' | 'missed'>((resolve) => {
       let open = Object.keys(view.members).length;
       if (open === 0) resolve('missed');
       for (const [name, member] of Object.entries(view.members)) {
-        const asked = name === this.core.name ? this.acceptor.accept(order) : this.askOther<AcceptAnswer>(member.address, order);
+        const asked =
+          name === this.core.name ? this.acceptor.accept(order) : this.askOther<AcceptAnswer>(member.address, order);
         void asked.then((answer) => {
           answers.push(answer);
           open -= 1;
@@ -194,15 +250,21 @@
     });
     if (result === 'reached' && this.holds(epoch)) return 'reached';
     // Why a verdict of its own: no keeper holds the entry when each answer was a plain refusal for space.
-    return answers.length === Object.keys(view.members).length && answers.every((answer) => answer.kind === 'full') ? 'full' : 'missed';
+    return answers.length === Object.keys(view.members).length && answers.every((answer) => answer.kind === 'full')
+      ? 'full'
+      : 'missed';
   }
 
   private holds(epoch: Epoch): boolean {
-    return (this.present.kind === 'owning' || this.present.kind === 'settling') && Epochs.compare(this.present.epoch, epoch) === 0;
+    return (
+      (this.present.kind === 'owning' || this.present.kind === 'settling') &&
+      Epochs.compare(this.present.epoch, epoch) === 0
+    );
   }
 
   private async settleMembers(): Promise<boolean> {
-    if (this.key !== 'core-members' || this.present.kind !== 'owning' || this.present.entry.base === undefined) return true;
+    if (this.key !== 'core-members' || this.present.kind !== 'owning' || this.present.entry.base === undefined)
+      return true;
     const settled = Changes.settled(this.present.entry);
     if ((await this.acceptNow(settled)) !== 'reached') {
       this.step({ kind: 'lost' });
@@ -228,7 +290,13 @@
             await this.settleMembers();
             return { kind: 'taken', revision: planned.entry.revision };
           }
-          if (result === 'full') return { kind: 'refused', reason: 'full', faults: [{ path: '', fault: 'the disks are full' }], revision: this.present.kind === 'owning' ? this.present.entry.revision : 0 };
+          if (result === 'full')
+            return {
+              kind: 'refused',
+              reason: 'full',
+              faults: [{ path: '', fault: 'the disks are full' }],
+              revision: this.present.kind === 'owning' ? this.present.entry.revision : 0,
+            };
           mayStand = true;
         }
         // Why give up ownership: the entry may stand on a minority, and only a new epoch can settle what became of it.
--- a/source/core-keeper/register/weightsAges.ts
+++ b/source/core-keeper/register/weightsAges.ts
@@ -26,7 +26,10 @@
   public words(): Readonly<Record<string, WeightsAge>> {
     const now = this.clock.nowMicroseconds();
     return Object.fromEntries(
-      Object.entries(this.seen).map(([service, { weights, previous, sinceMicroseconds }]) => [service, { weights, previous, ageMicroseconds: sinceMicroseconds === null ? null : now - sinceMicroseconds }]),
+      Object.entries(this.seen).map(([service, { weights, previous, sinceMicroseconds }]) => [
+        service,
+        { weights, previous, ageMicroseconds: sinceMicroseconds === null ? null : now - sinceMicroseconds },
+      ]),
     );
   }
 
@@ -39,7 +42,10 @@
     for (const [name, service] of Object.entries((checked.value as Blueprint).services)) {
       if (service.kind !== 'pool') continue;
       const before = this.seen[name];
-      next[name] = before !== undefined && before.weights === service.weights ? before : { weights: service.weights, previous: before?.weights ?? null, sinceMicroseconds };
+      next[name] =
+        before !== undefined && before.weights === service.weights
+          ? before
+          : { weights: service.weights, previous: before?.weights ?? null, sinceMicroseconds };
     }
     this.seen = next;
   }
--- a/source/core-keeper/standing/standing.ts
+++ b/source/core-keeper/standing/standing.ts
@@ -7,11 +7,23 @@
 import type { KeeperCore, MemberView } from '../register/keeperCore';
 
 export type Hello = Readonly<{
-  kind: 'hello'; keeper: string; member: CoreMember; standing: Standing; fleet: string;
-  firstMembers: Readonly<Record<string, CoreMember>>; view: MemberView | null; knownIncarnation: number;
+  kind: 'hello';
+  keeper: string;
+  member: CoreMember;
+  standing: Standing;
+  fleet: string;
+  firstMembers: Readonly<Record<string, CoreMember>>;
+  view: MemberView | null;
+  knownIncarnation: number;
 }>;
 
-export type StandingSettings = Readonly<{ seeds: readonly string[]; member: CoreMember; replaces: string; askMicroseconds: number; founders: number }>;
+export type StandingSettings = Readonly<{
+  seeds: readonly string[];
+  member: CoreMember;
+  replaces: string;
+  askMicroseconds: number;
+  founders: number;
+}>;
 
 /** How a keeper without a voice gets one: by founding a fleet with all others, or by reading frames of all others. */
 export class StandingKeeper {
@@ -27,8 +39,14 @@
   public hello(asker: string): Hello {
     const { standing, fleet, firstMembers, known } = this.core.state;
     return {
-      kind: 'hello', keeper: this.core.name, member: this.settings.member, standing, fleet, firstMembers,
-      view: this.core.votes() ? this.core.members() : null, knownIncarnation: known[asker] ?? 0,
+      kind: 'hello',
+      keeper: this.core.name,
+      member: this.settings.member,
+      standing,
+      fleet,
+      firstMembers,
+      view: this.core.votes() ? this.core.members() : null,
+      knownIncarnation: known[asker] ?? 0,
     };
   }
 
@@ -40,7 +58,11 @@
     // Why the newest list: a replaced keeper that came back still shows the one it knew.
     const voting = hellos
       .filter((hello) => hello.standing === 'voting' && hello.view !== null && this.mayBeOurs(hello))
-      .reduce<Hello | undefined>((best, hello) => (best === undefined || (hello.view?.revision ?? 0) > (best.view?.revision ?? 0) ? hello : best), undefined);
+      .reduce<Hello | undefined>(
+        (best, hello) =>
+          best === undefined || (hello.view?.revision ?? 0) > (best.view?.revision ?? 0) ? hello : best,
+        undefined,
+      );
     if (voting !== undefined) return this.followVoting(voting);
     if (standing !== 'joining') await this.found(hellos);
   }
@@ -51,7 +73,9 @@
     const wanted = String(message['fleet']);
     if (standing === 'forming' && fleet === wanted) return { kind: 'formingToo' };
     if (standing !== 'empty') return { kind: 'noVote' };
-    const written = await this.core.ledger.write([{ kind: 'forming', fleet: wanted, members: message['members'] as Readonly<Record<string, CoreMember>> }]);
+    const written = await this.core.ledger.write([
+      { kind: 'forming', fleet: wanted, members: message['members'] as Readonly<Record<string, CoreMember>> },
+    ]);
     return written === 'synced' ? { kind: 'formingToo' } : { kind: 'noVote' };
   }
 
@@ -59,7 +83,8 @@
   public async frame(message: Message): Promise<Message> {
     const keeper = String(message['keeper']);
     const incarnation = Number(message['incarnation']);
-    if (!this.core.votes() || message['fleet'] !== this.core.state.fleet || !Number.isSafeInteger(incarnation)) return { kind: 'noVote' };
+    if (!this.core.votes() || message['fleet'] !== this.core.state.fleet || !Number.isSafeInteger(incarnation))
+      return { kind: 'noVote' };
     if ((this.core.state.known[keeper] ?? 0) >= incarnation) return { kind: 'noVote' };
     const written = await this.core.ledger.write([{ kind: 'knew', keeper, incarnation }]);
     if (written !== 'synced') return { kind: 'noVote' };
@@ -74,8 +99,14 @@
   }
 
   private async helloAll(addresses: readonly string[]): Promise<readonly Hello[]> {
-    const answers = await Promise.all(addresses.map((address) => this.transport.ask(address, { kind: 'hello', asker: this.core.name }, this.settings.askMicroseconds)));
-    return answers.flatMap((answer) => (answer.kind === 'answered' && answer.message.kind === 'hello' ? [answer.message as unknown as Hello] : []));
+    const answers = await Promise.all(
+      addresses.map((address) =>
+        this.transport.ask(address, { kind: 'hello', asker: this.core.name }, this.settings.askMicroseconds),
+      ),
+    );
+    return answers.flatMap((answer) =>
+      answer.kind === 'answered' && answer.message.kind === 'hello' ? [answer.message as unknown as Hello] : [],
+    );
   }
 
   private async found(hellos: readonly Hello[]): Promise<void> {
@@ -96,7 +127,11 @@
     const members = begun[0]?.firstMembers ?? Object.fromEntries(all.map(({ keeper, member }) => [keeper, member]));
     const own = await this.form({ kind: 'form', fleet, members });
     if (own.kind !== 'formingToo') return;
-    const answers = await Promise.all(hellos.map(({ member }) => this.transport.ask(member.address, { kind: 'form', fleet, members }, this.settings.askMicroseconds)));
+    const answers = await Promise.all(
+      hellos.map(({ member }) =>
+        this.transport.ask(member.address, { kind: 'form', fleet, members }, this.settings.askMicroseconds),
+      ),
+    );
     if (!answers.every((answer) => answer.kind === 'answered' && answer.message.kind === 'formingToo')) return;
     // Why only now: all founders have it on disk, so none can ever be found empty and found another.
     if ((await this.core.ledger.write([{ kind: 'formed' }])) === 'synced') this.log(`A new fleet ${fleet} is founded.`);
@@ -118,11 +153,16 @@
     // Why all others: any of them may hold what this keeper once promised and has forgotten.
     const sound = hellos.filter((hello) => hello.standing === 'voting' && hello.fleet === voting.fleet);
     if (sound.length !== others.length) return;
-    const incarnation = Math.max(this.core.state.incarnation, ...sound.map(({ knownIncarnation }) => knownIncarnation)) + 1;
+    const incarnation =
+      Math.max(this.core.state.incarnation, ...sound.map(({ knownIncarnation }) => knownIncarnation)) + 1;
     if ((await this.core.ledger.write([{ kind: 'joining', fleet: voting.fleet, incarnation }])) !== 'synced') return;
     const order = { kind: 'frame', keeper: this.core.name, incarnation, fleet: voting.fleet };
-    const answers = await Promise.all(others.map(([, member]) => this.transport.ask(member.address, order, this.settings.askMicroseconds * 4)));
-    const frames = answers.flatMap((answer) => (answer.kind === 'answered' && answer.message.kind === 'frame' ? [answer.message['frame'] as KeeperFrame] : []));
+    const answers = await Promise.all(
+      others.map(([, member]) => this.transport.ask(member.address, order, this.settings.askMicroseconds * 4)),
+    );
+    const frames = answers.flatMap((answer) =>
+      answer.kind === 'answered' && answer.message.kind === 'frame' ? [answer.message['frame'] as KeeperFrame] : [],
+    );
     if (frames.length !== others.length) return;
     if ((await this.core.ledger.write([{ kind: 'joined', frames }])) !== 'synced') return;
     this.log(`Caught up from ${others.length} others as incarnation ${incarnation}.`);
@@ -134,12 +174,17 @@
     const order = { kind: 'replace', gone: this.settings.replaces, name: this.core.name, member: this.settings.member };
     await this.transport.ask(voting.member.address, order, this.settings.askMicroseconds * 8);
   }
-} 
+}
 
 export const Replaced = {
   /** A keeper that sees itself left out of a settled list stops voting for good. */
   isOut: (core: KeeperCore): boolean => {
     const accepted = KeeperStates.cell(core.state, 'core-members').accepted;
-    return core.votes() && accepted !== null && accepted.entry.base === undefined && core.members().members[core.name] === undefined;
+    return (
+      core.votes() &&
+      accepted !== null &&
+      accepted.entry.base === undefined &&
+      core.members().members[core.name] === undefined
+    );
   },
 } as const;
--- a/source/edge-agent/core-link/majorityRead.ts
+++ b/source/edge-agent/core-link/majorityRead.ts
@@ -4,11 +4,23 @@
 import { Epochs, Stamps, type KeyWord, type Stamp } from '../../shared/register/types';
 
 export type WordsAnswer = Readonly<{
-  kind: 'words'; stamp: Stamp; membersRevision: number; words: readonly KeyWord[];
-  view: Readonly<{ revision: number; sets: readonly (readonly string[])[]; members: Readonly<Record<string, CoreMember>> }>;
+  kind: 'words';
+  stamp: Stamp;
+  membersRevision: number;
+  words: readonly KeyWord[];
+  view: Readonly<{
+    revision: number;
+    sets: readonly (readonly string[])[];
+    members: Readonly<Record<string, CoreMember>>;
+  }>;
 }>;
 
-export type MajorityRead = Readonly<{ statements: readonly Omit<Statement, 'ageMicroseconds'>[]; view: WordsAnswer['view'] | undefined; fleet: string; unsettled: readonly DocumentKey[] }>;
+export type MajorityRead = Readonly<{
+  statements: readonly Omit<Statement, 'ageMicroseconds'>[];
+  view: WordsAnswer['view'] | undefined;
+  fleet: string;
+  unsettled: readonly DocumentKey[];
+}>;
 
 const weightsOf = (words: readonly KeyWord[]): Statement['weights'] => {
   const best: Record<string, { weights: string; previous: string | null; ageMicroseconds: number | null }> = {};
@@ -16,7 +28,12 @@
     for (const [service, age] of Object.entries(word.weights ?? {})) {
       const known = best[service];
       // Why the oldest: the clock of the old weights runs from the first keeper that had the change.
-      if (known === undefined || (age.ageMicroseconds !== null && (known.ageMicroseconds === null || age.ageMicroseconds > known.ageMicroseconds))) best[service] = { weights: age.weights, previous: age.previous, ageMicroseconds: age.ageMicroseconds };
+      if (
+        known === undefined ||
+        (age.ageMicroseconds !== null &&
+          (known.ageMicroseconds === null || age.ageMicroseconds > known.ageMicroseconds))
+      )
+        best[service] = { weights: age.weights, previous: age.previous, ageMicroseconds: age.ageMicroseconds };
     }
   }
   return best;
@@ -27,18 +44,44 @@
    * What a set of keepers' words proves. A revision is named only when it is known to be decided: it stands on a
    * majority under one epoch, or an owner said so, or it is the very one already applied.
    */
-  judge: (answers: readonly WordsAnswer[], fleet: string, appliedDigest: (key: DocumentKey) => Readonly<{ revision: number; digest: string }> | undefined): MajorityRead => {
-    const ours = fleet === '' ? answers[0]?.stamp.fleet ?? '' : fleet;
+  judge: (
+    answers: readonly WordsAnswer[],
+    fleet: string,
+    appliedDigest: (key: DocumentKey) => Readonly<{ revision: number; digest: string }> | undefined,
+  ): MajorityRead => {
+    const ours = fleet === '' ? (answers[0]?.stamp.fleet ?? '') : fleet;
     const sound = Stamps.sound(answers.filter(({ stamp }) => stamp.fleet === ours));
-    const view = sound.reduce<WordsAnswer['view'] | undefined>((best, answer) => (best === undefined || answer.view.revision > best.revision ? answer.view : best), undefined);
-    if (view === undefined || !Stamps.reached(view.sets, sound.map(({ stamp }) => stamp.keeper))) return { statements: [], view, fleet: ours, unsettled: [] };
+    const view = sound.reduce<WordsAnswer['view'] | undefined>(
+      (best, answer) => (best === undefined || answer.view.revision > best.revision ? answer.view : best),
+      undefined,
+    );
+    if (
+      view === undefined ||
+      !Stamps.reached(
+        view.sets,
+        sound.map(({ stamp }) => stamp.keeper),
+      )
+    )
+      return { statements: [], view, fleet: ours, unsettled: [] };
     const statements: Omit<Statement, 'ageMicroseconds'>[] = [];
     const unsettled: DocumentKey[] = [];
     for (const key of DocumentKeys) {
-      const words = sound.flatMap((answer) => answer.words.filter((word) => word.key === key).map((word) => ({ keeper: answer.stamp.keeper, word })));
-      const top = words.reduce<KeyWord | undefined>((best, { word }) => (best === undefined || Epochs.compare(word.epoch, best.epoch) > 0 || (Epochs.compare(word.epoch, best.epoch) === 0 && word.revision > best.revision) ? word : best), undefined);
+      const words = sound.flatMap((answer) =>
+        answer.words.filter((word) => word.key === key).map((word) => ({ keeper: answer.stamp.keeper, word })),
+      );
+      const top = words.reduce<KeyWord | undefined>(
+        (best, { word }) =>
+          best === undefined ||
+          Epochs.compare(word.epoch, best.epoch) > 0 ||
+          (Epochs.compare(word.epoch, best.epoch) === 0 && word.revision > best.revision)
+            ? word
+            : best,
+        undefined,
+      );
       if (top === undefined || top.digest === '') continue;
-      const holders = words.filter(({ word }) => Epochs.compare(word.epoch, top.epoch) === 0 && word.revision === top.revision).map(({ keeper }) => keeper);
+      const holders = words
+        .filter(({ word }) => Epochs.compare(word.epoch, top.epoch) === 0 && word.revision === top.revision)
+        .map(({ keeper }) => keeper);
       const said = words.some(({ word }) => word.decidedRevision === top.revision && word.decidedDigest === top.digest);
       const applied = appliedDigest(key);
       const known = applied?.revision === top.revision && applied.digest === top.digest;
@@ -46,7 +89,15 @@
         unsettled.push(key);
         continue;
       }
-      statements.push({ key, revision: top.revision, digest: top.digest, weights: key === 'blueprint' ? weightsOf(words.filter(({ word }) => word.digest === top.digest).map(({ word }) => word)) : {} });
+      statements.push({
+        key,
+        revision: top.revision,
+        digest: top.digest,
+        weights:
+          key === 'blueprint'
+            ? weightsOf(words.filter(({ word }) => word.digest === top.digest).map(({ word }) => word))
+            : {},
+      });
     }
     return { statements, view, fleet: ours, unsettled };
   },
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -77,17 +77,53 @@
   private turn = 0;
   private loadSequence = 0;
 
-  public constructor(private readonly effects: Effects, door: BackEndDoor, private readonly settings: AgentSettings) {
+  public constructor(
+    private readonly effects: Effects,
+    door: BackEndDoor,
+    private readonly settings: AgentSettings,
+  ) {
     const { clock, random } = effects;
     this.log = Logs.part(`agent:${settings.name}`);
     this.freshness = new Freshness(clock);
     this.pulses = new Pulses(clock);
-    this.link = new CoreLink(effects, this.freshness, { seeds: settings.seeds, askMicroseconds: settings.readAskMicroseconds }, () => this.facts.get(FactKeys.member(settings.name)) ?? null, this.log);
-    const self = { name: settings.name, zone: settings.zone, address: settings.address, proxyAddress: settings.proxyAddress, pagesAddress: settings.pagesAddress, boot: random.name() };
+    this.link = new CoreLink(
+      effects,
+      this.freshness,
+      { seeds: settings.seeds, askMicroseconds: settings.readAskMicroseconds },
+      () => this.facts.get(FactKeys.member(settings.name)) ?? null,
+      this.log,
+    );
+    const self = {
+      name: settings.name,
+      zone: settings.zone,
+      address: settings.address,
+      proxyAddress: settings.proxyAddress,
+      pagesAddress: settings.pagesAddress,
+      boot: random.name(),
+    };
     this.membership = new Membership(self, this.facts, clock, settings, this.log);
-    this.exchange = new NewsExchange({ facts: this.facts, shards: this.shards, freshness: this.freshness, pulses: this.pulses }, effects, FactKeys.member(settings.name));
-    this.duties = new DutyHolder(settings.name, this.link, effects, { leaseMicroseconds: settings.leaseMicroseconds, askMicroseconds: settings.readAskMicroseconds });
-    this.stewardship = new Stewardship(settings.name, this.duties, this.membership, this.facts, this.shards, this.freshness, this.pulses, door, effects, { ...settings, askMicroseconds: settings.tendAskMicroseconds }, this.log);
+    this.exchange = new NewsExchange(
+      { facts: this.facts, shards: this.shards, freshness: this.freshness, pulses: this.pulses },
+      effects,
+      FactKeys.member(settings.name),
+    );
+    this.duties = new DutyHolder(settings.name, this.link, effects, {
+      leaseMicroseconds: settings.leaseMicroseconds,
+      askMicroseconds: settings.readAskMicroseconds,
+    });
+    this.stewardship = new Stewardship(
+      settings.name,
+      this.duties,
+      this.membership,
+      this.facts,
+      this.shards,
+      this.freshness,
+      this.pulses,
+      door,
+      effects,
+      { ...settings, askMicroseconds: settings.tendAskMicroseconds },
+      this.log,
+    );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     const tickers: readonly (readonly [number, () => Promise<void>])[] = [
       [settings.readMicroseconds, () => this.link.read()],
@@ -109,7 +145,9 @@
   public async leave(): Promise<void> {
     this.stewardship.resign();
     this.membership.leave();
-    await Promise.all(this.membership.colleagues().map(({ address }) => this.exchange.ask(address, this.settings.newsAskMicroseconds)));
+    await Promise.all(
+      this.membership.colleagues().map(({ address }) => this.exchange.ask(address, this.settings.newsAskMicroseconds)),
+    );
     await this.stop();
   }
 
@@ -125,7 +163,9 @@
     // Why seeds too: until a colleague is known, and now and then after, so that two halves find each other again.
     const useSeed = colleagues.length === 0 || this.turn % 25 === 24;
     const others = this.settings.seeds.filter((seed) => seed !== this.settings.address);
-    const address = useSeed ? others[Math.floor(this.turn / 25 + this.turn) % Math.max(1, others.length)] : colleagues[this.turn % colleagues.length]?.address;
+    const address = useSeed
+      ? others[Math.floor(this.turn / 25 + this.turn) % Math.max(1, others.length)]
+      : colleagues[this.turn % colleagues.length]?.address;
     this.turn += 1;
     if (address !== undefined) await this.exchange.ask(address, this.settings.newsAskMicroseconds);
   }
@@ -137,9 +177,21 @@
         const answer = await this.effects.transport.ask(address, { kind: 'ping' }, this.settings.newsAskMicroseconds);
         if (answer.kind === 'answered') return this.membership.heard(name);
         if (!this.membership.unheard(name)) return;
-        const helpers = this.membership.colleagues().filter((helper) => helper.name !== name).slice(0, 2);
-        const seen = await Promise.all(helpers.map((helper) => this.effects.transport.ask(helper.address, { kind: 'probe', address }, this.settings.newsAskMicroseconds * 2)));
-        if (seen.some((item) => item.kind === 'answered' && item.message['reached'] === true)) this.membership.heard(name);
+        const helpers = this.membership
+          .colleagues()
+          .filter((helper) => helper.name !== name)
+          .slice(0, 2);
+        const seen = await Promise.all(
+          helpers.map((helper) =>
+            this.effects.transport.ask(
+              helper.address,
+              { kind: 'probe', address },
+              this.settings.newsAskMicroseconds * 2,
+            ),
+          ),
+        );
+        if (seen.some((item) => item.kind === 'answered' && item.message['reached'] === true))
+          this.membership.heard(name);
         else this.membership.suspect(name);
       }),
     );
@@ -155,7 +207,11 @@
       case 'ping':
         return { kind: 'pong' };
       case 'probe': {
-        const answer = await this.effects.transport.ask(String(message['address']), { kind: 'ping' }, this.settings.newsAskMicroseconds);
+        const answer = await this.effects.transport.ask(
+          String(message['address']),
+          { kind: 'ping' },
+          this.settings.newsAskMicroseconds,
+        );
         return { kind: 'probed', reached: answer.kind === 'answered' };
       }
       case 'grant':
@@ -174,24 +230,42 @@
 
   private hearProxy(message: Message): void {
     const load = message['load'] as Omit<LoadFact, 'agent'>;
-    const value: LoadFact = { agent: this.settings.name, engines: load.engines, classes: load.classes, waiting: load.waiting, tenants: load.tenants };
+    const value: LoadFact = {
+      agent: this.settings.name,
+      engines: load.engines,
+      classes: load.classes,
+      waiting: load.waiting,
+      tenants: load.tenants,
+    };
     const before = this.facts.value<LoadFact>(FactKeys.load(this.settings.name));
     if (before !== undefined && JSON.stringify(before) === JSON.stringify(value)) return;
     this.loadSequence += 1;
-    this.facts.put({ key: FactKeys.load(this.settings.name), version: [this.membership.selfIncarnation, this.loadSequence], value });
+    this.facts.put({
+      key: FactKeys.load(this.settings.name),
+      version: [this.membership.selfIncarnation, this.loadSequence],
+      value,
+    });
   }
 
   private async grant(message: Message): Promise<GrantAnswer> {
     const engine = String(message['engine']);
     const steward = this.stewardship.steward(engine);
-    if (steward !== undefined) return steward.grant(String(message['fill']), Number(message['epoch']), message['keys'] as readonly NamedKey[]);
+    if (steward !== undefined)
+      return steward.grant(String(message['fill']), Number(message['epoch']), message['keys'] as readonly NamedKey[]);
     const holder = this.stewardship.holderOf(engine);
     // Why once only: two daemons that each think the other is the steward must not ask in circles.
-    if (message['passed'] === true || holder === undefined || holder.holder === this.settings.name) return { kind: 'refused', reason: 'notSteward' };
+    if (message['passed'] === true || holder === undefined || holder.holder === this.settings.name)
+      return { kind: 'refused', reason: 'notSteward' };
     const address = this.membership.member(holder.holder)?.address;
     if (address === undefined) return { kind: 'refused', reason: 'notSteward' };
-    const answer = await this.effects.transport.ask(address, { ...message, passed: true }, this.settings.newsAskMicroseconds);
-    return answer.kind === 'answered' && answer.message.kind === 'grantAnswer' ? (answer.message['answer'] as GrantAnswer) : { kind: 'refused', reason: 'notSteward' };
+    const answer = await this.effects.transport.ask(
+      address,
+      { ...message, passed: true },
+      this.settings.newsAskMicroseconds,
+    );
+    return answer.kind === 'answered' && answer.message.kind === 'grantAnswer'
+      ? (answer.message['answer'] as GrantAnswer)
+      : { kind: 'refused', reason: 'notSteward' };
   }
 
   private async passNotes(notes: readonly DirectoryNote[], passed: boolean): Promise<void> {
@@ -207,6 +281,14 @@
       away.set(address, [...(away.get(address) ?? []), note]);
     }
     // Why no second try: a lost note is a block nobody counts on, and no more.
-    await Promise.all([...away].map(([address, list]) => this.effects.transport.ask(address, { kind: 'notes', notes: list, passed: true }, this.settings.newsAskMicroseconds)));
+    await Promise.all(
+      [...away].map(([address, list]) =>
+        this.effects.transport.ask(
+          address,
+          { kind: 'notes', notes: list, passed: true },
+          this.settings.newsAskMicroseconds,
+        ),
+      ),
+    );
   }
 }
--- a/source/edge-agent/main.ts
+++ b/source/edge-agent/main.ts
@@ -14,27 +14,68 @@
 const schema: SettingSchema = {
   name: { doc: 'name of this machine', format: SettingFormats.name, default: null, kind: 'text' },
   zone: { doc: 'zone of this machine', format: SettingFormats.text, default: '', kind: 'text' },
-  address: { doc: 'where other agents and its proxy reach it', format: SettingFormats.address, default: null, kind: 'text' },
-  proxy: { doc: 'where callers reach the proxy beside it', format: SettingFormats.address, default: null, kind: 'text' },
+  address: {
+    doc: 'where other agents and its proxy reach it',
+    format: SettingFormats.address,
+    default: null,
+    kind: 'text',
+  },
+  proxy: {
+    doc: 'where callers reach the proxy beside it',
+    format: SettingFormats.address,
+    default: null,
+    kind: 'text',
+  },
   pages: { doc: 'where its health and metrics pages are', format: SettingFormats.address, default: null, kind: 'text' },
-  seeds: { doc: 'addresses of three other processes of the fleet', format: SettingFormats.seeds, default: null, kind: 'list' },
-  stopLimitMicroseconds: { doc: 'how long a stop may take', format: SettingFormats.whole, default: 5_000_000, kind: 'whole' },
+  seeds: {
+    doc: 'addresses of three other processes of the fleet',
+    format: SettingFormats.seeds,
+    default: null,
+    kind: 'list',
+  },
+  stopLimitMicroseconds: {
+    doc: 'how long a stop may take',
+    format: SettingFormats.whole,
+    default: 5_000_000,
+    kind: 'whole',
+  },
 };
 
 Programs.run('edge-agent', async () => {
-  const settings = Settings.read('edge-agent', 'links one edge machine to the fleet and feeds its proxy', schema, process.argv.slice(2));
+  const settings = Settings.read(
+    'edge-agent',
+    'links one edge machine to the fleet and feeds its proxy',
+    schema,
+    process.argv.slice(2),
+  );
   const text = (name: string): string => String(settings[name]);
   const notice = Logs.part('agent:notice');
   const transport = new TcpTransport(realClock);
   const door = new HttpBackEndDoor();
-  const agent = new EdgeAgent({ clock: realClock, random: realRandom, transport }, door, { ...AgentDefaults, name: text('name'), zone: text('zone'), address: text('address'), proxyAddress: text('proxy'), pagesAddress: text('pages'), seeds: settings['seeds'] as readonly string[] });
+  const agent = new EdgeAgent({ clock: realClock, random: realRandom, transport }, door, {
+    ...AgentDefaults,
+    name: text('name'),
+    zone: text('zone'),
+    address: text('address'),
+    proxyAddress: text('proxy'),
+    pagesAddress: text('pages'),
+    seeds: settings['seeds'] as readonly string[],
+  });
   const address = await agent.start();
   const metrics = new Metrics();
   metrics.watch(() => AgentPages.gauges(agent));
   const pages = await HttpDoors.open(text('pages'), HttpLimits.usual, (service) => {
-    service.get('/status', (_order, response) => Replies.json(response as unknown as ServerResponse, 200, AgentPages.status(text('name'), agent)));
-    service.get('/health', (_order, response) => Replies.json(response as unknown as ServerResponse, AgentPages.fresh(agent) ? 200 : 503, { fresh: AgentPages.fresh(agent) }));
-    service.get('/metrics', (_order, response) => Replies.text(response as unknown as ServerResponse, 200, metrics.page()));
+    service.get('/status', (_order, response) =>
+      Replies.json(response as unknown as ServerResponse, 200, AgentPages.status(text('name'), agent)),
+    );
+    service.get('/health', (_order, response) =>
+      Replies.json(response as unknown as ServerResponse, AgentPages.fresh(agent) ? 200 : 503, {
+        fresh: AgentPages.fresh(agent),
+      }),
+    );
+    service.get('/metrics', (_order, response) =>
+      Replies.text(response as unknown as ServerResponse, 200, metrics.page()),
+    );
   });
   notice(`Agent ${text('name')} listens on ${address}.`);
   Programs.onTerm(Number(settings['stopLimitMicroseconds']), async () => {
--- a/source/edge-agent/membership/membership.ts
+++ b/source/edge-agent/membership/membership.ts
@@ -5,9 +5,21 @@
 import { FactKeys, MemberVersions, type MemberFact, type MemberState } from '../../shared/news/factTypes';
 import { Rendezvous } from '../../shared/rendezvous/rendezvous';
 
-export type MembershipSettings = Readonly<{ colleagues: number; watchers: number; goneMicroseconds: number; forgetMicroseconds: number }>;
-
-export type Self = Readonly<{ name: string; zone: string; address: string; proxyAddress: string; pagesAddress: string; boot: string }>;
+export type MembershipSettings = Readonly<{
+  colleagues: number;
+  watchers: number;
+  goneMicroseconds: number;
+  forgetMicroseconds: number;
+}>;
+
+export type Self = Readonly<{
+  name: string;
+  zone: string;
+  address: string;
+  proxyAddress: string;
+  pagesAddress: string;
+  boot: string;
+}>;
 
 /** Who belongs to the fleet, as news says. It steers placement and duties, never what is right. */
 export class Membership {
@@ -16,7 +28,13 @@
   private readonly suspectSince = new Map<string, number>();
   private readonly missed = new Map<string, number>();
 
-  public constructor(private readonly self: Self, private readonly book: FactBook, private readonly clock: Clock, private readonly settings: MembershipSettings, private readonly log: Log) {
+  public constructor(
+    private readonly self: Self,
+    private readonly book: FactBook,
+    private readonly clock: Clock,
+    private readonly settings: MembershipSettings,
+    private readonly log: Log,
+  ) {
     this.say(self.name, 'alive', this.incarnation);
   }
 
@@ -44,13 +62,25 @@
 
   /** The few this daemon exchanges news with. */
   public colleagues(): readonly MemberFact[] {
-    return this.named(Rendezvous.colleagues(this.self.name, this.present().map(({ name }) => name), this.settings.colleagues));
+    return this.named(
+      Rendezvous.colleagues(
+        this.self.name,
+        this.present().map(({ name }) => name),
+        this.settings.colleagues,
+      ),
+    );
   }
 
   /** Those for whom this daemon is one of the watchers; each daemon is watched by the same number of others. */
   public watched(): readonly MemberFact[] {
     const names = this.present().map(({ name }) => name);
-    return this.named(names.filter((name) => name !== this.self.name && Rendezvous.colleagues(name, names, this.settings.watchers).includes(this.self.name)));
+    return this.named(
+      names.filter(
+        (name) =>
+          name !== this.self.name &&
+          Rendezvous.colleagues(name, names, this.settings.watchers).includes(this.self.name),
+      ),
+    );
   }
 
   /** After news came in: a worse word about oneself, or about an earlier life, is refuted with a higher incarnation. */
@@ -112,7 +142,8 @@
   }
 
   private say(name: string, state: MemberState, incarnation: number): void {
-    const value: MemberFact = name === this.self.name ? { ...this.self, state } : { ...(this.member(name) as MemberFact), state };
+    const value: MemberFact =
+      name === this.self.name ? { ...this.self, state } : { ...(this.member(name) as MemberFact), state };
     this.book.put({ key: FactKeys.member(name), version: MemberVersions.of(incarnation, state), value });
     void this.news.emit('changed', value);
   }
--- a/source/edge-agent/stewards/dutyHolder.ts
+++ b/source/edge-agent/stewards/dutyHolder.ts
@@ -12,7 +12,13 @@
   | Readonly<{ kind: 'granted'; term: number; untilMicroseconds: number }>
   | Readonly<{ kind: 'ended' }>;
 
-type BallotAnswer = Readonly<{ duty: string; granted: boolean; term: number; holder: string; waitMicroseconds: number }>;
+type BallotAnswer = Readonly<{
+  duty: string;
+  granted: boolean;
+  term: number;
+  holder: string;
+  waitMicroseconds: number;
+}>;
 
 export const DutyStates = {
   step: (state: DutyState, event: DutyEvent): DutyState => {
@@ -35,12 +41,19 @@
   private readonly notBefore = new Map<string, number>();
   private readonly highestTerms = new Map<string, number>();
 
-  public constructor(private readonly self: string, private readonly link: CoreLink, private readonly effects: Effects, private readonly settings: DutySettings) {}
+  public constructor(
+    private readonly self: string,
+    private readonly link: CoreLink,
+    private readonly effects: Effects,
+    private readonly settings: DutySettings,
+  ) {}
 
   /** The term when held at this very moment. Asked right before each act of a steward. */
   public term(duty: string): number | undefined {
     const state = this.states.get(duty);
-    return state?.kind === 'holding' && this.effects.clock.nowMicroseconds() < state.untilMicroseconds ? state.term : undefined;
+    return state?.kind === 'holding' && this.effects.clock.nowMicroseconds() < state.untilMicroseconds
+      ? state.term
+      : undefined;
   }
 
   public held(): readonly string[] {
@@ -70,7 +83,11 @@
     const keepers = Object.entries(this.link.keepers());
     await Promise.all(
       keepers.map(async ([keeper, { address }]) => {
-        const answer = await this.effects.transport.ask(address, { kind: 'ballots', ballots }, this.settings.askMicroseconds);
+        const answer = await this.effects.transport.ask(
+          address,
+          { kind: 'ballots', ballots },
+          this.settings.askMicroseconds,
+        );
         if (answer.kind !== 'answered' || answer.message.kind !== 'ballots') return;
         for (const vote of answer.message['answers'] as readonly BallotAnswer[]) {
           this.sawTerm(vote.duty, vote.term);
@@ -82,15 +99,25 @@
     for (const ballot of ballots) {
       const { duty, term } = ballot;
       // Why from the moment of asking: the voters count from later, so this end comes first.
-      if (Stamps.reached(this.link.sets(), votes.get(duty) ?? [])) this.step(duty, { kind: 'granted', term, untilMicroseconds: asked + this.settings.leaseMicroseconds });
+      if (Stamps.reached(this.link.sets(), votes.get(duty) ?? []))
+        this.step(duty, { kind: 'granted', term, untilMicroseconds: asked + this.settings.leaseMicroseconds });
       else if (this.term(duty) === undefined) {
         this.step(duty, { kind: 'ended' });
         missed.push(ballot);
         // Why by chance: candidates that split the votes once would split them again in step.
-        this.notBefore.set(duty, this.effects.clock.nowMicroseconds() + Math.floor(this.effects.random.fraction() * this.settings.leaseMicroseconds * 0.4));
+        this.notBefore.set(
+          duty,
+          this.effects.clock.nowMicroseconds() +
+            Math.floor(this.effects.random.fraction() * this.settings.leaseMicroseconds * 0.4),
+        );
       } else this.notBefore.delete(duty);
     }
-    if (missed.length > 0) await Promise.all(keepers.map(([, { address }]) => this.effects.transport.ask(address, { kind: 'withdraw', ballots: missed }, this.settings.askMicroseconds)));
+    if (missed.length > 0)
+      await Promise.all(
+        keepers.map(([, { address }]) =>
+          this.effects.transport.ask(address, { kind: 'withdraw', ballots: missed }, this.settings.askMicroseconds),
+        ),
+      );
   }
 
   private step(duty: string, event: DutyEvent): void {
--- a/source/edge-agent/stewards/engineSteward.ts
+++ b/source/edge-agent/stewards/engineSteward.ts
@@ -110,8 +110,16 @@
     const intended = this.freshness.weightsSince(engine.service);
     const service = this.freshness.blueprint?.services[engine.service];
     if (intended !== undefined && service?.kind === 'pool' && service.weights === intended.weights) {
-      const step = WeightsPlans.step(this.name, intended, status.weights, this.pool(engine.service), engine.service, this.clock.nowMicroseconds());
-      if (step.kind === 'load') return { kind: 'loadWeights', ...base, weights: intended.weights, drainMicroseconds: step.drainMicroseconds };
+      const step = WeightsPlans.step(
+        this.name,
+        intended,
+        status.weights,
+        this.pool(engine.service),
+        engine.service,
+        this.clock.nowMicroseconds(),
+      );
+      if (step.kind === 'load')
+        return { kind: 'loadWeights', ...base, weights: intended.weights, drainMicroseconds: step.drainMicroseconds };
     }
     if (engine.state === 'draining' && status.accepting) return { kind: 'drain', ...base };
     if (engine.state === 'ready' && !status.accepting) return { kind: 'resume', ...base };
@@ -119,20 +127,33 @@
   }
 
   private pool(service: string): Readonly<Record<string, EngineFact | undefined>> {
-    const engines = Object.entries(this.freshness.engines?.engines ?? {}).filter(([, { kind, service: of, state }]) => kind === 'engine' && of === service && state === 'ready');
+    const engines = Object.entries(this.freshness.engines?.engines ?? {}).filter(
+      ([, { kind, service: of, state }]) => kind === 'engine' && of === service && state === 'ready',
+    );
     return Object.fromEntries(engines.map(([name]) => [name, this.facts.value<EngineFact>(FactKeys.engine(name))]));
   }
 
   private say(engine: Engine, status: EngineStatus | undefined): void {
     const before = this.facts.value<EngineFact>(FactKeys.engine(this.name));
     const value: EngineFact = {
-      engine: this.name, kind: engine.kind === 'store' ? 'store' : 'engine', address: engine.address,
-      bootEpoch: status?.bootEpoch ?? before?.bootEpoch ?? '', weights: status?.weights ?? before?.weights ?? '',
-      capacity: status?.capacity ?? before?.capacity ?? 0, inFlight: status?.inFlight ?? 0,
-      accepting: status?.accepting ?? false, changing: this.changing, reachable: status !== undefined,
+      engine: this.name,
+      kind: engine.kind === 'store' ? 'store' : 'engine',
+      address: engine.address,
+      bootEpoch: status?.bootEpoch ?? before?.bootEpoch ?? '',
+      weights: status?.weights ?? before?.weights ?? '',
+      capacity: status?.capacity ?? before?.capacity ?? 0,
+      inFlight: status?.inFlight ?? 0,
+      accepting: status?.accepting ?? false,
+      changing: this.changing,
+      reachable: status !== undefined,
     };
     // Why only changes: at rest the fleet should be quiet.
-    if (before !== undefined && (this.facts.get(FactKeys.engine(this.name))?.version[0] ?? 0) === this.term && JSON.stringify(before) === JSON.stringify(value)) return;
+    if (
+      before !== undefined &&
+      (this.facts.get(FactKeys.engine(this.name))?.version[0] ?? 0) === this.term &&
+      JSON.stringify(before) === JSON.stringify(value)
+    )
+      return;
     this.sequence += 1;
     this.facts.put({ key: FactKeys.engine(this.name), version: [this.term, this.sequence], value });
   }
--- a/source/edge-agent/stewards/stewardship.ts
+++ b/source/edge-agent/stewards/stewardship.ts
@@ -12,7 +12,13 @@
 import type { DutyHolder } from './dutyHolder';
 import { EngineSteward } from './engineSteward';
 
-export type StewardshipSettings = Readonly<{ askMicroseconds: number; vacantAfterMicroseconds: number; rankMicroseconds: number; settleMicroseconds: number; giveBackMicroseconds: number }>;
+export type StewardshipSettings = Readonly<{
+  askMicroseconds: number;
+  vacantAfterMicroseconds: number;
+  rankMicroseconds: number;
+  settleMicroseconds: number;
+  giveBackMicroseconds: number;
+}>;
 
 /** All duties of one agent: renews what it holds, stands for what is vacant, hands over what another is first in line for. */
 export class Stewardship {
@@ -100,11 +106,32 @@
     }
     if (steward?.term !== term) {
       const holds = (): boolean => this.duties.term(`engine/${engine}`) === term;
-      this.stewards.set(engine, new EngineSteward(engine, term, this.self, holds, this.door, this.facts, this.shards, this.freshness, this.pulses, this.effects.clock, { askMicroseconds: this.settings.askMicroseconds, unreachableAfter: 2 }, kind, this.log));
+      this.stewards.set(
+        engine,
+        new EngineSteward(
+          engine,
+          term,
+          this.self,
+          holds,
+          this.door,
+          this.facts,
+          this.shards,
+          this.freshness,
+          this.pulses,
+          this.effects.clock,
+          { askMicroseconds: this.settings.askMicroseconds, unreachableAfter: 2 },
+          kind,
+          this.log,
+        ),
+      );
       this.log(`Steward of ${engine} under term ${term}.`);
     }
     this.minor += 1;
-    this.facts.put({ key: FactKeys.steward(engine), version: [term, this.minor], value: { engine, holder: this.self, term } satisfies StewardFact });
+    this.facts.put({
+      key: FactKeys.steward(engine),
+      version: [term, this.minor],
+      value: { engine, holder: this.self, term } satisfies StewardFact,
+    });
   }
 
   /** Whether a duty should be asked for: vacant for as long as this agent's place in line demands. */
--- a/source/edge-proxy/door/callersDoor.ts
+++ b/source/edge-proxy/door/callersDoor.ts
@@ -48,7 +48,8 @@
     this.response.destroy();
   };
 
-  public readonly refuse = (refusal: Refusal): void => Replies.text(this.response, refusal.status, Refusals.body(refusal), Refusals.headers(refusal));
+  public readonly refuse = (refusal: Refusal): void =>
+    Replies.text(this.response, refusal.status, Refusals.body(refusal), Refusals.headers(refusal));
 }
 
 const keyIn = (order: IncomingMessage): string => {
@@ -57,10 +58,21 @@
 };
 
 export const CallersDoor = {
-  open: (proxy: EdgeProxy, address: string, limits: HttpLimits, mostBodyBytes: number, clock: Clock, random: Random): Promise<HttpDoor> =>
+  open: (
+    proxy: EdgeProxy,
+    address: string,
+    limits: HttpLimits,
+    mostBodyBytes: number,
+    clock: Clock,
+    random: Random,
+  ): Promise<HttpDoor> =>
     HttpDoors.open(address, limits, (service) => {
-      service.get('/-/health', (_order, response) => Replies.json(response as unknown as ServerResponse, proxy.fresh() ? 200 : 503, { fresh: proxy.fresh() }));
-      service.get('/-/metrics', (_order, response) => Replies.text(response as unknown as ServerResponse, 200, proxy.metrics.page()));
+      service.get('/-/health', (_order, response) =>
+        Replies.json(response as unknown as ServerResponse, proxy.fresh() ? 200 : 503, { fresh: proxy.fresh() }),
+      );
+      service.get('/-/metrics', (_order, response) =>
+        Replies.text(response as unknown as ServerResponse, 200, proxy.metrics.page()),
+      );
       service.all('/*', async (given, givenResponse) => {
         const order = given as unknown as IncomingMessage;
         const answer = new HttpAnswer(givenResponse as unknown as ServerResponse);
@@ -74,10 +86,22 @@
         const tenant = proxy.identifier.tenantOf(key);
         if (tenant.kind === 'refuse') return refuse(tenant.refusal);
         const body = await HttpDoors.body(order, mostBodyBytes);
-        if (body.kind === 'tooLarge') return refuse(Refusals.make(413, 'notRun', 'tooLarge', `A body has at most ${mostBodyBytes} bytes.`));
+        if (body.kind === 'tooLarge')
+          return refuse(Refusals.make(413, 'notRun', 'tooLarge', `A body has at most ${mostBodyBytes} bytes.`));
         if (body.kind === 'broken') return answer.cut();
         const path = (order.url ?? '/').split('?', 1)[0] ?? '/';
-        await proxy.handle({ id: random.name(), method: order.method ?? 'POST', path, key, contentType: order.headers['content-type'] ?? '', body: body.text, arrivedMicroseconds: clock.nowMicroseconds() }, answer);
+        await proxy.handle(
+          {
+            id: random.name(),
+            method: order.method ?? 'POST',
+            path,
+            key,
+            contentType: order.headers['content-type'] ?? '',
+            body: body.text,
+            arrivedMicroseconds: clock.nowMicroseconds(),
+          },
+          answer,
+        );
       });
     }),
 } as const;
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -85,7 +85,11 @@
   private readonly log: Log;
   private notes: DirectoryNote[] = [];
 
-  public constructor(private readonly effects: Effects, sender: BackEndSender, private readonly settings: ProxySettings) {
+  public constructor(
+    private readonly effects: Effects,
+    sender: BackEndSender,
+    private readonly settings: ProxySettings,
+  ) {
     const { clock, random } = effects;
     this.log = Logs.part(`proxy:${settings.name}`);
     this.freshness = new Freshness(clock);
@@ -94,12 +98,41 @@
     this.identifier = new Identifier(this.fence, settings.retryAfterSeconds);
     this.view = new EngineView(settings.name, this.freshness, this.facts, this.fence);
     this.speeds = new LinkSpeeds(settings.importMicrosecondsPerBlock, 4096);
-    this.exchange = new NewsExchange({ facts: this.facts, shards: this.shards, freshness: this.freshness, pulses: this.pulses }, effects, '');
-    this.desk = new TakeDesk(clock, this.view, () => this.freshness.blueprint?.classes ?? {}, (service, className) => `${service}/${className}`, this.metrics);
-    const planner = new FetchPlanner(this.view, this.shards, this.pulses, this.speeds, { grant: (engine, fill, epoch, keys) => this.grant(engine, fill, epoch, keys) }, { ...settings, margin: settings.importMargin }, this.metrics);
+    this.exchange = new NewsExchange(
+      { facts: this.facts, shards: this.shards, freshness: this.freshness, pulses: this.pulses },
+      effects,
+      '',
+    );
+    this.desk = new TakeDesk(
+      clock,
+      this.view,
+      () => this.freshness.blueprint?.classes ?? {},
+      (service, className) => `${service}/${className}`,
+      this.metrics,
+    );
+    const planner = new FetchPlanner(
+      this.view,
+      this.shards,
+      this.pulses,
+      this.speeds,
+      { grant: (engine, fill, epoch, keys) => this.grant(engine, fill, epoch, keys) },
+      { ...settings, margin: settings.importMargin },
+      this.metrics,
+    );
     this.sends = new SendPolicy({
-      sender, fence: this.fence, identifier: this.identifier, view: this.view, speeds: this.speeds, clock, metrics: this.metrics, log: this.log,
-      budgetOf: (service) => this.budgetOf(service), tell: (notes) => this.notes.push(...notes), mostSends: settings.mostSends, stillGood: (fetch) => planner.stillGood(fetch), seenAgeMicroseconds: (engine) => this.pulses.ageMicroseconds(engine),
+      sender,
+      fence: this.fence,
+      identifier: this.identifier,
+      view: this.view,
+      speeds: this.speeds,
+      clock,
+      metrics: this.metrics,
+      log: this.log,
+      budgetOf: (service) => this.budgetOf(service),
+      tell: (notes) => this.notes.push(...notes),
+      mostSends: settings.mostSends,
+      stillGood: (fetch) => planner.stillGood(fetch),
+      seenAgeMicroseconds: (engine) => this.pulses.ageMicroseconds(engine),
     });
     this.pipeline = new Pipeline(
       [
@@ -116,16 +149,35 @@
     );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     this.tickers = [
-      new Ticker(clock, () => settings.feedMicroseconds, () => this.feed(), failed),
-      new Ticker(clock, () => settings.notesMicroseconds, () => this.passNotes(), failed),
-      new Ticker(clock, () => 1_000_000, () => Promise.resolve(this.speeds.fade()), failed),
+      new Ticker(
+        clock,
+        () => settings.feedMicroseconds,
+        () => this.feed(),
+        failed,
+      ),
+      new Ticker(
+        clock,
+        () => settings.notesMicroseconds,
+        () => this.passNotes(),
+        failed,
+      ),
+      new Ticker(
+        clock,
+        () => 1_000_000,
+        () => Promise.resolve(this.speeds.fade()),
+        failed,
+      ),
     ];
     this.metrics.watch(() => [
       ['postdrum_running_sends', {}, this.sends.count],
       ['postdrum_held_orders', {}, this.desk.heldCount()],
-      ...(Number.isFinite(this.freshness.ageMicroseconds()) ? [['postdrum_freshness_age_microseconds', {}, this.freshness.ageMicroseconds()] as const] : []),
+      ...(Number.isFinite(this.freshness.ageMicroseconds())
+        ? [['postdrum_freshness_age_microseconds', {}, this.freshness.ageMicroseconds()] as const]
+        : []),
       ['postdrum_key_revision', { key: 'blueprint' }, this.freshness.revision('blueprint')],
-      ...this.shards.all().map((shard) => ['postdrum_directory_blocks', { holder: shard.present.holder }, shard.size] as const),
+      ...this.shards
+        .all()
+        .map((shard) => ['postdrum_directory_blocks', { holder: shard.present.holder }, shard.size] as const),
     ]);
   }
 
@@ -143,8 +195,15 @@
 
   public async handle(order: Order, answer: AnswerSink): Promise<void> {
     this.metrics.count('postdrum_orders_total');
-    const refusal: Refusal | undefined = await this.pipeline.run({ order, answer, sends: 0, mayHaveRun: false, avoided: [] });
-    if (refusal !== undefined) this.metrics.count('postdrum_refusals_total', { code: refusal.code, verdict: refusal.verdict });
+    const refusal: Refusal | undefined = await this.pipeline.run({
+      order,
+      answer,
+      sends: 0,
+      mayHaveRun: false,
+      avoided: [],
+    });
+    if (refusal !== undefined)
+      this.metrics.count('postdrum_refusals_total', { code: refusal.code, verdict: refusal.verdict });
   }
 
   /** Once right before the last look of a held order would be too late: news is taken in as it comes. */
@@ -161,19 +220,33 @@
     if (this.notes.length === 0) return;
     const notes = this.notes;
     this.notes = [];
-    await this.effects.transport.ask(this.settings.agentAddress, { kind: 'notes', notes }, this.settings.feedAskMicroseconds);
+    await this.effects.transport.ask(
+      this.settings.agentAddress,
+      { kind: 'notes', notes },
+      this.settings.feedAskMicroseconds,
+    );
   }
 
   private async grant(engine: string, fill: string, epoch: number, keys: readonly NamedKey[]): Promise<GrantAnswer> {
-    const answer = await this.effects.transport.ask(this.settings.agentAddress, { kind: 'grant', engine, fill, epoch, keys }, this.settings.grantMicroseconds);
-    return answer.kind === 'answered' && answer.message.kind === 'grantAnswer' ? (answer.message['answer'] as GrantAnswer) : { kind: 'refused', reason: 'notSteward' };
+    const answer = await this.effects.transport.ask(
+      this.settings.agentAddress,
+      { kind: 'grant', engine, fill, epoch, keys },
+      this.settings.grantMicroseconds,
+    );
+    return answer.kind === 'answered' && answer.message.kind === 'grantAnswer'
+      ? (answer.message['answer'] as GrantAnswer)
+      : { kind: 'refused', reason: 'notSteward' };
   }
 
   private budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
     const { retryWindowSeconds, retryPerMille, retryFleetAllowance } = this.settings;
-    const made = new RetryBudget(this.effects.clock, () => this.view.proxies(), { windowSeconds: retryWindowSeconds, perMille: retryPerMille, fleetAllowance: retryFleetAllowance });
+    const made = new RetryBudget(this.effects.clock, () => this.view.proxies(), {
+      windowSeconds: retryWindowSeconds,
+      perMille: retryPerMille,
+      fleetAllowance: retryFleetAllowance,
+    });
     this.budgets.set(service, made);
     return made;
   }
--- a/source/edge-proxy/fence/fence.ts
+++ b/source/edge-proxy/fence/fence.ts
@@ -7,7 +7,11 @@
 
 /** Whether this proxy may act on what it knows: the fence behind every must-never with a clock. */
 export class Fence {
-  public constructor(private readonly freshness: Freshness, private readonly clock: Clock, private readonly freshMicroseconds: number) {}
+  public constructor(
+    private readonly freshness: Freshness,
+    private readonly clock: Clock,
+    private readonly freshMicroseconds: number,
+  ) {}
 
   public fresh(): boolean {
     return this.freshness.ageMicroseconds() < this.freshMicroseconds;
@@ -24,7 +28,15 @@
     if (pool.weights === weights) return 'intended';
     const since = this.freshness.weightsSince(service);
     // Why so strict: the weights before are only good while it is known for how long.
-    if (since === undefined || since.weights !== pool.weights || since.previous !== weights || since.sinceMicroseconds === null) return 'forbidden';
-    return this.clock.nowMicroseconds() - since.sinceMicroseconds < WeightsClocks.cutMicroseconds ? 'untilChanged' : 'forbidden';
+    if (
+      since === undefined ||
+      since.weights !== pool.weights ||
+      since.previous !== weights ||
+      since.sinceMicroseconds === null
+    )
+      return 'forbidden';
+    return this.clock.nowMicroseconds() - since.sinceMicroseconds < WeightsClocks.cutMicroseconds
+      ? 'untilChanged'
+      : 'forbidden';
   }
 }
--- a/source/edge-proxy/fence/identify.ts
+++ b/source/edge-proxy/fence/identify.ts
@@ -24,21 +24,36 @@
 export class Identifier {
   private index: Index | undefined;
 
-  public constructor(private readonly fence: Fence, private readonly retryAfterSeconds: number) {}
+  public constructor(
+    private readonly fence: Fence,
+    private readonly retryAfterSeconds: number,
+  ) {}
 
   public notFresh(): Refusal {
-    return Refusals.make(503, 'notRun', 'notFresh', 'This proxy cannot confirm that its setup is current.', this.retryAfterSeconds);
+    return Refusals.make(
+      503,
+      'notRun',
+      'notFresh',
+      'This proxy cannot confirm that its setup is current.',
+      this.retryAfterSeconds,
+    );
   }
 
   /** Before the body is read: nobody without a key costs more than a head. */
-  public tenantOf(key: string): Readonly<{ kind: 'tenant'; tenant: string }> | Readonly<{ kind: 'refuse'; refusal: Refusal }> {
+  public tenantOf(
+    key: string,
+  ): Readonly<{ kind: 'tenant'; tenant: string }> | Readonly<{ kind: 'refuse'; refusal: Refusal }> {
     if (!this.fence.fresh()) return { kind: 'refuse', refusal: this.notFresh() };
     if (key === '') return { kind: 'refuse', refusal: Refusals.make(401, 'notRun', 'noKey', 'A key is needed.') };
     const tenant = this.present()?.tenants.get(key);
-    return tenant === undefined ? { kind: 'refuse', refusal: Refusals.make(401, 'notRun', 'unknownKey', 'This key is not known.') } : { kind: 'tenant', tenant };
+    return tenant === undefined
+      ? { kind: 'refuse', refusal: Refusals.make(401, 'notRun', 'unknownKey', 'This key is not known.') }
+      : { kind: 'tenant', tenant };
   }
 
-  public resolve(order: Order): Readonly<{ kind: 'resolved'; resolved: Resolved }> | Readonly<{ kind: 'refuse'; refusal: Refusal }> {
+  public resolve(
+    order: Order,
+  ): Readonly<{ kind: 'resolved'; resolved: Resolved }> | Readonly<{ kind: 'refuse'; refusal: Refusal }> {
     const tenant = this.tenantOf(order.key);
     if (tenant.kind === 'refuse') return tenant;
     const index = this.present();
@@ -48,21 +63,51 @@
     const name = index?.mappings.get(place(order.path, model)) ?? index?.mappings.get(place(order.path, ''));
     const mapping = name === undefined ? undefined : blueprint?.mappings[name];
     const service = mapping === undefined ? undefined : blueprint?.services[mapping.service];
-    const isPath = index !== undefined && [...index.mappings.keys()].some((key) => key.startsWith(`${order.path}\u0000`));
+    const isPath =
+      index !== undefined && [...index.mappings.keys()].some((key) => key.startsWith(`${order.path}\u0000`));
     // Why only for a known path: whether the body is sound is of no interest where nothing is mapped.
-    if (read.kind === 'broken' && isPath) return { kind: 'refuse', refusal: Refusals.make(400, 'notRun', 'badBody', 'The body is not a JSON object.') };
-    if (blueprint === undefined || name === undefined || mapping === undefined || service === undefined) return { kind: 'refuse', refusal: Refusals.make(404, 'notRun', 'noMapping', 'Nothing is mapped to this path and model.') };
+    if (read.kind === 'broken' && isPath)
+      return { kind: 'refuse', refusal: Refusals.make(400, 'notRun', 'badBody', 'The body is not a JSON object.') };
+    if (blueprint === undefined || name === undefined || mapping === undefined || service === undefined)
+      return {
+        kind: 'refuse',
+        refusal: Refusals.make(404, 'notRun', 'noMapping', 'Nothing is mapped to this path and model.'),
+      };
     const walled = blueprint.tenants[tenant.tenant]?.walled ?? true;
-    return { kind: 'resolved', resolved: { mappingName: name, mapping, tenant: tenant.tenant, trustDomain: Identities.trustDomain(tenant.tenant, walled), service } };
+    return {
+      kind: 'resolved',
+      resolved: {
+        mappingName: name,
+        mapping,
+        tenant: tenant.tenant,
+        trustDomain: Identities.trustDomain(tenant.tenant, walled),
+        service,
+      },
+    };
   }
 
   /** Right before a send: what an order was taken under must still stand, word for word. */
   public stillStands(order: Order, resolved: Resolved): Refusal | undefined {
     const now = this.resolve(order);
-    if (now.kind === 'refuse') return now.refusal.code === 'unknownKey' ? Refusals.make(401, 'notRun', 'keyRemoved', 'The key was removed while the order waited.') : now.refusal;
-    const same = now.resolved.mappingName === resolved.mappingName && now.resolved.trustDomain === resolved.trustDomain && now.resolved.tenant === resolved.tenant
-      && JSON.stringify(now.resolved.mapping) === JSON.stringify(resolved.mapping) && sameService(now.resolved, resolved);
-    return same ? undefined : Refusals.make(503, 'notRun', 'mappingRemoved', 'The mapping changed while the order waited.', this.retryAfterSeconds);
+    if (now.kind === 'refuse')
+      return now.refusal.code === 'unknownKey'
+        ? Refusals.make(401, 'notRun', 'keyRemoved', 'The key was removed while the order waited.')
+        : now.refusal;
+    const same =
+      now.resolved.mappingName === resolved.mappingName &&
+      now.resolved.trustDomain === resolved.trustDomain &&
+      now.resolved.tenant === resolved.tenant &&
+      JSON.stringify(now.resolved.mapping) === JSON.stringify(resolved.mapping) &&
+      sameService(now.resolved, resolved);
+    return same
+      ? undefined
+      : Refusals.make(
+          503,
+          'notRun',
+          'mappingRemoved',
+          'The mapping changed while the order waited.',
+          this.retryAfterSeconds,
+        );
   }
 
   private present(): Index | undefined {
@@ -71,8 +116,12 @@
     if (this.index?.of !== blueprint) {
       this.index = {
         of: blueprint,
-        tenants: new Map(Object.entries(blueprint.tenants).flatMap(([tenant, { keys }]) => keys.map((key) => [key, tenant] as const))),
-        mappings: new Map(Object.entries(blueprint.mappings).map(([name, mapping]) => [place(mapping.path, mapping.model), name])),
+        tenants: new Map(
+          Object.entries(blueprint.tenants).flatMap(([tenant, { keys }]) => keys.map((key) => [key, tenant] as const)),
+        ),
+        mappings: new Map(
+          Object.entries(blueprint.mappings).map(([name, mapping]) => [place(mapping.path, mapping.model), name]),
+        ),
       };
     }
     return this.index;
@@ -80,7 +129,8 @@
 }
 
 /** New weights alone do not make it another service: they have a clock of their own. */
-const sameService = (left: Resolved, right: Resolved): boolean => JSON.stringify({ ...left.service, weights: '' }) === JSON.stringify({ ...right.service, weights: '' });
+const sameService = (left: Resolved, right: Resolved): boolean =>
+  JSON.stringify({ ...left.service, weights: '' }) === JSON.stringify({ ...right.service, weights: '' });
 
 export const FencePolicies = {
   identifyTenant: (identifier: Identifier): Policy => ({
@@ -95,7 +145,9 @@
     name: 'resolveMapping',
     apply: (context) => {
       const found = identifier.resolve(context.order);
-      return Promise.resolve(found.kind === 'refuse' ? found : { kind: 'onward', context: { ...context, resolved: found.resolved } });
+      return Promise.resolve(
+        found.kind === 'refuse' ? found : { kind: 'onward', context: { ...context, resolved: found.resolved } },
+      );
     },
   }),
 } as const;
--- a/source/edge-proxy/fetch/fetchPlanner.ts
+++ b/source/edge-proxy/fetch/fetchPlanner.ts
@@ -23,16 +23,36 @@
   notSent: readonly DirectoryNote[];
 }>;
 
-export type FetchSettings = Readonly<{ imports: boolean; prefillMicrosecondsPerBlock: number; importFixedMicroseconds: number; margin: number; grantMicroseconds: number }>;
+export type FetchSettings = Readonly<{
+  imports: boolean;
+  prefillMicrosecondsPerBlock: number;
+  importFixedMicroseconds: number;
+  margin: number;
+  grantMicroseconds: number;
+}>;
 
 export interface Grants {
   readonly grant: (engine: string, fill: string, epoch: number, keys: readonly NamedKey[]) => Promise<GrantAnswer>;
 }
 
-export const noFetch: FetchPlan = { target: undefined, source: undefined, under: undefined, began: [], attested: [], abandoned: [], notSent: [] };
+export const noFetch: FetchPlan = {
+  target: undefined,
+  source: undefined,
+  under: undefined,
+  began: [],
+  attested: [],
+  abandoned: [],
+  notSent: [],
+};
 
 type Better = Readonly<{ holder: string; matched: number; bootEpoch: string; epoch: number }>;
-type Fill = Readonly<{ holder: string; name: string; bootEpoch: string; weights: string; register: DirectoryNote | undefined }>;
+type Fill = Readonly<{
+  holder: string;
+  name: string;
+  bootEpoch: string;
+  weights: string;
+  register: DirectoryNote | undefined;
+}>;
 
 export class FetchPlanner {
   public constructor(
@@ -51,7 +71,10 @@
       apply: async (context) => {
         const { keys, placed, lookUp, order } = context;
         if (keys === undefined || placed === undefined || lookUp === undefined) throw new Error('nothing placed');
-        const fetch = keys.blocks === 0 ? noFetch : await this.plan(`${order.id}.${context.sends}`, placed, keys.under(placed.weights), lookUp);
+        const fetch =
+          keys.blocks === 0
+            ? noFetch
+            : await this.plan(`${order.id}.${context.sends}`, placed, keys.under(placed.weights), lookUp);
         return { kind: 'onward', context: { ...context, fetch } };
       },
     };
@@ -61,7 +84,12 @@
   public stillGood({ under }: FetchPlan): boolean {
     if (under === undefined) return true;
     const now = this.shards.get(under.holder)?.present;
-    return now !== undefined && now.term === under.term && now.epoch === under.epoch && this.pulses.fresh(under.holder, under.term, under.epoch);
+    return (
+      now !== undefined &&
+      now.term === under.term &&
+      now.epoch === under.epoch &&
+      this.pulses.fresh(under.holder, under.term, under.epoch)
+    );
   }
 
   /** Whether an import pays: blocks not read anew against the time the link needs for them. */
@@ -75,35 +103,91 @@
     const shard = this.shards.get(placed.engine);
     const head = shard?.present;
     // Why nothing at all: any doubt about whom the names belong to is a clean miss and a fresh prefill.
-    if (shard === undefined || head === undefined || head.bootEpoch !== placed.bootEpoch || head.weights !== placed.weights || !this.pulses.fresh(placed.engine, head.term, head.epoch)) return noFetch;
+    if (
+      shard === undefined ||
+      head === undefined ||
+      head.bootEpoch !== placed.bootEpoch ||
+      head.weights !== placed.weights ||
+      !this.pulses.fresh(placed.engine, head.term, head.epoch)
+    )
+      return noFetch;
     const fresh = HashChains.named(keys, fill);
     const kept = shard.names(keys.map(({ physical }) => physical));
     const better = this.better(placed.engine, kept.length, lookUp);
     const moved = better === undefined ? [] : fresh.slice(kept.length, better.matched);
-    const source = better !== undefined && moved.length > 0 ? await this.sourceOf(placed.engine, fill, head.epoch, better, kept.length, keys, moved) : undefined;
+    const source =
+      better !== undefined && moved.length > 0
+        ? await this.sourceOf(placed.engine, fill, head.epoch, better, kept.length, keys, moved)
+        : undefined;
     const made = fresh.slice(kept.length + (source === undefined ? 0 : moved.length));
     const fills: Fill[] = [];
-    if (made.length > 0) fills.push({ holder: placed.engine, name: `${fill}.new`, bootEpoch: placed.bootEpoch, weights: placed.weights, register: { kind: 'register', holder: placed.engine, epoch: head.epoch, fill: `${fill}.new`, moves: false, keys: made } });
-    if (source !== undefined) fills.push({ holder: placed.engine, name: fill, bootEpoch: placed.bootEpoch, weights: placed.weights, register: undefined });
+    if (made.length > 0)
+      fills.push({
+        holder: placed.engine,
+        name: `${fill}.new`,
+        bootEpoch: placed.bootEpoch,
+        weights: placed.weights,
+        register: {
+          kind: 'register',
+          holder: placed.engine,
+          epoch: head.epoch,
+          fill: `${fill}.new`,
+          moves: false,
+          keys: made,
+        },
+      });
+    if (source !== undefined)
+      fills.push({
+        holder: placed.engine,
+        name: fill,
+        bootEpoch: placed.bootEpoch,
+        weights: placed.weights,
+        register: undefined,
+      });
     const names = [...kept, ...fresh.slice(kept.length).map(({ name }) => name)];
-    const store = this.storeFill(fill, keys.map((key, index) => ({ ...key, name: names[index] ?? '' })));
+    const store = this.storeFill(
+      fill,
+      keys.map((key, index) => ({ ...key, name: names[index] ?? '' })),
+    );
     if (store !== undefined) fills.push(store.fill);
     return {
-      target: { store: store?.address ?? '', keys: names }, source, under: head,
+      target: { store: store?.address ?? '', keys: names },
+      source,
+      under: head,
       began: fills.flatMap(({ register }) => register ?? []),
-      attested: fills.map(({ holder, name, bootEpoch, weights }) => ({ kind: 'attest', holder, fill: name, bootEpoch, weights })),
+      attested: fills.map(({ holder, name, bootEpoch, weights }) => ({
+        kind: 'attest',
+        holder,
+        fill: name,
+        bootEpoch,
+        weights,
+      })),
       abandoned: fills.map(({ holder, name }) => ({ kind: 'abandon', holder, fill: name })),
       notSent: fills.map(({ holder, name }) => ({ kind: 'notSent', holder, fill: name })),
     };
   }
 
-  private async sourceOf(engine: string, fill: string, epoch: number, better: Better, at: number, keys: readonly BlockKey[], moved: readonly NamedKey[]): Promise<FetchPlan['source']> {
+  private async sourceOf(
+    engine: string,
+    fill: string,
+    epoch: number,
+    better: Better,
+    at: number,
+    keys: readonly BlockKey[],
+    moved: readonly NamedKey[],
+  ): Promise<FetchPlan['source']> {
     const address = this.view.addressOf(better.holder);
-    const names = this.shards.get(better.holder)?.names(keys.slice(0, better.matched).map(({ physical }) => physical)) ?? [];
+    const names =
+      this.shards.get(better.holder)?.names(keys.slice(0, better.matched).map(({ physical }) => physical)) ?? [];
     if (address === undefined || names.length < better.matched) return undefined;
     const answer = await this.grants.grant(engine, fill, epoch, moved);
-    this.metrics.count('postdrum_grants_total', { answer: answer.kind, ...(answer.kind === 'refused' ? { reason: answer.reason } : {}) });
-    return answer.kind === 'granted' ? { holder: better.holder, address, bootEpoch: better.bootEpoch, at, keys: names.slice(at) } : undefined;
+    this.metrics.count('postdrum_grants_total', {
+      answer: answer.kind,
+      ...(answer.kind === 'refused' ? { reason: answer.reason } : {}),
+    });
+    return answer.kind === 'granted'
+      ? { holder: better.holder, address, bootEpoch: better.bootEpoch, at, keys: names.slice(at) }
+      : undefined;
   }
 
   private storeFill(fill: string, keys: readonly NamedKey[]): Readonly<{ address: string; fill: Fill }> | undefined {
@@ -113,13 +197,34 @@
     const missing = keys.filter(({ physical }) => !shard.holds(physical));
     if (missing.length === 0) return undefined;
     const name = `${fill}.store`;
-    return { address: store.address, fill: { holder: store.name, name, bootEpoch: store.bootEpoch, weights: '', register: { kind: 'register', holder: store.name, epoch: shard.present.epoch, fill: name, moves: false, keys: missing } } };
+    return {
+      address: store.address,
+      fill: {
+        holder: store.name,
+        name,
+        bootEpoch: store.bootEpoch,
+        weights: '',
+        register: {
+          kind: 'register',
+          holder: store.name,
+          epoch: shard.present.epoch,
+          fill: name,
+          moves: false,
+          keys: missing,
+        },
+      },
+    };
   }
 
   private better(engine: string, matched: number, lookUp: LookUp): Better | undefined {
     if (!this.settings.imports || lookUp.kind === 'miss') return undefined;
-    const paying = lookUp.found.filter((item) => item.holder !== engine && item.matched > matched && this.pays(item.holder, engine, item.matched - matched));
-    const cost = (item: Better): number => (item.matched - matched) * (this.speeds.blockMicroseconds(item.holder, engine) - this.settings.prefillMicrosecondsPerBlock);
+    const paying = lookUp.found.filter(
+      (item) =>
+        item.holder !== engine && item.matched > matched && this.pays(item.holder, engine, item.matched - matched),
+    );
+    const cost = (item: Better): number =>
+      (item.matched - matched) *
+      (this.speeds.blockMicroseconds(item.holder, engine) - this.settings.prefillMicrosecondsPerBlock);
     return paying.sort((left, right) => cost(left) - cost(right))[0];
   }
 }
--- a/source/edge-proxy/holding/takeDesk.ts
+++ b/source/edge-proxy/holding/takeDesk.ts
@@ -11,7 +11,14 @@
 type ClassDesk = { running: number; held: number; readonly tenants: Map<string, Held[]> };
 type ServiceDesk = Readonly<{ classes: Map<string, ClassDesk> }>;
 
-export type ClassLoad = Readonly<{ name: string; rank: number; entitled: number; lends: boolean; running: number; held: number }>;
+export type ClassLoad = Readonly<{
+  name: string;
+  rank: number;
+  entitled: number;
+  lends: boolean;
+  running: number;
+  held: number;
+}>;
 
 export const Shares = {
   /** Classes that may start one more order now, best rank first. Pure: all numbers are given. */
@@ -24,7 +31,9 @@
       .filter((item) => {
         if (item.running < item.entitled) return true;
         // Why: what another class has not lent, or is asking back, is not there to be borrowed.
-        const kept = classes.filter((other) => other.name !== item.name && (!other.lends || other.held > 0)).reduce((sum, other) => sum + Math.max(0, other.entitled - other.running), 0);
+        const kept = classes
+          .filter((other) => other.name !== item.name && (!other.lends || other.held > 0))
+          .reduce((sum, other) => sum + Math.max(0, other.entitled - other.running), 0);
         return free > kept;
       })
       .map(({ name }) => name);
@@ -44,7 +53,11 @@
     private readonly metrics: Metrics,
   ) {}
 
-  public loads(): Readonly<{ classes: Readonly<Record<string, number>>; waiting: Readonly<Record<string, number>>; tenants: Readonly<Record<string, number>> }> {
+  public loads(): Readonly<{
+    classes: Readonly<Record<string, number>>;
+    waiting: Readonly<Record<string, number>>;
+    tenants: Readonly<Record<string, number>>;
+  }> {
     const classes: Record<string, number> = {};
     const waiting: Record<string, number> = {};
     for (const [service, desk] of this.services) {
@@ -58,15 +71,41 @@
 
   public take(service: string, className: string, tenant: string, whenGone: (act: () => void) => void): Promise<Taken> {
     const settings = this.classesOf()[className];
-    if (settings === undefined) return Promise.resolve({ kind: 'refuse', refusal: Refusals.make(503, 'notRun', 'mappingRemoved', 'The class was removed.', 1) });
+    if (settings === undefined)
+      return Promise.resolve({
+        kind: 'refuse',
+        refusal: Refusals.make(503, 'notRun', 'mappingRemoved', 'The class was removed.', 1),
+      });
     const desk = this.classDesk(service, className);
-    if (desk.held >= settings.holdingMost) return Promise.resolve({ kind: 'refuse', refusal: Refusals.make(503, 'notRun', 'holdingFull', 'Too many orders wait.', this.comeBackSeconds(service, className)) });
+    if (desk.held >= settings.holdingMost)
+      return Promise.resolve({
+        kind: 'refuse',
+        refusal: Refusals.make(
+          503,
+          'notRun',
+          'holdingFull',
+          'Too many orders wait.',
+          this.comeBackSeconds(service, className),
+        ),
+      });
     return new Promise((resolve) => {
       const list = desk.tenants.get(tenant) ?? [];
       const held: Held = {
         tenant,
         settle: resolve,
-        cancel: this.clock.after(settings.holdingLimitMicroseconds, () => this.giveUp(desk, held, Refusals.make(503, 'notRun', 'holdingLimit', 'No place came free in time.', this.comeBackSeconds(service, className)))),
+        cancel: this.clock.after(settings.holdingLimitMicroseconds, () =>
+          this.giveUp(
+            desk,
+            held,
+            Refusals.make(
+              503,
+              'notRun',
+              'holdingLimit',
+              'No place came free in time.',
+              this.comeBackSeconds(service, className),
+            ),
+          ),
+        ),
       };
       desk.tenants.set(tenant, [...list, held]);
       desk.held += 1;
@@ -82,7 +121,10 @@
 
   /** Answers all that is held; used when a stop must not wait for the limit of each. */
   public heldCount(): number {
-    return [...this.services.values()].reduce((sum, { classes }) => sum + [...classes.values()].reduce((inner, { held }) => inner + held, 0), 0);
+    return [...this.services.values()].reduce(
+      (sum, { classes }) => sum + [...classes.values()].reduce((inner, { held }) => inner + held, 0),
+      0,
+    );
   }
 
   private serve(service: string): void {
@@ -144,7 +186,9 @@
       const key = this.serviceKey(service, name);
       const own = desk.classes.get(name);
       return {
-        name, rank: settings.rank, lends: settings.lends,
+        name,
+        rank: settings.rank,
+        lends: settings.lends,
         entitled: (capacity * settings.sharePerMille) / 1000,
         running: (own?.running ?? 0) + others.reduce((sum, load) => sum + (load.classes[key] ?? 0), 0),
         held: (own?.held ?? 0) + others.reduce((sum, load) => sum + (load.waiting[key] ?? 0), 0),
--- a/source/edge-proxy/holding/takePolicy.ts
+++ b/source/edge-proxy/holding/takePolicy.ts
@@ -7,7 +7,12 @@
     apply: async (context) => {
       const resolved = context.resolved;
       if (resolved === undefined) throw new Error('no mapping resolved');
-      const taken = await desk.take(resolved.mapping.service, resolved.mapping.class, resolved.tenant, context.answer.whenGone);
+      const taken = await desk.take(
+        resolved.mapping.service,
+        resolved.mapping.class,
+        resolved.tenant,
+        context.answer.whenGone,
+      );
       return taken.kind === 'refuse' ? taken : { kind: 'onward', context: { ...context, release: taken.release } };
     },
   }),
--- a/source/edge-proxy/path/order.ts
+++ b/source/edge-proxy/path/order.ts
@@ -31,7 +31,13 @@
   readonly refuse: (refusal: Refusal) => void;
 }
 
-export type Resolved = Readonly<{ mappingName: string; mapping: Mapping; tenant: string; trustDomain: string; service: Pool | AppService }>;
+export type Resolved = Readonly<{
+  mappingName: string;
+  mapping: Mapping;
+  tenant: string;
+  trustDomain: string;
+  service: Pool | AppService;
+}>;
 
 export type Placed = Readonly<{ engine: string; address: string; bootEpoch: string; weights: string; matched: number }>;
 
--- a/source/edge-proxy/path/pipeline.ts
+++ b/source/edge-proxy/path/pipeline.ts
@@ -7,7 +7,11 @@
 export class Pipeline {
   private readonly firstChoice: number;
 
-  public constructor(private readonly policies: readonly Policy[], firstChoice: string, private readonly log: Log) {
+  public constructor(
+    private readonly policies: readonly Policy[],
+    firstChoice: string,
+    private readonly log: Log,
+  ) {
     this.firstChoice = policies.findIndex(({ name }) => name === firstChoice);
   }
 
@@ -27,14 +31,18 @@
     } catch (error) {
       this.log(`An order failed inside: ${Logs.text(error)}.`);
       // Why that verdict: where the fault struck is not known, unless nothing was ever sent.
-      return this.refuse(context, Refusals.make(500, context.resolved === undefined ? 'notRun' : 'mayHaveRun', 'internal', 'The proxy failed.'));
+      return this.refuse(
+        context,
+        Refusals.make(500, context.resolved === undefined ? 'notRun' : 'mayHaveRun', 'internal', 'The proxy failed.'),
+      );
     } finally {
       context.release?.();
     }
   }
 
   private refuse(context: Context, given: Refusal): Refusal {
-    const refusal: Refusal = context.mayHaveRun && given.verdict === 'notRun' ? { ...given, verdict: 'mayHaveRun' } : given;
+    const refusal: Refusal =
+      context.mayHaveRun && given.verdict === 'notRun' ? { ...given, verdict: 'mayHaveRun' } : given;
     if (context.answer.begun()) context.answer.cut();
     else context.answer.refuse(refusal);
     return refusal;
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -4,7 +4,14 @@
 import { FactKeys, type EngineFact, type LoadFact } from '../../shared/news/factTypes';
 import type { Fence } from '../fence/fence';
 
-export type Candidate = Readonly<{ name: string; address: string; bootEpoch: string; weights: string; capacity: number; inFlight: number }>;
+export type Candidate = Readonly<{
+  name: string;
+  address: string;
+  bootEpoch: string;
+  weights: string;
+  capacity: number;
+  inFlight: number;
+}>;
 
 export type Store = Readonly<{ name: string; address: string; bootEpoch: string }>;
 
@@ -14,7 +21,12 @@
 export class EngineView {
   private readonly own = new Map<string, number>();
 
-  public constructor(private readonly self: string, private readonly freshness: Freshness, private readonly facts: FactBook, private readonly fence: Fence) {}
+  public constructor(
+    private readonly self: string,
+    private readonly freshness: Freshness,
+    private readonly facts: FactBook,
+    private readonly fence: Fence,
+  ) {}
 
   public began(engine: string): void {
     this.own.set(engine, this.ownInFlight(engine) + 1);
@@ -35,11 +47,19 @@
   }
 
   public otherLoads(): readonly LoadFact[] {
-    return this.facts.withPrefix('load/').map(({ value }) => value as LoadFact).filter(({ agent }) => agent !== this.self && this.present(agent));
+    return this.facts
+      .withPrefix('load/')
+      .map(({ value }) => value as LoadFact)
+      .filter(({ agent }) => agent !== this.self && this.present(agent));
   }
 
   public proxies(): number {
-    return Math.max(1, this.facts.withPrefix('member/').filter(({ value }) => ['alive', 'suspect'].includes((value as { state: string }).state)).length);
+    return Math.max(
+      1,
+      this.facts
+        .withPrefix('member/')
+        .filter(({ value }) => ['alive', 'suspect'].includes((value as { state: string }).state)).length,
+    );
   }
 
   /** Engines of a service that new work may go to. */
@@ -48,12 +68,23 @@
     return this.listed(service).flatMap(([name, engine]) => {
       const elsewhere = others.reduce((sum, load) => sum + (load.engines[name] ?? 0), 0);
       const inFlight = this.ownInFlight(name) + elsewhere;
-      if (engine.kind === 'app') return [{ name, address: engine.address, bootEpoch: '', weights: '', capacity: appCapacity, inFlight }];
+      if (engine.kind === 'app')
+        return [{ name, address: engine.address, bootEpoch: '', weights: '', capacity: appCapacity, inFlight }];
       const fact = this.facts.value<EngineFact>(FactKeys.engine(name));
       // Why the steward's word is needed: an engine nobody has confirmed may run on any weights.
-      if (fact === undefined || !fact.reachable || !fact.accepting || fact.changing || fact.address !== engine.address) return [];
+      if (fact === undefined || !fact.reachable || !fact.accepting || fact.changing || fact.address !== engine.address)
+        return [];
       if (this.fence.weights(service, fact.weights) === 'forbidden') return [];
-      return [{ name, address: engine.address, bootEpoch: fact.bootEpoch, weights: fact.weights, capacity: fact.capacity, inFlight }];
+      return [
+        {
+          name,
+          address: engine.address,
+          bootEpoch: fact.bootEpoch,
+          weights: fact.weights,
+          capacity: fact.capacity,
+          inFlight,
+        },
+      ];
     });
   }
 
@@ -69,7 +100,9 @@
   public bootEpochOf(holder: string): string | undefined {
     const listed = this.freshness.engines?.engines[holder];
     const fact = this.facts.value<EngineFact>(FactKeys.engine(holder));
-    return listed === undefined || fact === undefined || !fact.reachable || fact.address !== listed.address ? undefined : fact.bootEpoch;
+    return listed === undefined || fact === undefined || !fact.reachable || fact.address !== listed.address
+      ? undefined
+      : fact.bootEpoch;
   }
 
   public addressOf(holder: string): string | undefined {
@@ -85,7 +118,9 @@
   }
 
   private listed(service: string): readonly (readonly [string, Engine])[] {
-    return Object.entries(this.freshness.engines?.engines ?? {}).filter(([, engine]) => engine.kind !== 'store' && engine.service === service && engine.state === 'ready');
+    return Object.entries(this.freshness.engines?.engines ?? {}).filter(
+      ([, engine]) => engine.kind !== 'store' && engine.service === service && engine.state === 'ready',
+    );
   }
 
   private present(agent: string): boolean {
--- a/source/edge-proxy/placement/placePolicies.ts
+++ b/source/edge-proxy/placement/placePolicies.ts
@@ -17,7 +17,10 @@
   private readonly chain: readonly string[];
   private readonly byWeights = new Map<string, readonly BlockKey[]>();
 
-  public constructor(private readonly resolved: Resolved, body: string) {
+  public constructor(
+    private readonly resolved: Resolved,
+    body: string,
+  ) {
     const { service } = resolved;
     this.chain = service.kind === 'pool' ? HashChains.blocks(promptIn(body), service.blockCharacters, mostBlocks) : [];
   }
@@ -51,7 +54,10 @@
     apply: (context) => {
       const resolved = context.resolved;
       if (resolved === undefined) throw new Error('no mapping resolved');
-      return Promise.resolve({ kind: 'onward', context: { ...context, keys: context.keys ?? new PromptKeys(resolved, context.order.body) } });
+      return Promise.resolve({
+        kind: 'onward',
+        context: { ...context, keys: context.keys ?? new PromptKeys(resolved, context.order.body) },
+      });
     },
   }),
 
@@ -64,20 +70,46 @@
       const candidates = view.candidates(service).filter(({ name }) => !context.avoided.includes(name));
       const lookUps = new Map<string, LookUp>();
       const lookUp = (weights: string): LookUp => {
-        const found = lookUps.get(weights) ?? (keys.blocks === 0 ? nothing : LookUps.find(shards, keys.under(weights), (holder) => view.bootEpochOf(holder)));
+        const found =
+          lookUps.get(weights) ??
+          (keys.blocks === 0
+            ? nothing
+            : LookUps.find(shards, keys.under(weights), (holder) => view.bootEpochOf(holder)));
         lookUps.set(weights, found);
         return found;
       };
       const scored: readonly Scored[] = candidates.map((candidate) => {
         const found = lookUp(candidate.weights);
-        const matched = found.kind === 'miss' ? 0 : found.found.find(({ holder }) => holder === candidate.name)?.matched ?? 0;
+        const matched =
+          found.kind === 'miss' ? 0 : (found.found.find(({ holder }) => holder === candidate.name)?.matched ?? 0);
         return { ...candidate, matched };
       });
       const chosen = placement.choose(scored, keys.blocks, random);
-      if (chosen === undefined) return Promise.resolve({ kind: 'refuse', refusal: Refusals.make(503, 'notRun', 'noEngine', 'No engine can take it now.', 1) });
+      if (chosen === undefined)
+        return Promise.resolve({
+          kind: 'refuse',
+          refusal: Refusals.make(503, 'notRun', 'noEngine', 'No engine can take it now.', 1),
+        });
       const found = lookUp(chosen.weights);
-      if (keys.blocks > 0 && context.sends === 0) metrics.count('postdrum_lookups_total', found.kind === 'miss' ? { result: 'miss', reason: found.reason } : { result: found.kind });
-      return Promise.resolve({ kind: 'onward', context: { ...context, placed: { engine: chosen.name, address: chosen.address, bootEpoch: chosen.bootEpoch, weights: chosen.weights, matched: chosen.matched }, lookUp: found } });
+      if (keys.blocks > 0 && context.sends === 0)
+        metrics.count(
+          'postdrum_lookups_total',
+          found.kind === 'miss' ? { result: 'miss', reason: found.reason } : { result: found.kind },
+        );
+      return Promise.resolve({
+        kind: 'onward',
+        context: {
+          ...context,
+          placed: {
+            engine: chosen.name,
+            address: chosen.address,
+            bootEpoch: chosen.bootEpoch,
+            weights: chosen.weights,
+            matched: chosen.matched,
+          },
+          lookUp: found,
+        },
+      });
     },
   }),
 } as const;
--- a/source/edge-proxy/placement/placements.ts
+++ b/source/edge-proxy/placement/placements.ts
@@ -27,7 +27,10 @@
 const blocksPerLoad = 24;
 
 export const Placements = {
-  byLoad: { name: 'load', choose: (candidates, _blocks, random) => betterOfTwo(withRoom(candidates), random) } satisfies Placement,
+  byLoad: {
+    name: 'load',
+    choose: (candidates, _blocks, random) => betterOfTwo(withRoom(candidates), random),
+  } satisfies Placement,
 
   /** Blocks to be read anew weighed against how full the engine is, so that one popular prefix sinks no engine. */
   byPrefix: {
@@ -36,10 +39,14 @@
       const room = withRoom(candidates);
       if (blocks === 0 || room.every(({ matched }) => matched === 0)) return betterOfTwo(room, random);
       const cost = (item: Scored): number => blocks - item.matched + blocksPerLoad * loadOf(item) ** 2;
-      return Randoms.shuffled(random, room).reduce<Scored | undefined>((best, item) => (best === undefined || cost(item) < cost(best) ? item : best), undefined);
+      return Randoms.shuffled(random, room).reduce<Scored | undefined>(
+        (best, item) => (best === undefined || cost(item) < cost(best) ? item : best),
+        undefined,
+      );
     },
   } satisfies Placement,
 } as const;
 
 export type PlacementName = 'prefix' | 'load';
-export const placementNamed = (name: PlacementName): Placement => (name === 'load' ? Placements.byLoad : Placements.byPrefix);
+export const placementNamed = (name: PlacementName): Placement =>
+  name === 'load' ? Placements.byLoad : Placements.byPrefix;
--- a/source/edge-proxy/sends/retryBudget.ts
+++ b/source/edge-proxy/sends/retryBudget.ts
@@ -11,7 +11,11 @@
 export class RetryBudget {
   private slots: Slot[] = [];
 
-  public constructor(private readonly clock: Clock, private readonly proxies: () => number, private readonly settings: BudgetSettings) {}
+  public constructor(
+    private readonly clock: Clock,
+    private readonly proxies: () => number,
+    private readonly settings: BudgetSettings,
+  ) {}
 
   public first(): void {
     this.slot().firsts += 1;
@@ -21,7 +25,8 @@
     const slot = this.slot();
     const firsts = this.slots.reduce((sum, item) => sum + item.firsts, 0);
     const agains = this.slots.reduce((sum, item) => sum + item.agains, 0);
-    if (agains + 1 > (firsts * this.settings.perMille) / 1000 + this.settings.fleetAllowance / this.proxies()) return false;
+    if (agains + 1 > (firsts * this.settings.perMille) / 1000 + this.settings.fleetAllowance / this.proxies())
+      return false;
     slot.agains += 1;
     return true;
   }
--- a/source/edge-proxy/sends/runningSend.ts
+++ b/source/edge-proxy/sends/runningSend.ts
@@ -20,7 +20,9 @@
       case 'head':
         return { kind: 'answering', status: event.status, framed: event.framed, begun: false, sawFinal: false };
       case 'part':
-        return state.kind === 'answering' ? { ...state, begun: true, sawFinal: event.hasFinal || state.sawFinal } : state;
+        return state.kind === 'answering'
+          ? { ...state, begun: true, sawFinal: event.hasFinal || state.sawFinal }
+          : state;
       case 'end':
         // Why: an answer without length and without chunks ends with its conn, and so does a cut one.
         return { kind: 'over', how: state.kind === 'answering' && (state.framed || state.sawFinal) ? 'whole' : 'cut' };
@@ -44,6 +46,12 @@
     const joined = Buffer.concat([this.tail, bytes]);
     this.tail = joined.subarray(Math.max(0, joined.length - finalMark.length - 4));
     const found = joined.lastIndexOf(finalMark);
-    return found >= 0 && joined.subarray(found + finalMark.length).toString('latin1').trim() === '';
+    return (
+      found >= 0 &&
+      joined
+        .subarray(found + finalMark.length)
+        .toString('latin1')
+        .trim() === ''
+    );
   }
 }
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -49,7 +49,14 @@
   private finish: (step: Step) => void = () => undefined;
   private readonly startedMicroseconds: number;
 
-  public constructor(private readonly parts: SendParts, private readonly context: Context, private readonly resolved: Resolved, private readonly placed: Placed, private readonly fetch: FetchPlan, private readonly lastLook: () => Refusal | undefined) {
+  public constructor(
+    private readonly parts: SendParts,
+    private readonly context: Context,
+    private readonly resolved: Resolved,
+    private readonly placed: Placed,
+    private readonly fetch: FetchPlan,
+    private readonly lastLook: () => Refusal | undefined,
+  ) {
     this.startedMicroseconds = parts.clock.nowMicroseconds();
   }
 
@@ -61,7 +68,9 @@
     const over = new Promise<Step>((resolve) => {
       this.finish = resolve;
     });
-    const cancelLimit = parts.clock.after(resolved.service.answerLimitMicroseconds, () => this.abandon(Refusals.make(504, 'mayHaveRun', 'engineSilent', 'The engine took too long.', 1)));
+    const cancelLimit = parts.clock.after(resolved.service.answerLimitMicroseconds, () =>
+      this.abandon(Refusals.make(504, 'mayHaveRun', 'engineSilent', 'The engine took too long.', 1)),
+    );
     const { cut } = parts.sender.send(
       { address: placed.address, method: order.method, path: order.path, headers: this.headers(), body: order.body },
       {
@@ -84,21 +93,41 @@
   /** Called with every piece of news: an answer on weights whose time is over ends here, visibly. */
   public recheck(): void {
     const { service } = this.resolved;
-    if (this.state.kind === 'opening' && service.kind === 'pool' && this.parts.seenAgeMicroseconds(this.placed.engine) > silentMicroseconds) {
+    if (
+      this.state.kind === 'opening' &&
+      service.kind === 'pool' &&
+      this.parts.seenAgeMicroseconds(this.placed.engine) > silentMicroseconds
+    ) {
       // Why: a frozen engine would find the order in its conn when it wakes, long after what it was taken under is gone.
       const changed = this.parts.identifier.stillStands(this.context.order, this.resolved);
       const unlisted = !this.parts.view.isListed(this.resolved.mapping.service, this.placed.engine);
       if ((changed !== undefined && changed.code !== 'notFresh') || unlisted) {
-        this.abandon(Refusals.make(502, 'mayHaveRun', changed?.code ?? 'engineSilent', changed?.text ?? 'The engine was taken out of service before it answered.', 1));
+        this.abandon(
+          Refusals.make(
+            502,
+            'mayHaveRun',
+            changed?.code ?? 'engineSilent',
+            changed?.text ?? 'The engine was taken out of service before it answered.',
+            1,
+          ),
+        );
         return;
       }
     }
-    if (service.kind === 'pool' && this.parts.fence.weights(this.resolved.mapping.service, this.placed.weights) === 'forbidden') this.abandon(Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The weights were replaced while it ran.', 1));
+    if (
+      service.kind === 'pool' &&
+      this.parts.fence.weights(this.resolved.mapping.service, this.placed.weights) === 'forbidden'
+    )
+      this.abandon(Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The weights were replaced while it ran.', 1));
   }
 
   private mayGo(): boolean {
     this.stopped = this.state.kind === 'over' ? undefined : this.lastLook();
-    return this.state.kind !== 'over' && this.stopped === undefined && (this.fetch === noFetch || this.parts.stillGood(this.fetch));
+    return (
+      this.state.kind !== 'over' &&
+      this.stopped === undefined &&
+      (this.fetch === noFetch || this.parts.stillGood(this.fetch))
+    );
   }
 
   private headers(): Readonly<Record<string, string>> {
@@ -132,7 +161,14 @@
     const bootEpoch = head.headers[BackEndHeaders.bootEpoch];
     const weights = head.headers[BackEndHeaders.weights];
     // Why before a byte reaches the caller: this engine is not the one that was confirmed.
-    if (weights === undefined || bootEpoch === undefined || this.parts.fence.weights(this.resolved.mapping.service, weights) === 'forbidden') this.abandon(Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The engine answered on weights that are not in service.', 1));
+    if (
+      weights === undefined ||
+      bootEpoch === undefined ||
+      this.parts.fence.weights(this.resolved.mapping.service, weights) === 'forbidden'
+    )
+      this.abandon(
+        Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The engine answered on weights that are not in service.', 1),
+      );
   }
 
   private onPart(bytes: Uint8Array): Promise<void> | undefined {
@@ -146,16 +182,29 @@
     const head = this.head;
     if (head === undefined || answer.begun()) return;
     this.attest(head);
-    const headers = Object.fromEntries(passedHeaders.flatMap((name) => (head.headers[name] === undefined ? [] : [[name, head.headers[name]]])));
+    const headers = Object.fromEntries(
+      passedHeaders.flatMap((name) => (head.headers[name] === undefined ? [] : [[name, head.headers[name]]])),
+    );
     const length = head.headers['content-length'];
-    answer.head({ status: head.status, headers: { ...headers, ...(length === undefined ? {} : { 'content-length': length }), 'postdrum-order': this.context.order.id, ...(head.status >= 400 ? { 'postdrum-verdict': 'ran' } : {}) } });
+    answer.head({
+      status: head.status,
+      headers: {
+        ...headers,
+        ...(length === undefined ? {} : { 'content-length': length }),
+        'postdrum-order': this.context.order.id,
+        ...(head.status >= 400 ? { 'postdrum-verdict': 'ran' } : {}),
+      },
+    });
   }
 
   /** The first event of the answer: what the engine was told to move has ended. */
   private attest(head: SendHead): void {
     if (this.attested) return;
     this.attested = true;
-    const good = head.status === 200 && head.headers[BackEndHeaders.bootEpoch] === this.placed.bootEpoch && head.headers[BackEndHeaders.weights] === this.placed.weights;
+    const good =
+      head.status === 200 &&
+      head.headers[BackEndHeaders.bootEpoch] === this.placed.bootEpoch &&
+      head.headers[BackEndHeaders.weights] === this.placed.weights;
     this.parts.tell(good ? this.fetch.attested : this.fetch.abandoned);
     const { source } = this.fetch;
     const took = Number(head.headers[BackEndHeaders.importMicroseconds] ?? Number.NaN);
@@ -212,10 +261,17 @@
   }
 
   private again(refusal: Refusal): void {
-    const context: Context = { ...this.context, sends: this.context.sends + 1, mayHaveRun: this.context.mayHaveRun || refusal.verdict !== 'notRun', avoided: [...this.context.avoided, this.placed.engine] };
-    const spent = this.parts.clock.nowMicroseconds() - this.startedMicroseconds > this.resolved.service.answerLimitMicroseconds;
+    const context: Context = {
+      ...this.context,
+      sends: this.context.sends + 1,
+      mayHaveRun: this.context.mayHaveRun || refusal.verdict !== 'notRun',
+      avoided: [...this.context.avoided, this.placed.engine],
+    };
+    const spent =
+      this.parts.clock.nowMicroseconds() - this.startedMicroseconds > this.resolved.service.answerLimitMicroseconds;
     if (spent || context.sends >= this.parts.mostSends) this.finish({ kind: 'refuse', refusal });
-    else if (!this.parts.budgetOf(this.resolved.mapping.service).spend()) this.finish({ kind: 'refuse', refusal: { ...refusal, retryAfterSeconds: refusal.retryAfterSeconds ?? 1 } });
+    else if (!this.parts.budgetOf(this.resolved.mapping.service).spend())
+      this.finish({ kind: 'refuse', refusal: { ...refusal, retryAfterSeconds: refusal.retryAfterSeconds ?? 1 } });
     else {
       this.parts.metrics.count('postdrum_sends_again_total', { service: this.resolved.mapping.service });
       this.finish({ kind: 'again', context, refusal });
@@ -225,7 +281,9 @@
 
 /** Where the engine left between the choice and the send, another is chosen: nothing was sent, so no budget is spent. */
 const stepAfter = (refusal: Refusal, context: Context, placed: Placed): Step =>
-  refusal.code === 'noEngine' && context.avoided.length < mostChoices ? { kind: 'again', context: { ...context, avoided: [...context.avoided, placed.engine] }, refusal } : { kind: 'refuse', refusal };
+  refusal.code === 'noEngine' && context.avoided.length < mostChoices
+    ? { kind: 'again', context: { ...context, avoided: [...context.avoided, placed.engine] }, refusal }
+    : { kind: 'refuse', refusal };
 
 /** The last policy: looks once more whether the order may go, sends it, and passes the answer on. */
 export class SendPolicy implements Policy {
@@ -248,7 +306,9 @@
     // Why drop the plan and not the order: without names it is a fresh prefill and nothing else.
     const good = this.parts.stillGood(fetch);
     if (!good) this.parts.tell(fetch.notSent);
-    const send = new RunningSend(this.parts, context, resolved, placed, good ? fetch : noFetch, () => this.lastLook(context, resolved, placed));
+    const send = new RunningSend(this.parts, context, resolved, placed, good ? fetch : noFetch, () =>
+      this.lastLook(context, resolved, placed),
+    );
     this.running.add(send);
     try {
       return await send.run();
@@ -272,7 +332,15 @@
     if (context.answer.gone()) return Refusals.make(499, 'notRun', 'userAgentGone', 'The caller left.');
     const changed = identifier.stillStands(context.order, resolved);
     if (changed !== undefined) return changed;
-    if (!this.parts.view.candidates(resolved.mapping.service).some(({ name, bootEpoch, weights }) => name === placed.engine && bootEpoch === placed.bootEpoch && weights === placed.weights)) return Refusals.make(503, 'notRun', 'noEngine', 'The engine left while the order was placed.', 1);
+    if (
+      !this.parts.view
+        .candidates(resolved.mapping.service)
+        .some(
+          ({ name, bootEpoch, weights }) =>
+            name === placed.engine && bootEpoch === placed.bootEpoch && weights === placed.weights,
+        )
+    )
+      return Refusals.make(503, 'notRun', 'noEngine', 'The engine left while the order was placed.', 1);
     return undefined;
   }
 }
--- a/source/fleet-simulator/faults/faults.ts
+++ b/source/fleet-simulator/faults/faults.ts
@@ -13,16 +13,23 @@
   drain: (engine: string) => Promise<boolean>;
 }>;
 
-const someKeeper = ({ fleet }: Trouble): SimKeeper => fleet.present()[Randoms.below(fleet.world.random, 3)] ?? fleet.keeper(0);
+const someKeeper = ({ fleet }: Trouble): SimKeeper =>
+  fleet.present()[Randoms.below(fleet.world.random, 3)] ?? fleet.keeper(0);
 const someEdge = ({ fleet }: Trouble): SimEdge => fleet.edge(Randoms.below(fleet.world.random, fleet.edges.length));
 const someEngine = ({ fleet }: Trouble): string => Randoms.pick(fleet.world.random, fleet.engineNames) ?? '';
-const between = ({ fleet }: Trouble, least: number, most: number): number => Math.floor(least + fleet.world.random.fraction() * (most - least));
+const between = ({ fleet }: Trouble, least: number, most: number): number =>
+  Math.floor(least + fleet.world.random.fraction() * (most - least));
 const wait = (trouble: Trouble, least: number, most: number): Promise<void> =>
   new Promise((resolve) => {
     trouble.fleet.world.plan(between(trouble, least, most), resolve);
   });
 
-const machines = (fleet: SimFleet): readonly string[] => [...fleet.keepers.map(({ machine }) => machine), ...fleet.edges.map(({ machine }) => machine), ...fleet.engineNames, fleet.storeName];
+const machines = (fleet: SimFleet): readonly string[] => [
+  ...fleet.keepers.map(({ machine }) => machine),
+  ...fleet.edges.map(({ machine }) => machine),
+  ...fleet.engineNames,
+  fleet.storeName,
+];
 
 const isolate = (fleet: SimFleet, machine: string, inward: boolean, outward: boolean): void => {
   for (const other of machines(fleet)) {
@@ -34,14 +41,17 @@
 /** A fleet of three survives one lost disk: the next is not wiped before the last one has caught up. */
 const wipe = async (trouble: Trouble, keeper: SimKeeper): Promise<void> => {
   const { fleet } = trouble;
-  while (fleet.wiped !== undefined && !(fleet.wiped.process.alive && fleet.wiped.keeper?.core.votes() === true)) await wait(trouble, 100_000, 100_000);
+  while (fleet.wiped !== undefined && !(fleet.wiped.process.alive && fleet.wiped.keeper?.core.votes() === true))
+    await wait(trouble, 100_000, 100_000);
   fleet.killKeeper(keeper, true);
   keeper.disk.wipe();
   fleet.wiped = keeper;
 };
 
 const freezeEdge = async (trouble: Trouble, edge: SimEdge, both: boolean): Promise<void> => {
-  const frozen = both ? [edge.agentProcess, edge.proxyProcess] : [trouble.fleet.world.random.fraction() < 0.5 ? edge.agentProcess : edge.proxyProcess];
+  const frozen = both
+    ? [edge.agentProcess, edge.proxyProcess]
+    : [trouble.fleet.world.random.fraction() < 0.5 ? edge.agentProcess : edge.proxyProcess];
   for (const process of frozen) process.freeze();
   await wait(trouble, 300_000, 6_000_000);
   for (const process of frozen) process.thaw();
@@ -63,7 +73,10 @@
   /** All at once right after a change was acknowledged. */
   corePowerLostAfterTaking: async (trouble) => {
     const { fleet } = trouble;
-    await trouble.intend((blueprint) => ({ ...blueprint, tenants: { ...blueprint.tenants, late: { walled: false, keys: [`key-late-${between(trouble, 1000, 9999)}`] } } }));
+    await trouble.intend((blueprint) => ({
+      ...blueprint,
+      tenants: { ...blueprint.tenants, late: { walled: false, keys: [`key-late-${between(trouble, 1000, 9999)}`] } },
+    }));
     for (const keeper of fleet.present()) fleet.killKeeper(keeper, true);
     for (const keeper of Randoms.shuffled(fleet.world.random, fleet.present())) {
       await wait(trouble, 10_000, 900_000);
@@ -132,16 +145,19 @@
   },
   coreSplit: async (trouble) => {
     const { fleet } = trouble;
-    for (const one of fleet.keepers) for (const two of fleet.keepers) if (one !== two && fleet.world.random.fraction() < 0.6) fleet.network.cut(one.machine, two.machine);
+    for (const one of fleet.keepers)
+      for (const two of fleet.keepers)
+        if (one !== two && fleet.world.random.fraction() < 0.6) fleet.network.cut(one.machine, two.machine);
     await wait(trouble, 500_000, 4_000_000);
     fleet.network.heal();
   },
   coreCutFromEdges: async (trouble) => {
     const { fleet } = trouble;
-    for (const keeper of fleet.keepers) for (const edge of fleet.edges) {
-      fleet.network.cut(keeper.machine, edge.machine);
-      fleet.network.cut(edge.machine, keeper.machine);
-    }
+    for (const keeper of fleet.keepers)
+      for (const edge of fleet.edges) {
+        fleet.network.cut(keeper.machine, edge.machine);
+        fleet.network.cut(edge.machine, keeper.machine);
+      }
     await wait(trouble, 500_000, 5_000_000);
     fleet.network.heal();
   },
@@ -220,7 +236,8 @@
     const { fleet } = trouble;
     if (fleet.keepers.length > 3) return;
     const gone = someKeeper(trouble);
-    while (fleet.wiped !== undefined && !(fleet.wiped.process.alive && fleet.wiped.keeper?.core.votes() === true)) await wait(trouble, 100_000, 100_000);
+    while (fleet.wiped !== undefined && !(fleet.wiped.process.alive && fleet.wiped.keeper?.core.votes() === true))
+      await wait(trouble, 100_000, 100_000);
     fleet.killKeeper(gone, true);
     gone.replaced = true;
     fleet.wiped = gone;
@@ -234,10 +251,18 @@
   },
   /** A setup that swells to thousands of mappings, and shrinks again. */
   setupSwells: async (trouble) => {
-    const many = Object.fromEntries(Array.from({ length: 3000 }, (_, number) => [`many-${number}`, { path: `/many/${number}`, model: '', service: 'pool', class: 'short', resumable: false }]));
+    const many = Object.fromEntries(
+      Array.from({ length: 3000 }, (_, number) => [
+        `many-${number}`,
+        { path: `/many/${number}`, model: '', service: 'pool', class: 'short', resumable: false },
+      ]),
+    );
     await trouble.intend((blueprint) => ({ ...blueprint, mappings: { ...blueprint.mappings, ...many } }));
     await wait(trouble, 500_000, 1_500_000);
-    await trouble.intend((blueprint) => ({ ...blueprint, mappings: Object.fromEntries(Object.entries(blueprint.mappings).filter(([name]) => !name.startsWith('many-'))) }));
+    await trouble.intend((blueprint) => ({
+      ...blueprint,
+      mappings: Object.fromEntries(Object.entries(blueprint.mappings).filter(([name]) => !name.startsWith('many-'))),
+    }));
   },
   storeEmptied: async (trouble) => {
     trouble.fleet.backEnds.empty(trouble.fleet.storeName);
@@ -245,7 +270,13 @@
   },
   eventsFaulty: async (trouble) => {
     const { fleet } = trouble;
-    for (const name of [...fleet.engineNames, fleet.storeName]) fleet.backEnds.get(name).kv.faults = { lostPerMille: 150, repeatedPerMille: 150, swappedPerMille: 100, lateMicroseconds: between(trouble, 0, 700_000) };
+    for (const name of [...fleet.engineNames, fleet.storeName])
+      fleet.backEnds.get(name).kv.faults = {
+        lostPerMille: 150,
+        repeatedPerMille: 150,
+        swappedPerMille: 100,
+        lateMicroseconds: between(trouble, 0, 700_000),
+      };
     await wait(trouble, 3_000_000, 5_000_000);
   },
   linksSlow: async (trouble) => {
@@ -260,11 +291,17 @@
     fleet.network.heal();
   },
   keyRevoked: async (trouble) => {
-    await trouble.intend((blueprint) => ({ ...blueprint, tenants: { ...blueprint.tenants, open1: { walled: false, keys: ['key-open1-b'] } } }));
+    await trouble.intend((blueprint) => ({
+      ...blueprint,
+      tenants: { ...blueprint.tenants, open1: { walled: false, keys: ['key-open1-b'] } },
+    }));
     await wait(trouble, 1_000_000, 3_000_000);
   },
   mappingRemoved: async (trouble) => {
-    await trouble.intend((blueprint) => ({ ...blueprint, mappings: Object.fromEntries(Object.entries(blueprint.mappings).filter(([name]) => name !== 'once')) }));
+    await trouble.intend((blueprint) => ({
+      ...blueprint,
+      mappings: Object.fromEntries(Object.entries(blueprint.mappings).filter(([name]) => name !== 'once')),
+    }));
     await wait(trouble, 1_000_000, 3_000_000);
   },
   engineDrained: async (trouble) => {
@@ -274,26 +311,52 @@
   newWeights: async (trouble) => {
     await trouble.intend((blueprint) => {
       const pool = blueprint.services['pool'];
-      return pool?.kind === 'pool' ? { ...blueprint, services: { pool: { ...pool, weights: pool.weights === 'w1' ? 'w2' : `${pool.weights}+` } } } : blueprint;
+      return pool?.kind === 'pool'
+        ? { ...blueprint, services: { pool: { ...pool, weights: pool.weights === 'w1' ? 'w2' : `${pool.weights}+` } } }
+        : blueprint;
     });
     await wait(trouble, 1_000_000, 4_000_000);
   },
   operatorsRace: async (trouble) => {
     const { fleet } = trouble;
     for (let round = 0; round < 6; round += 1) {
-      const revision = Math.max(0, ...fleet.changes.flatMap(({ key, outcome }) => (key === 'engines' && outcome?.kind === 'taken' ? [outcome.revision] : [])));
-      for (const keeper of fleet.keepers) if (keeper.process.alive) fleet.change(keeper, { key: 'engines', form: 'whole', text: JSON.stringify(fleet.engineList([], [])).replace('"zone":""', `"zone":"r${round}${keeper.name}"`), ifMatch: revision });
+      const revision = Math.max(
+        0,
+        ...fleet.changes.flatMap(({ key, outcome }) =>
+          key === 'engines' && outcome?.kind === 'taken' ? [outcome.revision] : [],
+        ),
+      );
+      for (const keeper of fleet.keepers)
+        if (keeper.process.alive)
+          fleet.change(keeper, {
+            key: 'engines',
+            form: 'whole',
+            text: JSON.stringify(fleet.engineList([], [])).replace('"zone":""', `"zone":"r${round}${keeper.name}"`),
+            ifMatch: revision,
+          });
       await wait(trouble, 50_000, 900_000);
     }
   },
   /** The same change id asked again and again through all keepers, while owners change. */
   changeRepeated: async (trouble) => {
     const { fleet } = trouble;
-    const revision = Math.max(0, ...fleet.changes.flatMap(({ key, outcome }) => (key === 'engines' && outcome?.kind === 'taken' ? [outcome.revision] : [])));
+    const revision = Math.max(
+      0,
+      ...fleet.changes.flatMap(({ key, outcome }) =>
+        key === 'engines' && outcome?.kind === 'taken' ? [outcome.revision] : [],
+      ),
+    );
     const text = JSON.stringify(fleet.engineList()).replace('"zone":""', '"zone":"again"');
     for (let round = 0; round < 5; round += 1) {
       const keeper = someKeeper(trouble);
-      if (keeper.process.alive) fleet.change(keeper, { key: 'engines', form: 'whole', text, ifMatch: revision, id: `again-${fleet.world.seed}-${revision}` });
+      if (keeper.process.alive)
+        fleet.change(keeper, {
+          key: 'engines',
+          form: 'whole',
+          text,
+          ifMatch: revision,
+          id: `again-${fleet.world.seed}-${revision}`,
+        });
       await wait(trouble, 10_000, 700_000);
     }
   },
--- a/source/fleet-simulator/faults/scenario.ts
+++ b/source/fleet-simulator/faults/scenario.ts
@@ -5,14 +5,32 @@
 import { World } from '../world/world';
 import { faultNamed, firstBlueprint, type FaultName, type Trouble } from './faults';
 
-export type ScenarioOrder = Readonly<{ seed: number; faults: readonly FaultName[]; endOnFault: boolean; shape?: SimShape }>;
+export type ScenarioOrder = Readonly<{
+  seed: number;
+  faults: readonly FaultName[];
+  endOnFault: boolean;
+  shape?: SimShape;
+}>;
 export type ScenarioOutcome = Readonly<{
-  broken: readonly Broken[]; history: readonly string[]; calls: number; answered: number; avoidedPerMille: number; imports: number; backAfterMicroseconds: number; messages: number;
+  broken: readonly Broken[];
+  history: readonly string[];
+  calls: number;
+  answered: number;
+  avoidedPerMille: number;
+  imports: number;
+  backAfterMicroseconds: number;
+  messages: number;
 }>;
 
 const serviceBackMicroseconds = 12_000_000;
 
-const keys: readonly (readonly [string, string])[] = [['open1', 'key-open1-a'], ['open1', 'key-open1-b'], ['open2', 'key-open2-a'], ['wall1', 'key-wall1-a'], ['wall2', 'key-wall2-a']];
+const keys: readonly (readonly [string, string])[] = [
+  ['open1', 'key-open1-a'],
+  ['open1', 'key-open1-b'],
+  ['open2', 'key-open2-a'],
+  ['wall1', 'key-wall1-a'],
+  ['wall2', 'key-wall2-a'],
+];
 
 /** Callers that go on whatever happens, about ten short orders for a long one. */
 const traffic = (fleet: SimFleet, pauseMicroseconds: number): (() => void) => {
@@ -23,7 +41,8 @@
     const edge = Randoms.pick(random, fleet.edges);
     const [tenant, key] = Randoms.pick(random, keys) ?? ['', ''];
     const draw = random.fraction();
-    const kind = draw < 0.15 ? SimKinds.long(random.fraction() < 0.7 ? 'A' : 'B') : draw < 0.6 ? SimKinds.short : SimKinds.once;
+    const kind =
+      draw < 0.15 ? SimKinds.long(random.fraction() < 0.7 ? 'A' : 'B') : draw < 0.6 ? SimKinds.short : SimKinds.once;
     if (edge !== undefined && edge.proxyProcess.alive) fleet.callers.call(fleet.handle(edge), kind, tenant, key);
     fleet.world.plan(Math.floor(random.fraction() * 2 * pauseMicroseconds), one);
   };
@@ -59,8 +78,20 @@
         const alive = fleet.present().filter(({ process }) => process.alive);
         const keeper = Randoms.pick(world.random, alive);
         if (keeper === undefined) return void world.plan(100_000, again);
-        if (revision < 0) revision = Math.max(0, ...fleet.changes.flatMap((change) => (change.key === key && change.outcome?.kind === 'taken' ? [change.outcome.revision] : [])));
-        const change = fleet.change(keeper, { key, form: 'whole', text, ifMatch: revision, id: `${key}-${world.seed}-${text.length}-${intended === value ? 'b' : 'e'}-${revision}-${number}` });
+        if (revision < 0)
+          revision = Math.max(
+            0,
+            ...fleet.changes.flatMap((change) =>
+              change.key === key && change.outcome?.kind === 'taken' ? [change.outcome.revision] : [],
+            ),
+          );
+        const change = fleet.change(keeper, {
+          key,
+          form: 'whole',
+          text,
+          ifMatch: revision,
+          id: `${key}-${world.seed}-${text.length}-${intended === value ? 'b' : 'e'}-${revision}-${number}`,
+        });
         const look = (waited: number): void => {
           if (change.outcome?.kind === 'taken') return resolve(true);
           if (change.outcome?.kind === 'refused') {
@@ -70,7 +101,8 @@
             }
             return void world.plan(50_000, again);
           }
-          if (change.outcome !== undefined || waited > 7_000_000 || !keeper.process.alive) return void world.plan(50_000, again);
+          if (change.outcome !== undefined || waited > 7_000_000 || !keeper.process.alive)
+            return void world.plan(50_000, again);
           world.plan(20_000, () => look(waited + 20_000));
         };
         look(0);
@@ -79,14 +111,16 @@
     });
   const trouble: Trouble = {
     fleet,
-    intend: (alter) => inTurn(async () => {
-      intended = alter(intended);
-      return askUntilTaken('blueprint', intended);
-    }),
-    drain: (engine) => inTurn(async () => {
-      drained = [...drained, engine];
-      return askUntilTaken('engines', fleet.engineList(drained));
-    }),
+    intend: (alter) =>
+      inTurn(async () => {
+        intended = alter(intended);
+        return askUntilTaken('blueprint', intended);
+      }),
+    drain: (engine) =>
+      inTurn(async () => {
+        drained = [...drained, engine];
+        return askUntilTaken('engines', fleet.engineList(drained));
+      }),
   };
   await world.runFor(800_000);
   let open = order.faults.length;
@@ -110,18 +144,35 @@
   const healed = world.nowMicroseconds;
   const from = fleet.callers.calls.length;
   // Why each daemon: service is back when every edge machine serves again, not the luckiest one.
-  const served = (): boolean => fleet.edges.every(({ name }) => fleet.callers.calls.slice(from).some(({ proxy, status, right }) => proxy === name && status === 200 && right));
+  const served = (): boolean =>
+    fleet.edges.every(({ name }) =>
+      fleet.callers.calls.slice(from).some(({ proxy, status, right }) => proxy === name && status === 200 && right),
+    );
   const back = await world.runUntil(served, serviceBackMicroseconds);
   const backAfter = world.nowMicroseconds - healed;
-  if (!back) broken.push({ point: 'serviceBack', text: `no full service ${serviceBackMicroseconds / 1_000_000} s after the machines returned` });
-  if (!(await world.runUntil(() => fleet.present().every(({ keeper, process }) => process.alive && keeper?.core.votes() === true), serviceBackMicroseconds))) broken.push({ point: 'serviceBack', text: 'a keeper did not get its voice back' });
+  if (!back)
+    broken.push({
+      point: 'serviceBack',
+      text: `no full service ${serviceBackMicroseconds / 1_000_000} s after the machines returned`,
+    });
+  if (
+    !(await world.runUntil(
+      () => fleet.present().every(({ keeper, process }) => process.alive && keeper?.core.votes() === true),
+      serviceBackMicroseconds,
+    ))
+  )
+    broken.push({ point: 'serviceBack', text: 'a keeper did not get its voice back' });
   for (const keeper of fleet.present()) for (const key of ['blueprint', 'engines'] as const) fleet.read(keeper, key);
   await world.runFor(1_500_000);
   // Why on and on: the clock of the old weights is judged by what is still answered when it is over.
   if (order.faults.includes('newWeights')) await world.runFor(12_500_000);
   stopTraffic();
   await world.runFor(5_000_000);
-  if (fleet.reads.length < fleet.present().length * 2) broken.push({ point: 'lost', text: `only ${fleet.reads.length} of ${fleet.present().length * 2} reads after healing were answered` });
+  if (fleet.reads.length < fleet.present().length * 2)
+    broken.push({
+      point: 'lost',
+      text: `only ${fleet.reads.length} of ${fleet.present().length * 2} reads after healing were answered`,
+    });
   return outcome(fleet, [...broken, ...judgeAll(fleet)], backAfter);
 };
 
@@ -142,9 +193,13 @@
   const uses = fleet.backEnds.runs.flatMap(({ blocks }) => blocks);
   const made = uses.filter(({ from }) => from === 'made').length;
   return {
-    broken, history: fleet.world.history, calls: fleet.callers.calls.length,
+    broken,
+    history: fleet.world.history,
+    calls: fleet.callers.calls.length,
     answered: fleet.callers.calls.filter(({ status, right }) => status === 200 && right).length,
     avoidedPerMille: uses.length === 0 ? 0 : Math.round(((uses.length - made) * 1000) / uses.length),
-    imports: uses.filter(({ from }) => from === 'imported').length, backAfterMicroseconds, messages: fleet.network.messages,
+    imports: uses.filter(({ from }) => from === 'imported').length,
+    backAfterMicroseconds,
+    messages: fleet.network.messages,
   };
 };
--- a/source/fleet-simulator/machines/simBackEnds.ts
+++ b/source/fleet-simulator/machines/simBackEnds.ts
@@ -1,14 +1,39 @@
-import type { BackEndDoor, BackEndSender, Directive, KvEvents, KvList, EngineStatus, SendHead } from '../../shared/back-end/protocol';
+import type {
+  BackEndDoor,
+  BackEndSender,
+  Directive,
+  KvEvents,
+  KvList,
+  EngineStatus,
+  SendHead,
+} from '../../shared/back-end/protocol';
 import { Clocks } from '../../shared/effects/clock/clock';
 import { KvHolder, type KvBlock } from '../../stand-in-engine/kvHolder';
-import { StandInEngine, type EngineSettings, type KvNeighbours, type RunRecord } from '../../stand-in-engine/standInEngine';
+import {
+  StandInEngine,
+  type EngineSettings,
+  type KvNeighbours,
+  type RunRecord,
+} from '../../stand-in-engine/standInEngine';
 import type { SimNetwork } from '../world/simNetwork';
 import { SimProcess } from '../world/simProcess';
 import type { World } from '../world/world';
 
-export type Arrival = Readonly<{ engine: string; order: string; nonce: string; leftMicroseconds: number; atMicroseconds: number; ran: boolean }>;
+export type Arrival = Readonly<{
+  engine: string;
+  order: string;
+  nonce: string;
+  leftMicroseconds: number;
+  atMicroseconds: number;
+  ran: boolean;
+}>;
 
-type Standing = { process: SimProcess; readonly machine: string; readonly engine: StandInEngine | undefined; readonly kv: KvHolder };
+type Standing = {
+  process: SimProcess;
+  readonly machine: string;
+  readonly engine: StandInEngine | undefined;
+  readonly kv: KvHolder;
+};
 
 const nonceIn = (body: string): string => /nonce:([A-Za-z0-9-]+)/.exec(body)?.[1] ?? '';
 
@@ -16,20 +41,35 @@
 export class SimBackEnds {
   public readonly runs: RunRecord[] = [];
   public readonly arrivals: Arrival[] = [];
-  public readonly directives: Readonly<{ engine: string; directive: Directive; outcome: string; atMicroseconds: number }>[] = [];
+  public readonly directives: Readonly<{
+    engine: string;
+    directive: Directive;
+    outcome: string;
+    atMicroseconds: number;
+  }>[] = [];
   private readonly standing = new Map<string, Standing>();
 
-  public constructor(private readonly world: World, private readonly network: SimNetwork) {}
+  public constructor(
+    private readonly world: World,
+    private readonly network: SimNetwork,
+  ) {}
 
   public addEngine(name: string, settings: EngineSettings): string {
     const process = new SimProcess(this.world, name, name);
-    const engine = new StandInEngine(settings, this.clockOf(name), this.world.random, this.neighboursOf(name), (line) => this.runs.push(line));
+    const engine = new StandInEngine(settings, this.clockOf(name), this.world.random, this.neighboursOf(name), (line) =>
+      this.runs.push(line),
+    );
     this.standing.set(name, { process, machine: name, engine, kv: engine.kv });
     return `${name}:1`;
   }
 
   public addStore(name: string): string {
-    this.standing.set(name, { process: new SimProcess(this.world, name, name), machine: name, engine: undefined, kv: new KvHolder(this.world.random.name(), 5000, this.world.random, () => this.world.nowMicroseconds) });
+    this.standing.set(name, {
+      process: new SimProcess(this.world, name, name),
+      machine: name,
+      engine: undefined,
+      kv: new KvHolder(this.world.random.name(), 5000, this.world.random, () => this.world.nowMicroseconds),
+    });
     return `${name}:1`;
   }
 
@@ -61,18 +101,33 @@
   }
 
   public doorOf(agent: SimProcess): BackEndDoor {
-    const call = <Result>(address: string, limitMicroseconds: number, act: (standing: Standing) => Result): Promise<Result | undefined> =>
-      Clocks.within(agent.clock, limitMicroseconds, new Promise<Result | undefined>((resolve) => {
-        const name = address.split(':', 1)[0] ?? '';
-        const back = (result: Result | undefined): void => this.network.carry(name, agent.machine, () => agent.enter(() => resolve(result)));
-        this.network.carry(agent.machine, name, () => {
-          const standing = this.standing.get(name);
-          if (standing === undefined || !standing.process.alive) back(undefined);
-          else standing.process.enter(() => back(act(standing)));
-        });
-      }));
+    const call = <Result>(
+      address: string,
+      limitMicroseconds: number,
+      act: (standing: Standing) => Result,
+    ): Promise<Result | undefined> =>
+      Clocks.within(
+        agent.clock,
+        limitMicroseconds,
+        new Promise<Result | undefined>((resolve) => {
+          const name = address.split(':', 1)[0] ?? '';
+          const back = (result: Result | undefined): void =>
+            this.network.carry(name, agent.machine, () => agent.enter(() => resolve(result)));
+          this.network.carry(agent.machine, name, () => {
+            const standing = this.standing.get(name);
+            if (standing === undefined || !standing.process.alive) back(undefined);
+            else standing.process.enter(() => back(act(standing)));
+          });
+        }),
+      );
     return {
-      status: (address, limit) => call<EngineStatus>(address, limit, ({ engine, kv }) => engine?.status() ?? { bootEpoch: kv.bootEpoch, weights: '', capacity: 0, inFlight: 0, accepting: true }),
+      status: (address, limit) =>
+        call<EngineStatus>(
+          address,
+          limit,
+          ({ engine, kv }) =>
+            engine?.status() ?? { bootEpoch: kv.bootEpoch, weights: '', capacity: 0, inFlight: 0, accepting: true },
+        ),
       events: (address, after, _bootEpoch, limit) => call<KvEvents>(address, limit, ({ kv }) => kv.read(after)),
       list: (address, limit) => call<KvList>(address, limit, ({ kv }) => kv.list()),
       directive: async (address, directive, limit) =>
@@ -91,69 +146,130 @@
         let over = false;
         let engineGone: () => void = () => undefined;
         let goneEarly = false;
-        const failed = (kind: 'notRun' | 'mayHaveRun', text: string): void => proxy.enter(() => {
-          if (over) return;
-          over = true;
-          sink.failed({ kind, text });
-        });
+        const failed = (kind: 'notRun' | 'mayHaveRun', text: string): void =>
+          proxy.enter(() => {
+            if (over) return;
+            over = true;
+            sink.failed({ kind, text });
+          });
         // Why a row: a conn keeps its order, and a link cut under it breaks it for good.
         let row: Promise<void> = Promise.resolve();
         const back = (act: () => void | Promise<void>): void => {
-          row = row.then(() => new Promise<void>((resolve) => {
-            this.network.carry(name, proxy.machine, () => proxy.enter(() => {
-              if (over) return resolve();
-              void Promise.resolve(act()).then(resolve);
-            }), () => {
-              this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke'));
-              engineGone();
-              resolve();
-            });
-          }));
+          row = row.then(
+            () =>
+              new Promise<void>((resolve) => {
+                this.network.carry(
+                  name,
+                  proxy.machine,
+                  () =>
+                    proxy.enter(() => {
+                      if (over) return resolve();
+                      void Promise.resolve(act()).then(resolve);
+                    }),
+                  () => {
+                    this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke'));
+                    engineGone();
+                    resolve();
+                  },
+                );
+              }),
+          );
         };
         const whenProxyDies = (): void => engineGone();
-        const write = (): void => proxy.enter(() => {
-          if (over) return;
-          if (!sink.mayGo()) return failed('notRun', 'not sent');
-          const leftMicroseconds = this.world.nowMicroseconds;
-          // Why not lost but stalled: a cut link holds bytes back, and the conn breaks at last.
-          this.network.carry(proxy.machine, name, () => arrive(leftMicroseconds), () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke')));
-        });
+        const write = (): void =>
+          proxy.enter(() => {
+            if (over) return;
+            if (!sink.mayGo()) return failed('notRun', 'not sent');
+            const leftMicroseconds = this.world.nowMicroseconds;
+            // Why not lost but stalled: a cut link holds bytes back, and the conn breaks at last.
+            this.network.carry(
+              proxy.machine,
+              name,
+              () => arrive(leftMicroseconds),
+              () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke')),
+            );
+          });
         // The conn is made first, there and back; then the order is written.
-        this.network.carry(proxy.machine, name, () => {
-          if (this.standing.get(name)?.process.alive !== true) this.network.carry(name, proxy.machine, () => failed('notRun', 'conn refused'), () => this.world.plan(1_000_000, () => failed('notRun', 'conn not made')));
-          else this.network.carry(name, proxy.machine, write, () => this.world.plan(1_000_000, () => failed('notRun', 'conn not made')));
-        }, () => this.world.plan(1_000_000, () => failed('notRun', 'conn not made')));
+        this.network.carry(
+          proxy.machine,
+          name,
+          () => {
+            if (this.standing.get(name)?.process.alive !== true)
+              this.network.carry(
+                name,
+                proxy.machine,
+                () => failed('notRun', 'conn refused'),
+                () => this.world.plan(1_000_000, () => failed('notRun', 'conn not made')),
+              );
+            else
+              this.network.carry(name, proxy.machine, write, () =>
+                this.world.plan(1_000_000, () => failed('notRun', 'conn not made')),
+              );
+          },
+          () => this.world.plan(1_000_000, () => failed('notRun', 'conn not made')),
+        );
         const arrive = (leftMicroseconds: number): void => {
           const standing = this.standing.get(name);
           if (standing === undefined || !standing.process.alive) {
-            this.network.carry(name, proxy.machine, () => failed('mayHaveRun', 'conn reset'), () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke')));
+            this.network.carry(
+              name,
+              proxy.machine,
+              () => failed('mayHaveRun', 'conn reset'),
+              () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke')),
+            );
             return;
           }
           proxy.whenDead(whenProxyDies);
-          standing.process.whenDead(() => this.network.carry(name, proxy.machine, () => failed('mayHaveRun', 'conn reset'), () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke'))));
+          standing.process.whenDead(() =>
+            this.network.carry(
+              name,
+              proxy.machine,
+              () => failed('mayHaveRun', 'conn reset'),
+              () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke')),
+            ),
+          );
           const bodyPause = Math.floor(this.world.random.fraction() * 400);
-          this.world.plan(bodyPause, () => standing.process.enter(() => {
-            const { engine } = standing;
-            if (goneEarly || engine === undefined) return;
-            const arrival = { engine: name, order: order.headers['postdrum-order'] ?? '', nonce: nonceIn(order.body), leftMicroseconds, atMicroseconds: this.world.nowMicroseconds };
-            let ran = true;
-            const head = (status: number, headers: SendHead['headers']): void => {
-              if (headers['postdrum-not-run'] !== undefined) ran = false;
-              this.arrivals.push({ ...arrival, ran });
-              back(() => sink.head({ status, headers, framed: true }));
-            };
-            void engine.run({ headers: order.headers, body: order.body }, {
-              head,
-              part: (text) => back(() => sink.part(Buffer.from(text))),
-              end: () => back(() => {
-                over = true;
-                sink.end();
-              }),
-              cut: () => this.network.carry(name, proxy.machine, () => failed('mayHaveRun', 'the answer broke off'), () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke'))),
-            }, (act) => {
-              engineGone = act;
-            });
-          }));
+          this.world.plan(bodyPause, () =>
+            standing.process.enter(() => {
+              const { engine } = standing;
+              if (goneEarly || engine === undefined) return;
+              const arrival = {
+                engine: name,
+                order: order.headers['postdrum-order'] ?? '',
+                nonce: nonceIn(order.body),
+                leftMicroseconds,
+                atMicroseconds: this.world.nowMicroseconds,
+              };
+              let ran = true;
+              const head = (status: number, headers: SendHead['headers']): void => {
+                if (headers['postdrum-not-run'] !== undefined) ran = false;
+                this.arrivals.push({ ...arrival, ran });
+                back(() => sink.head({ status, headers, framed: true }));
+              };
+              void engine.run(
+                { headers: order.headers, body: order.body },
+                {
+                  head,
+                  part: (text) => back(() => sink.part(Buffer.from(text))),
+                  end: () =>
+                    back(() => {
+                      over = true;
+                      sink.end();
+                    }),
+                  cut: () =>
+                    this.network.carry(
+                      name,
+                      proxy.machine,
+                      () => failed('mayHaveRun', 'the answer broke off'),
+                      () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke')),
+                    ),
+                },
+                (act) => {
+                  engineGone = act;
+                },
+              );
+            }),
+          );
         };
         return {
           cut: () => {
@@ -184,14 +300,25 @@
       new Promise((resolve) => {
         const other = address.split(':', 1)[0] ?? '';
         const give = (result: Result): void => resolve(result);
-        this.network.carry(name, other, () => {
-          const standing = this.standing.get(other);
-          const result = standing?.process.alive === true ? act(standing) : without;
-          this.network.carry(other, name, () => give(result), () => this.world.plan(2_000_000, () => give(without)));
-        }, () => this.world.plan(2_000_000, () => give(without)));
+        this.network.carry(
+          name,
+          other,
+          () => {
+            const standing = this.standing.get(other);
+            const result = standing?.process.alive === true ? act(standing) : without;
+            this.network.carry(
+              other,
+              name,
+              () => give(result),
+              () => this.world.plan(2_000_000, () => give(without)),
+            );
+          },
+          () => this.world.plan(2_000_000, () => give(without)),
+        );
       });
     return {
-      fetch: (address, keys) => reach<readonly KvBlock[]>(address, ({ kv }) => keys.flatMap((key) => kv.use(key) ?? []), []),
+      fetch: (address, keys) =>
+        reach<readonly KvBlock[]>(address, ({ kv }) => keys.flatMap((key) => kv.use(key) ?? []), []),
       put: (address, blocks) => reach(address, ({ kv }) => blocks.forEach((block) => kv.keep(block)), undefined),
     };
   }
