--- a/source/fleet-simulator/machines/simFleet.ts
+++ b/source/fleet-simulator/machines/simFleet.ts
@@ -10,15 +10,51 @@
 import { SimBackEnds } from './simBackEnds';
 import { SimCallers, type ProxyHandle, type SimKind } from './simCallers';
 
-export type SimShape = Readonly<{ edges: number; engines: number; capacity: number; mostBlocks: number; proxy: Partial<ProxySettings> }>;
+export type SimShape = Readonly<{
+  edges: number;
+  engines: number;
+  capacity: number;
+  mostBlocks: number;
+  proxy: Partial<ProxySettings>;
+}>;
 
 export const usualShape: SimShape = { edges: 4, engines: 4, capacity: 6, mostBlocks: 60, proxy: {} };
 
-export type SimKeeper = { readonly name: string; readonly member: CoreMember; readonly machine: string; readonly disk: SimDisk; replaces: string; replaced: boolean; process: SimProcess; keeper: CoreKeeper | undefined; exits: number };
-export type SimEdge = { readonly name: string; readonly machine: string; agentProcess: SimProcess; proxyProcess: SimProcess; agent: EdgeAgent; proxy: EdgeProxy };
+export type SimKeeper = {
+  readonly name: string;
+  readonly member: CoreMember;
+  readonly machine: string;
+  readonly disk: SimDisk;
+  replaces: string;
+  replaced: boolean;
+  process: SimProcess;
+  keeper: CoreKeeper | undefined;
+  exits: number;
+};
+export type SimEdge = {
+  readonly name: string;
+  readonly machine: string;
+  agentProcess: SimProcess;
+  proxyProcess: SimProcess;
+  agent: EdgeAgent;
+  proxy: EdgeProxy;
+};
 
-export type OperatorChange = { readonly id: string; readonly key: DocumentKey; readonly text: string; readonly askedMicroseconds: number; outcome: ChangeOutcome | undefined; answeredMicroseconds: number };
-export type OperatorRead = Readonly<{ key: DocumentKey; askedMicroseconds: number; answeredMicroseconds: number; revision: number; text: string }>;
+export type OperatorChange = {
+  readonly id: string;
+  readonly key: DocumentKey;
+  readonly text: string;
+  readonly askedMicroseconds: number;
+  outcome: ChangeOutcome | undefined;
+  answeredMicroseconds: number;
+};
+export type OperatorRead = Readonly<{
+  key: DocumentKey;
+  askedMicroseconds: number;
+  answeredMicroseconds: number;
+  revision: number;
+  text: string;
+}>;
 
 const blockCharacters = 256;
 const poolName = 'pool';
@@ -36,7 +72,20 @@
       wall2: { walled: true, keys: ['key-wall2-a'] },
     },
     services: {
-      [poolName]: { kind: 'pool', model: 'm', weights, tokenizer: 't', adapter: '', dtype: 'bf16', quant: 'none', layout: 'paged-1', shard: 'tp1-pp1', rope: 'default', blockCharacters, answerLimitMicroseconds: 20_000_000 },
+      [poolName]: {
+        kind: 'pool',
+        model: 'm',
+        weights,
+        tokenizer: 't',
+        adapter: '',
+        dtype: 'bf16',
+        quant: 'none',
+        layout: 'paged-1',
+        shard: 'tp1-pp1',
+        rope: 'default',
+        blockCharacters,
+        answerLimitMicroseconds: 20_000_000,
+      },
     },
     mappings: {
       long: { path: '/v1/chat/completions', model: 'long', service: poolName, class: 'long', resumable: false },
@@ -49,9 +98,30 @@
 const prefixText = (name: string): string => `Long shared rulebook ${name}. `.repeat(100).slice(0, blockCharacters * 8);
 
 export const SimKinds = {
-  long: (name = 'A'): SimKind => ({ name: 'long', path: '/v1/chat/completions', model: 'long', prefix: prefixText(name), parts: 8, resumable: false }),
-  short: { name: 'short', path: '/v1/chat/completions', model: 'short', prefix: '', parts: 3, resumable: true } satisfies SimKind,
-  once: { name: 'once', path: '/v1/chat/completions', model: 'once', prefix: '', parts: 3, resumable: false } satisfies SimKind,
+  long: (name = 'A'): SimKind => ({
+    name: 'long',
+    path: '/v1/chat/completions',
+    model: 'long',
+    prefix: prefixText(name),
+    parts: 8,
+    resumable: false,
+  }),
+  short: {
+    name: 'short',
+    path: '/v1/chat/completions',
+    model: 'short',
+    prefix: '',
+    parts: 3,
+    resumable: true,
+  } satisfies SimKind,
+  once: {
+    name: 'once',
+    path: '/v1/chat/completions',
+    model: 'once',
+    prefix: '',
+    parts: 3,
+    resumable: false,
+  } satisfies SimKind,
 } as const;
 
 /** Keepers, agents, proxies and stand-ins of a whole fleet in one process, on virtual time. */
@@ -68,12 +138,26 @@
   public wiped: SimKeeper | undefined;
   private changeCount = 0;
 
-  public constructor(public readonly world: World, public readonly shape: SimShape = usualShape) {
+  public constructor(
+    public readonly world: World,
+    public readonly shape: SimShape = usualShape,
+  ) {
     this.network = new SimNetwork(world);
     this.backEnds = new SimBackEnds(world, this.network);
     this.callers = new SimCallers(world);
     this.engineNames = Array.from({ length: shape.engines }, (_, index) => `10.3.0.${index + 1}`);
-    for (const name of this.engineNames) this.backEnds.addEngine(name, { name, weights: 'w1', capacity: shape.capacity, mostBlocks: shape.mostBlocks, blockCharacters, prefillMicrosecondsPerBlock: 10_000, importMicrosecondsPerBlock: 500, partMicroseconds: 15_000, loadMicroseconds: 400_000 });
+    for (const name of this.engineNames)
+      this.backEnds.addEngine(name, {
+        name,
+        weights: 'w1',
+        capacity: shape.capacity,
+        mostBlocks: shape.mostBlocks,
+        blockCharacters,
+        prefillMicrosecondsPerBlock: 10_000,
+        importMicrosecondsPerBlock: 500,
+        partMicroseconds: 15_000,
+        loadMicroseconds: 400_000,
+      });
     this.backEnds.addStore(this.storeName);
     for (const number of [1, 2, 3]) this.addKeeper(number);
     for (let number = 1; number <= shape.edges; number += 1) this.edges.push(this.makeEdge(number));
@@ -85,7 +169,17 @@
 
   public addKeeper(number: number, replaces = ''): SimKeeper {
     const machine = `10.1.0.${number}`;
-    const made: SimKeeper = { name: `keeper-${number}`, member: { address: `${machine}:1`, operatorsAddress: `${machine}:2`, zone: '' }, machine, disk: new SimDisk(this.world), replaces, replaced: false, process: new SimProcess(this.world, `keeper-${number}`, machine), keeper: undefined, exits: 0 };
+    const made: SimKeeper = {
+      name: `keeper-${number}`,
+      member: { address: `${machine}:1`, operatorsAddress: `${machine}:2`, zone: '' },
+      machine,
+      disk: new SimDisk(this.world),
+      replaces,
+      replaced: false,
+      process: new SimProcess(this.world, `keeper-${number}`, machine),
+      keeper: undefined,
+      exits: 0,
+    };
     made.process.alive = false;
     this.keepers.push(made);
     return made;
@@ -98,18 +192,32 @@
 
   public startKeeper(keeper: SimKeeper): void {
     if (keeper.process.alive) return;
-    const process = new SimProcess(this.world, keeper.name, keeper.machine, Math.floor((this.world.random.fraction() - 0.5) * 200));
+    const process = new SimProcess(
+      this.world,
+      keeper.name,
+      keeper.machine,
+      Math.floor((this.world.random.fraction() - 0.5) * 200),
+    );
     keeper.process = process;
     const effects = { clock: process.clock, random: this.world.random, transport: this.network.transportOf(process) };
-    const made = new CoreKeeper(effects, keeper.disk.of(process), { ...KeeperDefaults, name: keeper.name, member: keeper.member, seeds: this.seeds, replaces: keeper.replaces });
+    const made = new CoreKeeper(effects, keeper.disk.of(process), {
+      ...KeeperDefaults,
+      name: keeper.name,
+      member: keeper.member,
+      seeds: this.seeds,
+      replaces: keeper.replaces,
+    });
     keeper.keeper = made;
     made.news.on('broken', () => {
       keeper.exits += 1;
       process.kill();
     });
-    void made.start().then((started) => {
-      if (started.kind === 'corrupt') process.kill();
-    }, () => process.kill());
+    void made.start().then(
+      (started) => {
+        if (started.kind === 'corrupt') process.kill();
+      },
+      () => process.kill(),
+    );
   }
 
   public killKeeper(keeper: SimKeeper, power: boolean): void {
@@ -155,37 +263,80 @@
   }
 
   public engineList(draining: readonly string[] = [], without: readonly string[] = []): EngineList {
-    const engines = this.engineNames.map((name, index) => [`engine-${index + 1}`, name] as const).filter(([, name]) => !without.includes(name)).map(([label, name]) => [label, { kind: 'engine', service: poolName, address: `${name}:1`, zone: '', state: draining.includes(name) ? 'draining' : 'ready' }] as const);
-    return { engines: { ...Object.fromEntries(engines), store: { kind: 'store', service: '', address: `${this.storeName}:1`, zone: '', state: 'ready' } } };
+    const engines = this.engineNames
+      .map((name, index) => [`engine-${index + 1}`, name] as const)
+      .filter(([, name]) => !without.includes(name))
+      .map(
+        ([label, name]) =>
+          [
+            label,
+            {
+              kind: 'engine',
+              service: poolName,
+              address: `${name}:1`,
+              zone: '',
+              state: draining.includes(name) ? 'draining' : 'ready',
+            },
+          ] as const,
+      );
+    return {
+      engines: {
+        ...Object.fromEntries(engines),
+        store: { kind: 'store', service: '', address: `${this.storeName}:1`, zone: '', state: 'ready' },
+      },
+    };
   }
 
   /** An operator's change through one keeper; what became of it is written down as the operator saw it. */
   public change(keeper: SimKeeper, order: Omit<ChangeOrder, 'id'> & Readonly<{ id?: string }>): OperatorChange {
     this.changeCount += 1;
     const id = order.id ?? `change-${this.changeCount}`;
-    const made: OperatorChange = { id, key: order.key, text: order.text, askedMicroseconds: this.world.nowMicroseconds, outcome: undefined, answeredMicroseconds: Infinity };
+    const made: OperatorChange = {
+      id,
+      key: order.key,
+      text: order.text,
+      askedMicroseconds: this.world.nowMicroseconds,
+      outcome: undefined,
+      answeredMicroseconds: Infinity,
+    };
     this.changes.push(made);
     const running = keeper.keeper;
-    this.world.plan(200, () => keeper.process.enter(() => {
-      if (running === undefined) return;
-      void running.change({ ...order, id }).then((outcome) => {
-        if (!keeper.process.alive) return;
-        made.outcome = outcome;
-        made.answeredMicroseconds = this.world.nowMicroseconds;
-      });
-    }));
+    this.world.plan(200, () =>
+      keeper.process.enter(() => {
+        if (running === undefined) return;
+        void running.change({ ...order, id }).then((outcome) => {
+          if (!keeper.process.alive) return;
+          made.outcome = outcome;
+          made.answeredMicroseconds = this.world.nowMicroseconds;
+        });
+      }),
+    );
     return made;
   }
 
   public read(keeper: SimKeeper, key: DocumentKey): void {
     const askedMicroseconds = this.world.nowMicroseconds;
-    keeper.process.enter(() => void keeper.keeper?.read(key).then((outcome) => {
-      if (outcome.kind === 'read' && keeper.process.alive) this.reads.push({ key, askedMicroseconds, answeredMicroseconds: this.world.nowMicroseconds, revision: outcome.revision, text: outcome.text });
-    }));
+    keeper.process.enter(
+      () =>
+        void keeper.keeper?.read(key).then((outcome) => {
+          if (outcome.kind === 'read' && keeper.process.alive)
+            this.reads.push({
+              key,
+              askedMicroseconds,
+              answeredMicroseconds: this.world.nowMicroseconds,
+              revision: outcome.revision,
+              text: outcome.text,
+            });
+        }),
+    );
   }
 
   /** Asks until taken or refused, through any keeper, with one id; false when the limit passes first. */
-  public async take(key: DocumentKey, value: unknown, limitMicroseconds = 15_000_000): Promise<OperatorChange | undefined> {
+  public async take(
+    key: DocumentKey,
+    value: unknown,
+    limitMicroseconds = 15_000_000,
+  ): Promise<OperatorChange | undefined> {
     const until = this.world.nowMicroseconds + limitMicroseconds;
     let revision = 0;
     for (let turn = 0; this.world.nowMicroseconds < until; turn += 1) {
@@ -209,8 +360,16 @@
     for (const keeper of this.keepers) this.startKeeper(keeper);
     for (const edge of this.edges) this.startEdge(edge);
     if ((await this.take('blueprint', blueprint)) === undefined) throw new Error('the first blueprint was not taken');
-    if ((await this.take('engines', this.engineList())) === undefined) throw new Error('the first engine list was not taken');
-    const serving = await this.world.runUntil(() => this.edges.every(({ proxy, agent }) => proxy.fresh() && agent.facts.withPrefix('engine/').length === this.engineNames.length + 1), 12_000_000);
+    if ((await this.take('engines', this.engineList())) === undefined)
+      throw new Error('the first engine list was not taken');
+    const serving = await this.world.runUntil(
+      () =>
+        this.edges.every(
+          ({ proxy, agent }) =>
+            proxy.fresh() && agent.facts.withPrefix('engine/').length === this.engineNames.length + 1,
+        ),
+      12_000_000,
+    );
     if (!serving) throw new Error('the fleet did not come up');
   }
 
@@ -225,16 +384,39 @@
   }
 
   private makeAgent(name: string, machine: string): Readonly<{ process: SimProcess; agent: EdgeAgent }> {
-    const process = new SimProcess(this.world, `${name}-agent`, machine, Math.floor((this.world.random.fraction() - 0.5) * 200));
+    const process = new SimProcess(
+      this.world,
+      `${name}-agent`,
+      machine,
+      Math.floor((this.world.random.fraction() - 0.5) * 200),
+    );
     const effects = { clock: process.clock, random: this.world.random, transport: this.network.transportOf(process) };
-    const agent = new EdgeAgent(effects, this.backEnds.doorOf(process), { ...AgentDefaults, name, zone: '', address: `${machine}:1`, proxyAddress: `${machine}:2`, pagesAddress: `${machine}:3`, seeds: this.seeds });
+    const agent = new EdgeAgent(effects, this.backEnds.doorOf(process), {
+      ...AgentDefaults,
+      name,
+      zone: '',
+      address: `${machine}:1`,
+      proxyAddress: `${machine}:2`,
+      pagesAddress: `${machine}:3`,
+      seeds: this.seeds,
+    });
     return { process, agent };
   }
 
   private makeProxy(name: string, machine: string): Readonly<{ process: SimProcess; proxy: EdgeProxy }> {
-    const process = new SimProcess(this.world, `${name}-proxy`, machine, Math.floor((this.world.random.fraction() - 0.5) * 200));
+    const process = new SimProcess(
+      this.world,
+      `${name}-proxy`,
+      machine,
+      Math.floor((this.world.random.fraction() - 0.5) * 200),
+    );
     const effects = { clock: process.clock, random: this.world.random, transport: this.network.transportOf(process) };
-    const proxy = new EdgeProxy(effects, this.backEnds.senderOf(process), { ...ProxyDefaults, ...this.shape.proxy, name, agentAddress: `${machine}:1` });
+    const proxy = new EdgeProxy(effects, this.backEnds.senderOf(process), {
+      ...ProxyDefaults,
+      ...this.shape.proxy,
+      name,
+      agentAddress: `${machine}:1`,
+    });
     return { process, proxy };
   }
 }
--- a/source/fleet-simulator/world/simDisk.ts
+++ b/source/fleet-simulator/world/simDisk.ts
@@ -23,8 +23,12 @@
   public losePower(): void {
     for (const file of this.files.values()) {
       const extra = file.written.length - file.synced.length;
-      const kept = extra > 0 && file.written.subarray(0, file.synced.length).equals(file.synced) ? Math.floor(this.world.random.fraction() * (extra + 1)) : 0;
-      file.written = kept > 0 ? Buffer.from(file.written.subarray(0, file.synced.length + kept)) : Buffer.from(file.synced);
+      const kept =
+        extra > 0 && file.written.subarray(0, file.synced.length).equals(file.synced)
+          ? Math.floor(this.world.random.fraction() * (extra + 1))
+          : 0;
+      file.written =
+        kept > 0 ? Buffer.from(file.written.subarray(0, file.synced.length + kept)) : Buffer.from(file.synced);
       file.synced = Buffer.from(file.written);
     }
     this.held = [];
@@ -80,32 +84,36 @@
         work((): DiskFile => {
           fileAt(name);
           return {
-            append: (bytes) => work(() => {
-              const file = fileAt(name);
-              if (this.faults.full) {
-                // Why a part: a full disk takes what still fits.
-                file.written = Buffer.concat([file.written, bytes.subarray(0, Math.floor(bytes.length / 2))]);
-                room();
-              }
-              file.written = Buffer.concat([file.written, bytes]);
-            }),
-            sync: () => work(() => {
-              if (this.faults.syncFails) throw Object.assign(new Error('input/output error'), { code: 'EIO' });
-              const file = fileAt(name);
-              file.synced = Buffer.from(file.written);
-            }),
-            truncate: (length) => work(() => {
-              const file = fileAt(name);
-              file.written = Buffer.from(file.written.subarray(0, length));
-            }),
+            append: (bytes) =>
+              work(() => {
+                const file = fileAt(name);
+                if (this.faults.full) {
+                  // Why a part: a full disk takes what still fits.
+                  file.written = Buffer.concat([file.written, bytes.subarray(0, Math.floor(bytes.length / 2))]);
+                  room();
+                }
+                file.written = Buffer.concat([file.written, bytes]);
+              }),
+            sync: () =>
+              work(() => {
+                if (this.faults.syncFails) throw Object.assign(new Error('input/output error'), { code: 'EIO' });
+                const file = fileAt(name);
+                file.synced = Buffer.from(file.written);
+              }),
+            truncate: (length) =>
+              work(() => {
+                const file = fileAt(name);
+                file.written = Buffer.from(file.written.subarray(0, length));
+              }),
             close: () => Promise.resolve(),
           };
         }),
-      replace: (name, bytes) => work(() => {
-        room();
-        if (this.faults.syncFails) throw Object.assign(new Error('input/output error'), { code: 'EIO' });
-        this.files.set(name, { synced: Buffer.from(bytes), written: Buffer.from(bytes) });
-      }),
+      replace: (name, bytes) =>
+        work(() => {
+          room();
+          if (this.faults.syncFails) throw Object.assign(new Error('input/output error'), { code: 'EIO' });
+          this.files.set(name, { synced: Buffer.from(bytes), written: Buffer.from(bytes) });
+        }),
     };
   }
 }
--- a/source/fleet-simulator/world/simNetwork.ts
+++ b/source/fleet-simulator/world/simNetwork.ts
@@ -35,7 +35,9 @@
 
   public latency(from: string, to: string): number {
     const base = from === to ? 40 : 200;
-    return base + Math.floor(this.world.random.fraction() * (from === to ? 60 : 900)) + (this.slow.get(`${from}>${to}`) ?? 0);
+    return (
+      base + Math.floor(this.world.random.fraction() * (from === to ? 60 : 900)) + (this.slow.get(`${from}>${to}`) ?? 0)
+    );
   }
 
   /** Carries one thing from machine to machine; a cut loses it. */
@@ -58,7 +60,8 @@
   }
 
   private listen(process: SimProcess, address: string, handler: Handler): Promise<Listener> {
-    if (this.listenerAt(address) !== undefined) return Promise.reject(Object.assign(new Error(`listen EADDRINUSE ${address}`), { code: 'EADDRINUSE' }));
+    if (this.listenerAt(address) !== undefined)
+      return Promise.reject(Object.assign(new Error(`listen EADDRINUSE ${address}`), { code: 'EADDRINUSE' }));
     const own: Listening = { process, handler };
     this.listening.set(address, own);
     const close = (): void => {
@@ -82,7 +85,8 @@
       this.messages += 1;
       this.bytes += packed.length;
       const machine = this.machineOf(address);
-      const silent = (reason: string): void => this.carry(machine, asker.machine, () => asker.enter(() => settle({ kind: 'silent', reason })));
+      const silent = (reason: string): void =>
+        this.carry(machine, asker.machine, () => asker.enter(() => settle({ kind: 'silent', reason })));
       this.carry(asker.machine, machine, () => {
         const found = this.listenerAt(address);
         if (found === undefined) return silent('conn refused');
@@ -94,10 +98,16 @@
               if (!found.process.alive) return;
               const packedAnswer = pack(answer);
               this.bytes += packedAnswer.length;
-              this.carry(found.process.machine, asker.machine, () => asker.enter(() => {
-                const value: unknown = unpack(packedAnswer);
-                settle(Messages.is(value) ? { kind: 'answered', message: value } : { kind: 'silent', reason: 'not a message' });
-              }));
+              this.carry(found.process.machine, asker.machine, () =>
+                asker.enter(() => {
+                  const value: unknown = unpack(packedAnswer);
+                  settle(
+                    Messages.is(value)
+                      ? { kind: 'answered', message: value }
+                      : { kind: 'silent', reason: 'not a message' },
+                  );
+                }),
+              );
             },
             () => silent('conn closed'),
           );
--- a/source/fleet-simulator/world/simProcess.ts
+++ b/source/fleet-simulator/world/simProcess.ts
@@ -9,11 +9,17 @@
   private readonly onDeath: (() => void)[] = [];
 
   /** `drift` is how much faster or slower its clock runs than the world's, in parts per million. */
-  public constructor(private readonly world: World, public readonly name: string, public readonly machine: string, private readonly drift = 0) {}
+  public constructor(
+    private readonly world: World,
+    public readonly name: string,
+    public readonly machine: string,
+    private readonly drift = 0,
+  ) {}
 
   public readonly clock: Clock = {
     nowMicroseconds: () => Math.floor(this.world.nowMicroseconds * (1 + this.drift / 1_000_000)),
-    after: (delayMicroseconds, act) => this.world.plan(delayMicroseconds / (1 + this.drift / 1_000_000), () => this.enter(act)),
+    after: (delayMicroseconds, act) =>
+      this.world.plan(delayMicroseconds / (1 + this.drift / 1_000_000), () => this.enter(act)),
   };
 
   public enter(act: () => void): void {
--- a/source/fleet-simulator/world/world.ts
+++ b/source/fleet-simulator/world/world.ts
@@ -43,7 +43,9 @@
   private before(left: number, right: number): boolean {
     const one = this.heap[left] as Planned;
     const two = this.heap[right] as Planned;
-    return one.atMicroseconds < two.atMicroseconds || (one.atMicroseconds === two.atMicroseconds && one.order < two.order);
+    return (
+      one.atMicroseconds < two.atMicroseconds || (one.atMicroseconds === two.atMicroseconds && one.order < two.order)
+    );
   }
 
   private swap(left: number, right: number): void {
@@ -71,7 +73,11 @@
 
   public plan(delayMicroseconds: number, act: () => void): Cancel {
     this.planned += 1;
-    const item: Planned = { atMicroseconds: this.now + Math.max(0, Math.round(delayMicroseconds)), order: this.planned, act };
+    const item: Planned = {
+      atMicroseconds: this.now + Math.max(0, Math.round(delayMicroseconds)),
+      order: this.planned,
+      act,
+    };
     this.agenda.push(item);
     return () => {
       item.act = undefined;
--- a/source/postdrum/checking/blueprintCheck.ts
+++ b/source/postdrum/checking/blueprintCheck.ts
@@ -3,11 +3,21 @@
 import type { EngineFact } from '../../shared/news/factTypes';
 
 export type Finding = Readonly<{ path: string; finding: string }>;
-export type CheckReport = Readonly<{ changes: readonly string[]; concerned: readonly string[]; findings: readonly Finding[]; partial: boolean }>;
+export type CheckReport = Readonly<{
+  changes: readonly string[];
+  concerned: readonly string[];
+  findings: readonly Finding[];
+  partial: boolean;
+}>;
 
 const emptyBlueprint: Blueprint = { classes: {}, tenants: {}, services: {}, mappings: {} };
 
-const compare = <Piece>(what: string, before: Readonly<Record<string, Piece>>, after: Readonly<Record<string, Piece>>, say: (name: string, before: Piece, after: Piece) => string): readonly string[] =>
+const compare = <Piece>(
+  what: string,
+  before: Readonly<Record<string, Piece>>,
+  after: Readonly<Record<string, Piece>>,
+  say: (name: string, before: Piece, after: Piece) => string,
+): readonly string[] =>
   [...new Set([...Object.keys(before), ...Object.keys(after)])].sort().flatMap((name) => {
     const [old, now] = [before[name], after[name]];
     if (old === undefined) return [`${what} ${name} is added`];
@@ -16,11 +26,23 @@
   });
 
 const fieldsSay = (before: object, after: object): string =>
-  Object.entries(after).filter(([field, value]) => JSON.stringify((before as Record<string, unknown>)[field]) !== JSON.stringify(value)).map(([field, value]) => `${field} ${JSON.stringify((before as Record<string, unknown>)[field])} → ${JSON.stringify(value)}`).join(', ');
+  Object.entries(after)
+    .filter(([field, value]) => JSON.stringify((before as Record<string, unknown>)[field]) !== JSON.stringify(value))
+    .map(
+      ([field, value]) =>
+        `${field} ${JSON.stringify((before as Record<string, unknown>)[field])} → ${JSON.stringify(value)}`,
+    )
+    .join(', ');
 
 /** Checks an intended blueprint against the fleet as it is. Pure; it changes nothing. */
 export const BlueprintChecks = {
-  run: (intended: Blueprint, present: Blueprint | undefined, engines: EngineList, agents: readonly AgentStatus[], partial: boolean): CheckReport => {
+  run: (
+    intended: Blueprint,
+    present: Blueprint | undefined,
+    engines: EngineList,
+    agents: readonly AgentStatus[],
+    partial: boolean,
+  ): CheckReport => {
     const before = present ?? emptyBlueprint;
     const findings: Finding[] = [];
     const concerned: string[] = [];
@@ -31,15 +53,20 @@
     for (const load of agents.flatMap(({ loads }) => loads)) {
       if (seenLoads.has(load.agent)) continue;
       seenLoads.add(load.agent);
-      for (const [tenant, count] of Object.entries(load.tenants)) inFlight.set(tenant, (inFlight.get(tenant) ?? 0) + count);
+      for (const [tenant, count] of Object.entries(load.tenants))
+        inFlight.set(tenant, (inFlight.get(tenant) ?? 0) + count);
     }
     const changes = [
       ...compare('class', before.classes, intended.classes, (_name, old, now) => fieldsSay(old, now)),
       // Why counts: keys are never shown.
-      ...compare('tenant', before.tenants, intended.tenants, (_name, old, now) => [
-        old.walled === now.walled ? '' : `walled ${old.walled} → ${now.walled}`,
-        `keys: ${now.keys.filter((key) => !old.keys.includes(key)).length} added, ${old.keys.filter((key) => !now.keys.includes(key)).length} removed`,
-      ].filter((part) => part !== '').join(', ')),
+      ...compare('tenant', before.tenants, intended.tenants, (_name, old, now) =>
+        [
+          old.walled === now.walled ? '' : `walled ${old.walled} → ${now.walled}`,
+          `keys: ${now.keys.filter((key) => !old.keys.includes(key)).length} added, ${old.keys.filter((key) => !now.keys.includes(key)).length} removed`,
+        ]
+          .filter((part) => part !== '')
+          .join(', '),
+      ),
       ...compare('service', before.services, intended.services, (_name, old, now) => fieldsSay(old, now)),
       ...compare('mapping', before.mappings, intended.mappings, (_name, old, now) => fieldsSay(old, now)),
     ];
@@ -47,40 +74,97 @@
       const now = intended.tenants[tenant];
       const running = inFlight.get(tenant) ?? 0;
       if (running === 0) continue;
-      const lost = now === undefined ? 'is removed' : old.keys.some((key) => !now.keys.includes(key)) ? 'loses keys' : old.walled !== now.walled ? 'changes its wall' : '';
-      if (lost !== '') findings.push({ path: `/tenants/${tenant}`, finding: `${lost} with ${running} orders running; those held are refused, those sent run to their end` });
+      const lost =
+        now === undefined
+          ? 'is removed'
+          : old.keys.some((key) => !now.keys.includes(key))
+            ? 'loses keys'
+            : old.walled !== now.walled
+              ? 'changes its wall'
+              : '';
+      if (lost !== '')
+        findings.push({
+          path: `/tenants/${tenant}`,
+          finding: `${lost} with ${running} orders running; those held are refused, those sent run to their end`,
+        });
     }
     for (const [name, service] of Object.entries(intended.services)) {
       const listed = Object.entries(engines.engines).filter(([, engine]) => engine.service === name);
       const ready = listed.filter(([, engine]) => engine.state === 'ready');
-      if (ready.length === 0) findings.push({ path: `/services/${name}`, finding: listed.length === 0 ? 'no engine is listed for it' : 'all its engines are draining' });
-      if (service.kind === 'pool') checkPool(name, service, before, ready.map(([engine]) => engine), facts, intended, concerned, findings);
+      if (ready.length === 0)
+        findings.push({
+          path: `/services/${name}`,
+          finding: listed.length === 0 ? 'no engine is listed for it' : 'all its engines are draining',
+        });
+      if (service.kind === 'pool')
+        checkPool(
+          name,
+          service,
+          before,
+          ready.map(([engine]) => engine),
+          facts,
+          intended,
+          concerned,
+          findings,
+        );
       else for (const [engine] of ready) concerned.push(`app engine ${engine} serves ${name}`);
     }
     for (const [engine, { service, kind }] of Object.entries(engines.engines)) {
-      if (kind !== 'store' && intended.services[service] === undefined) findings.push({ path: `/services/${service}`, finding: `engine ${engine} is listed for it, and the blueprint has no such service` });
+      if (kind !== 'store' && intended.services[service] === undefined)
+        findings.push({
+          path: `/services/${service}`,
+          finding: `engine ${engine} is listed for it, and the blueprint has no such service`,
+        });
     }
-    for (const [name, mapping] of Object.entries(intended.mappings)) if (mapping.path === '/-/health' || mapping.path === '/-/metrics') findings.push({ path: `/mappings/${name}`, finding: 'is shadowed by the proxy\'s own page' });
+    for (const [name, mapping] of Object.entries(intended.mappings))
+      if (mapping.path === '/-/health' || mapping.path === '/-/metrics')
+        findings.push({ path: `/mappings/${name}`, finding: "is shadowed by the proxy's own page" });
     for (const [name, service] of Object.entries(intended.services)) {
-      if (!Object.values(intended.mappings).some((mapping) => mapping.service === name)) findings.push({ path: `/services/${name}`, finding: `no mapping leads to this ${service.kind}` });
+      if (!Object.values(intended.mappings).some((mapping) => mapping.service === name))
+        findings.push({ path: `/services/${name}`, finding: `no mapping leads to this ${service.kind}` });
     }
-    for (const name of Object.keys(intended.classes)) if (!Object.values(intended.mappings).some((mapping) => mapping.class === name)) findings.push({ path: `/classes/${name}`, finding: 'no mapping uses it' });
+    for (const name of Object.keys(intended.classes))
+      if (!Object.values(intended.mappings).some((mapping) => mapping.class === name))
+        findings.push({ path: `/classes/${name}`, finding: 'no mapping uses it' });
     return { changes, concerned, findings, partial };
   },
 } as const;
 
-const checkPool = (name: string, pool: Pool, before: Blueprint, ready: readonly string[], facts: ReadonlyMap<string, EngineFact>, intended: Blueprint, concerned: string[], findings: Finding[]): void => {
+const checkPool = (
+  name: string,
+  pool: Pool,
+  before: Blueprint,
+  ready: readonly string[],
+  facts: ReadonlyMap<string, EngineFact>,
+  intended: Blueprint,
+  concerned: string[],
+  findings: Finding[],
+): void => {
   const known = ready.flatMap((engine) => facts.get(engine) ?? []);
-  for (const engine of ready) if (facts.get(engine)?.reachable !== true) findings.push({ path: `/services/${name}`, finding: `engine ${engine} is listed as ready and no steward reaches it` });
+  for (const engine of ready)
+    if (facts.get(engine)?.reachable !== true)
+      findings.push({
+        path: `/services/${name}`,
+        finding: `engine ${engine} is listed as ready and no steward reaches it`,
+      });
   const old = before.services[name];
   if (old?.kind === 'pool' && old.weights !== pool.weights) {
     const loading = known.filter(({ weights }) => weights !== pool.weights);
-    concerned.push(`weights of ${name} ${old.weights} → ${pool.weights}: ${loading.length} engines load in two rounds (${loading.map(({ engine }) => engine).join(', ')})`);
-    if (ready.length === 1) findings.push({ path: `/services/${name}/weights`, finding: 'its only engine serves nobody while it loads' });
+    concerned.push(
+      `weights of ${name} ${old.weights} → ${pool.weights}: ${loading.length} engines load in two rounds (${loading.map(({ engine }) => engine).join(', ')})`,
+    );
+    if (ready.length === 1)
+      findings.push({ path: `/services/${name}/weights`, finding: 'its only engine serves nobody while it loads' });
   }
   const capacity = known.reduce((sum, fact) => sum + fact.capacity, 0);
   for (const [className, settings] of Object.entries(intended.classes)) {
-    const used = Object.values(intended.mappings).some((mapping) => mapping.class === className && mapping.service === name);
-    if (used && known.length > 0 && (capacity * settings.sharePerMille) / 1000 < 1) findings.push({ path: `/classes/${className}/sharePerMille`, finding: `its share of ${name} (capacity ${capacity}) is less than one order` });
+    const used = Object.values(intended.mappings).some(
+      (mapping) => mapping.class === className && mapping.service === name,
+    );
+    if (used && known.length > 0 && (capacity * settings.sharePerMille) / 1000 < 1)
+      findings.push({
+        path: `/classes/${className}/sharePerMille`,
+        finding: `its share of ${name} (capacity ${capacity}) is less than one order`,
+      });
   }
 };
--- a/source/postdrum/importing/openApiImport.ts
+++ b/source/postdrum/importing/openApiImport.ts
@@ -2,7 +2,9 @@
 import { parse } from 'yaml';
 import { Documents } from '../../shared/blueprint/document';
 
-export type Imported = Readonly<{ kind: 'imported'; changes: readonly Readonly<{ put: string; value: unknown }>[] }> | Readonly<{ kind: 'refused'; text: string }>;
+export type Imported =
+  | Readonly<{ kind: 'imported'; changes: readonly Readonly<{ put: string; value: unknown }>[] }>
+  | Readonly<{ kind: 'refused'; text: string }>;
 
 const methods = ['get', 'put', 'post', 'delete', 'patch'] as const;
 
@@ -16,7 +18,11 @@
   return undefined;
 };
 
-const nameOf = (path: string): string => path.replace(/[^A-Za-z0-9]+/g, '-').replace(/^-+|-+$/g, '').slice(0, 60) || 'root';
+const nameOf = (path: string): string =>
+  path
+    .replace(/[^A-Za-z0-9]+/g, '-')
+    .replace(/^-+|-+$/g, '')
+    .slice(0, 60) || 'root';
 
 /** Mappings from an OpenAPI file, as a piece change that an operator then takes or does not. Nothing is fetched. */
 export const OpenApiImports = {
@@ -29,20 +35,33 @@
     }
     const remote = remoteIn(document);
     // Why before the library sees it: nothing outside the file is ever read.
-    if (remote !== undefined) return { kind: 'refused', text: `the file refers to something outside itself (${remote}); it is not fetched` };
+    if (remote !== undefined)
+      return { kind: 'refused', text: `the file refers to something outside itself (${remote}); it is not fetched` };
     try {
       await SwaggerParser.validate(structuredClone(document) as never, { resolve: { external: false } });
     } catch (error) {
-      return { kind: 'refused', text: `the file is no valid OpenAPI document: ${String((error as Error).message).split('\n')[0]}` };
+      return {
+        kind: 'refused',
+        text: `the file is no valid OpenAPI document: ${String((error as Error).message).split('\n')[0]}`,
+      };
     }
     const paths = (document as { paths?: Readonly<Record<string, Readonly<Record<string, unknown>>>> }).paths ?? {};
     const templated = Object.keys(paths).find((path) => path.includes('{'));
-    if (templated !== undefined) return { kind: 'refused', text: `the path ${templated} has a parameter; mappings match whole paths` };
-    const changes = Object.entries(paths).filter(([, item]) => methods.some((method) => item[method] !== undefined)).map(([path, item]) => ({
-      put: `/mappings/${Documents.escape(nameOf(path))}`,
-      // Why only then resumable: a repeated send of anything else may do its work twice.
-      value: { path, model: '', service, class: className, resumable: methods.every((method) => item[method] === undefined || method === 'get') },
-    }));
+    if (templated !== undefined)
+      return { kind: 'refused', text: `the path ${templated} has a parameter; mappings match whole paths` };
+    const changes = Object.entries(paths)
+      .filter(([, item]) => methods.some((method) => item[method] !== undefined))
+      .map(([path, item]) => ({
+        put: `/mappings/${Documents.escape(nameOf(path))}`,
+        // Why only then resumable: a repeated send of anything else may do its work twice.
+        value: {
+          path,
+          model: '',
+          service,
+          class: className,
+          resumable: methods.every((method) => item[method] === undefined || method === 'get'),
+        },
+      }));
     return changes.length === 0 ? { kind: 'refused', text: 'the file has no paths' } : { kind: 'imported', changes };
   },
 } as const;
--- a/source/postdrum/main.ts
+++ b/source/postdrum/main.ts
@@ -45,9 +45,22 @@
   }
 };
 
-type Flags = Readonly<{ core: readonly string[]; revision: string | undefined; id: string | undefined; json: boolean; service: string; className: string }>;
+type Flags = Readonly<{
+  core: readonly string[];
+  revision: string | undefined;
+  id: string | undefined;
+  json: boolean;
+  service: string;
+  className: string;
+}>;
 
-const change = async (reach: FleetReach, key: string, method: 'PUT' | 'PATCH', text: string, flags: Flags): Promise<number> => {
+const change = async (
+  reach: FleetReach,
+  key: string,
+  method: 'PUT' | 'PATCH',
+  text: string,
+  flags: Flags,
+): Promise<number> => {
   const present = flags.revision === undefined ? await reach.document(key) : undefined;
   const revision = flags.revision ?? (present?.kind === 'read' ? String(present.revision) : '0');
   const id = flags.id ?? randomUUID();
@@ -58,16 +71,25 @@
   } catch (error) {
     if (!(error instanceof Unreachable)) throw error;
     // Why not a refusal: a keeper that fell silent may have passed the change on.
-    return fail(`${error.message}; whether the change was taken is not known, ask again with --id ${id} --revision ${revision}`, 3);
+    return fail(
+      `${error.message}; whether the change was taken is not known, ask again with --id ${id} --revision ${revision}`,
+      3,
+    );
   }
-  const value = JSON.parse(answer.text) as { outcome?: string; revision?: number; faults?: readonly { path: string; fault: string }[] };
+  const value = JSON.parse(answer.text) as {
+    outcome?: string;
+    revision?: number;
+    faults?: readonly { path: string; fault: string }[];
+  };
   if (flags.json) out(answer.text);
   if (value.outcome === 'taken') {
     if (!flags.json) out(`taken as revision ${value.revision}`);
     return 0;
   }
-  if (value.outcome !== 'refused') throw new OddAnswer(`the core answers in a way this version does not know (status ${answer.status})`);
-  for (const { path, fault } of value.faults ?? []) process.stderr.write(`postdrum: refused: ${path === '' ? '' : `${path}: `}${fault}\n`);
+  if (value.outcome !== 'refused')
+    throw new OddAnswer(`the core answers in a way this version does not know (status ${answer.status})`);
+  for (const { path, fault } of value.faults ?? [])
+    process.stderr.write(`postdrum: refused: ${path === '' ? '' : `${path}: `}${fault}\n`);
   return 1;
 };
 
@@ -78,26 +100,53 @@
     else for (const { path, fault } of checked.faults) out(`fault ${path}: ${fault}`);
     return 1;
   }
-  const [present, listed, view] = [await reach.document('blueprint'), await reach.document('engines'), await reach.view()];
+  const [present, listed, view] = [
+    await reach.document('blueprint'),
+    await reach.document('engines'),
+    await reach.view(),
+  ];
   const before = present.kind === 'read' ? Blueprints.checkText('blueprint', present.text) : undefined;
   const engines = listed.kind === 'read' ? Blueprints.checkText('engines', listed.text) : undefined;
-  if (before?.kind === 'faulty' || engines?.kind === 'faulty') throw new OddAnswer('the core holds a setup this version does not know');
-  const report = BlueprintChecks.run(checked.value as Blueprint, before?.value as Blueprint | undefined, (engines?.value as EngineList | undefined) ?? { engines: {} }, view.agents, view.silent.length > 0 || view.agents.length === 0);
+  if (before?.kind === 'faulty' || engines?.kind === 'faulty')
+    throw new OddAnswer('the core holds a setup this version does not know');
+  const report = BlueprintChecks.run(
+    checked.value as Blueprint,
+    before?.value as Blueprint | undefined,
+    (engines?.value as EngineList | undefined) ?? { engines: {} },
+    view.agents,
+    view.silent.length > 0 || view.agents.length === 0,
+  );
   out(json ? JSON.stringify(report) : Texts.check(report));
   return report.findings.length === 0 ? 0 : 1;
 };
 
 const run = async (): Promise<number> => {
   const { values, positionals } = parseArgs({
-    options: { core: { type: 'string' }, revision: { type: 'string' }, id: { type: 'string' }, json: { type: 'boolean' }, service: { type: 'string' }, class: { type: 'string' }, help: { type: 'boolean' } },
-    allowPositionals: true, strict: true,
+    options: {
+      core: { type: 'string' },
+      revision: { type: 'string' },
+      id: { type: 'string' },
+      json: { type: 'boolean' },
+      service: { type: 'string' },
+      class: { type: 'string' },
+      help: { type: 'boolean' },
+    },
+    allowPositionals: true,
+    strict: true,
   });
   const [topic, verb, file] = positionals;
   if (values.help === true || topic === undefined) {
     out(help);
     return values.help === true ? 0 : 2;
   }
-  const flags: Flags = { core: (values.core ?? process.env['POSTDRUM_CORE'] ?? '').split(',').filter((item) => item !== ''), revision: values.revision, id: values.id, json: values.json === true, service: values.service ?? '', className: values.class ?? '' };
+  const flags: Flags = {
+    core: (values.core ?? process.env['POSTDRUM_CORE'] ?? '').split(',').filter((item) => item !== ''),
+    revision: values.revision,
+    id: values.id,
+    json: values.json === true,
+    service: values.service ?? '',
+    className: values.class ?? '',
+  };
   if (topic === 'mapping' && verb === 'import') {
     if (flags.service === '' || flags.className === '') return fail('--service and --class are needed', 2);
     const imported = await OpenApiImports.run(fileText(file), flags.service, flags.className);
@@ -113,7 +162,8 @@
     out(flags.json ? JSON.stringify({ ...view, partial: view.silent.length > 0 }) : Texts.status(view));
     return 0;
   }
-  if (topic !== 'blueprint' && topic !== 'engines' && topic !== 'core-members') return fail(`there is no command ${topic}; see --help`, 2);
+  if (topic !== 'blueprint' && topic !== 'engines' && topic !== 'core-members')
+    return fail(`there is no command ${topic}; see --help`, 2);
   if (verb === 'show') {
     const document = await reach.document(topic);
     if (document.kind === 'nothing') return fail('nothing was taken yet', 1);
@@ -131,6 +181,6 @@
     process.exitCode = code;
   },
   (error: unknown) => {
-    process.exitCode = fail(error instanceof Error ? error.message.split('\n')[0] ?? '' : String(error), 2);
+    process.exitCode = fail(error instanceof Error ? (error.message.split('\n')[0] ?? '') : String(error), 2);
   },
 );
--- a/source/postdrum/reaching/fleetReach.ts
+++ b/source/postdrum/reaching/fleetReach.ts
@@ -3,7 +3,11 @@
 import type { EngineFact, LoadFact, MemberFact, StewardFact } from '../../shared/news/factTypes';
 
 export type KeeperStatus = Readonly<{
-  keeper: string; standing: string; fleet: string; incarnation: number; membersRevision: number;
+  keeper: string;
+  standing: string;
+  fleet: string;
+  incarnation: number;
+  membersRevision: number;
   members: Readonly<Record<string, CoreMember>>;
   owners: Readonly<Record<string, Readonly<{ owner: string; epoch: string; revision: number }>>>;
   duties: Readonly<Record<string, Readonly<{ holder: string; term: number; leftMicroseconds: number }>>>;
@@ -11,42 +15,87 @@
 }>;
 
 export type AgentStatus = Readonly<{
-  agent: string; fleet: string; ageMicroseconds: number | null; revisions: Readonly<Record<string, number>>;
-  members: readonly MemberFact[]; engines: readonly EngineFact[]; stewards: readonly StewardFact[]; loads: readonly LoadFact[];
+  agent: string;
+  fleet: string;
+  ageMicroseconds: number | null;
+  revisions: Readonly<Record<string, number>>;
+  members: readonly MemberFact[];
+  engines: readonly EngineFact[];
+  stewards: readonly StewardFact[];
+  loads: readonly LoadFact[];
   shards: readonly Readonly<{ holder: string; term: number; epoch: number; bootEpoch: string; committed: number }>[];
 }>;
 
 export type Document = Readonly<{ kind: 'read'; revision: number; text: string }> | Readonly<{ kind: 'nothing' }>;
 
 /** What could be reached of the fleet, and what could not. */
-export type FleetView = Readonly<{ keepers: readonly KeeperStatus[]; agents: readonly AgentStatus[]; silent: readonly string[] }>;
+export type FleetView = Readonly<{
+  keepers: readonly KeeperStatus[];
+  agents: readonly AgentStatus[];
+  silent: readonly string[];
+}>;
 
 export class Unreachable extends Error {}
 export class OddAnswer extends Error {}
 
-const isObject = (value: unknown): value is Readonly<Record<string, unknown>> => typeof value === 'object' && value !== null && !Array.isArray(value);
+const isObject = (value: unknown): value is Readonly<Record<string, unknown>> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
 
-const isKeeperStatus = (value: unknown): value is KeeperStatus => isObject(value) && typeof value['keeper'] === 'string' && isObject(value['members']) && isObject(value['owners']) && isObject(value['duties']) && Array.isArray(value['agents']);
-const isAgentStatus = (value: unknown): value is AgentStatus => isObject(value) && typeof value['agent'] === 'string' && isObject(value['revisions']) && ['members', 'engines', 'stewards', 'loads', 'shards'].every((field) => Array.isArray(value[field]));
+const isKeeperStatus = (value: unknown): value is KeeperStatus =>
+  isObject(value) &&
+  typeof value['keeper'] === 'string' &&
+  isObject(value['members']) &&
+  isObject(value['owners']) &&
+  isObject(value['duties']) &&
+  Array.isArray(value['agents']);
+const isAgentStatus = (value: unknown): value is AgentStatus =>
+  isObject(value) &&
+  typeof value['agent'] === 'string' &&
+  isObject(value['revisions']) &&
+  ['members', 'engines', 'stewards', 'loads', 'shards'].every((field) => Array.isArray(value[field]));
 
 export type HttpAnswer = Readonly<{ status: number; text: string; headers: Readonly<Record<string, string>> }>;
 
 /** The way of the command line to the fleet: HTTP only, each ask under a limit. */
 export class FleetReach {
-  public constructor(private readonly core: readonly string[], private readonly limitMilliseconds = 6000) {}
+  public constructor(
+    private readonly core: readonly string[],
+    private readonly limitMilliseconds = 6000,
+  ) {}
 
-  public async http(address: string, path: string, method: 'GET' | 'PUT' | 'PATCH' = 'GET', body?: string, headers: Readonly<Record<string, string>> = {}, limitMilliseconds = this.limitMilliseconds): Promise<HttpAnswer> {
+  public async http(
+    address: string,
+    path: string,
+    method: 'GET' | 'PUT' | 'PATCH' = 'GET',
+    body?: string,
+    headers: Readonly<Record<string, string>> = {},
+    limitMilliseconds = this.limitMilliseconds,
+  ): Promise<HttpAnswer> {
     try {
-      const answer = await request(`http://${address}${path}`, { method, body: body ?? null, headers: { ...headers }, signal: AbortSignal.timeout(limitMilliseconds) });
+      const answer = await request(`http://${address}${path}`, {
+        method,
+        body: body ?? null,
+        headers: { ...headers },
+        signal: AbortSignal.timeout(limitMilliseconds),
+      });
       const text = await answer.body.text();
-      return { status: answer.statusCode, text, headers: Object.fromEntries(Object.entries(answer.headers).map(([name, value]) => [name, String(value)])) };
+      return {
+        status: answer.statusCode,
+        text,
+        headers: Object.fromEntries(Object.entries(answer.headers).map(([name, value]) => [name, String(value)])),
+      };
     } catch {
       throw new Unreachable(`${address} does not answer`);
     }
   }
 
   /** The first keeper that gives a plain answer. */
-  public async core1(path: string, method: 'GET' | 'PUT' | 'PATCH' = 'GET', body?: string, headers: Readonly<Record<string, string>> = {}): Promise<HttpAnswer> {
+  public async core1(
+    path: string,
+    method: 'GET' | 'PUT' | 'PATCH' = 'GET',
+    body?: string,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<HttpAnswer> {
     let last = '';
     for (const address of this.core) {
       try {
@@ -64,14 +113,19 @@
     const answer = await this.core1(`/${key}`);
     if (answer.status === 404) return { kind: 'nothing' };
     const revision = Number(/^"(\d+)"$/.exec(answer.headers['etag'] ?? '')?.[1] ?? Number.NaN);
-    if (answer.status !== 200 || !Number.isSafeInteger(revision)) throw new OddAnswer(`the core answers in a way this version does not know (status ${answer.status})`);
+    if (answer.status !== 200 || !Number.isSafeInteger(revision))
+      throw new OddAnswer(`the core answers in a way this version does not know (status ${answer.status})`);
     return { kind: 'read', revision, text: answer.text };
   }
 
   public async view(): Promise<FleetView> {
     const silent: string[] = [];
     const keepers = new Map<string, KeeperStatus>();
-    const ask = async <Status>(address: string, is: (value: unknown) => value is Status, limitMilliseconds: number): Promise<Status | undefined> => {
+    const ask = async <Status>(
+      address: string,
+      is: (value: unknown) => value is Status,
+      limitMilliseconds: number,
+    ): Promise<Status | undefined> => {
       try {
         const answer = await this.http(address, '/status', 'GET', undefined, {}, limitMilliseconds);
         const value: unknown = JSON.parse(answer.text);
@@ -88,8 +142,18 @@
     };
     await askKeepers(this.core);
     const known = new Set(this.core);
-    await askKeepers([...new Set([...keepers.values()].flatMap(({ members }) => Object.values(members).map(({ operatorsAddress }) => operatorsAddress)))].filter((address) => !known.has(address)));
-    const pages = new Set([...keepers.values()].flatMap(({ agents }) => agents.map(({ pagesAddress }) => pagesAddress)));
+    await askKeepers(
+      [
+        ...new Set(
+          [...keepers.values()].flatMap(({ members }) =>
+            Object.values(members).map(({ operatorsAddress }) => operatorsAddress),
+          ),
+        ),
+      ].filter((address) => !known.has(address)),
+    );
+    const pages = new Set(
+      [...keepers.values()].flatMap(({ agents }) => agents.map(({ pagesAddress }) => pagesAddress)),
+    );
     const agents = new Map<string, AgentStatus>();
     const askAgents = async (addresses: readonly string[]): Promise<void> => {
       const answers = await Promise.all(addresses.map((address) => ask(address, isAgentStatus, 2000)));
@@ -97,7 +161,17 @@
     };
     await askAgents([...pages]);
     // Why a second round: agents know each other, keepers only those that asked them of late.
-    await askAgents([...new Set([...agents.values()].flatMap(({ members }) => members.filter(({ state }) => state === 'alive' || state === 'suspect').map(({ pagesAddress }) => pagesAddress)))].filter((address) => !pages.has(address)));
+    await askAgents(
+      [
+        ...new Set(
+          [...agents.values()].flatMap(({ members }) =>
+            members
+              .filter(({ state }) => state === 'alive' || state === 'suspect')
+              .map(({ pagesAddress }) => pagesAddress),
+          ),
+        ),
+      ].filter((address) => !pages.has(address)),
+    );
     return { keepers: [...keepers.values()], agents: [...agents.values()], silent: [...new Set(silent)].sort() };
   }
 }
--- a/source/shared/blueprint/check.ts
+++ b/source/shared/blueprint/check.ts
@@ -10,17 +10,41 @@
 const must = (condition: boolean, text: string): void => {
   if (!condition) throw new Error(text);
 };
-const whole = (least: number, most: number) => (value: unknown): void =>
-  must(Number.isSafeInteger(value) && (value as number) >= least && (value as number) <= most, `must be a whole number from ${least} to ${most}`);
-const text = (most: number, least = 0) => (value: unknown): void =>
-  must(typeof value === 'string' && value.length >= least && value.length <= most, `must be a text of ${least} to ${most} characters`);
+const whole =
+  (least: number, most: number) =>
+  (value: unknown): void =>
+    must(
+      Number.isSafeInteger(value) && (value as number) >= least && (value as number) <= most,
+      `must be a whole number from ${least} to ${most}`,
+    );
+const text =
+  (most: number, least = 0) =>
+  (value: unknown): void =>
+    must(
+      typeof value === 'string' && value.length >= least && value.length <= most,
+      `must be a text of ${least} to ${most} characters`,
+    );
 const yesOrNo = (value: unknown): void => must(typeof value === 'boolean', 'must be true or false');
-const oneOf = (...allowed: readonly string[]) => (value: unknown): void => must(allowed.some((item) => item === value), `must be one of ${allowed.join(', ')}`);
+const oneOf =
+  (...allowed: readonly string[]) =>
+  (value: unknown): void =>
+    must(
+      allowed.some((item) => item === value),
+      `must be one of ${allowed.join(', ')}`,
+    );
 const addressPattern = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
-const address = (value: unknown): void => must(typeof value === 'string' && addressPattern.test(value), 'must be an IP number and a port, such as 127.0.0.1:9000');
+const address = (value: unknown): void =>
+  must(
+    typeof value === 'string' && addressPattern.test(value),
+    'must be an IP number and a port, such as 127.0.0.1:9000',
+  );
 const keys = (value: unknown): void => {
-  must(Array.isArray(value) && value.length <= BlueprintLimits.keysPerTenant, `must be a list of at most ${BlueprintLimits.keysPerTenant} keys`);
-  for (const key of value as readonly unknown[]) must(typeof key === 'string' && /^[\x21-\x7e]{8,256}$/.test(key), 'each key must be 8 to 256 printable characters');
+  must(
+    Array.isArray(value) && value.length <= BlueprintLimits.keysPerTenant,
+    `must be a list of at most ${BlueprintLimits.keysPerTenant} keys`,
+  );
+  for (const key of value as readonly unknown[])
+    must(typeof key === 'string' && /^[\x21-\x7e]{8,256}$/.test(key), 'each key must be 8 to 256 printable characters');
 };
 const name = text(128, 1);
 // Why a marker: a field without a default is one the operator must write.
@@ -52,7 +76,11 @@
 };
 const appFields: Fields = { kind: serviceKind, answerLimitMicroseconds: answerLimit };
 const mappingFields: Fields = {
-  path: { format: (value) => must(typeof value === 'string' && /^\/[!-~]{0,511}$/.test(value), 'must be a path that begins with /'), default: needed },
+  path: {
+    format: (value) =>
+      must(typeof value === 'string' && /^\/[!-~]{0,511}$/.test(value), 'must be a path that begins with /'),
+    default: needed,
+  },
   model: { format: text(128), default: '' },
   service: { format: name, default: needed },
   class: { format: name, default: needed },
@@ -71,27 +99,50 @@
   zone: { format: text(64), default: '' },
 };
 
-const isObject = (value: unknown): value is Readonly<Record<string, unknown>> => typeof value === 'object' && value !== null && !Array.isArray(value);
+const isObject = (value: unknown): value is Readonly<Record<string, unknown>> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
 
 const messageOf = (error: unknown): string => (error instanceof Error ? error.message : String(error));
 
-type Checker = Readonly<{ load: (source: unknown) => void; validate: (options: unknown) => void; getProperties: () => Readonly<Record<string, readonly unknown[]>> }>;
+type Checker = Readonly<{
+  load: (source: unknown) => void;
+  validate: (options: unknown) => void;
+  getProperties: () => Readonly<Record<string, readonly unknown[]>>;
+}>;
 
 // Why a list of one around each value: convict turns a text into a number or a truth value by the type of the default.
 const checkerOf = (fields: Fields): Checker =>
-  convict(Object.fromEntries(Object.entries(fields).map(([field, { format, default: fallback }]) => [field, { format: ([item]: readonly unknown[]) => format(item), default: [fallback ?? null] }])) as never) as unknown as Checker;
+  convict(
+    Object.fromEntries(
+      Object.entries(fields).map(([field, { format, default: fallback }]) => [
+        field,
+        { format: ([item]: readonly unknown[]) => format(item), default: [fallback ?? null] },
+      ]),
+    ) as never,
+  ) as unknown as Checker;
 
 const checkers = new Map<Fields, Checker>();
 
 /** All fields at once with a checker kept for its kind; undefined when anything is wrong. */
 const checkWhole = (value: Readonly<Record<string, unknown>>, fields: Fields): unknown => {
   const names = Object.keys(fields);
-  if (Object.keys(value).some((field) => fields[field] === undefined) || names.some((field) => fields[field]?.default === needed && !Object.hasOwn(value, field))) return undefined;
+  if (
+    Object.keys(value).some((field) => fields[field] === undefined) ||
+    names.some((field) => fields[field]?.default === needed && !Object.hasOwn(value, field))
+  )
+    return undefined;
   const checker = checkers.get(fields) ?? checkerOf(fields);
   checkers.set(fields, checker);
   try {
     // Why every field each time: the checker still holds the values of the object before.
-    checker.load(Object.fromEntries(names.map((field) => [field, [Object.hasOwn(value, field) ? structuredClone(value[field]) : fields[field]?.default]])));
+    checker.load(
+      Object.fromEntries(
+        names.map((field) => [
+          field,
+          [Object.hasOwn(value, field) ? structuredClone(value[field]) : fields[field]?.default],
+        ]),
+      ),
+    );
     checker.validate({ allowed: 'strict' });
     return Object.fromEntries(Object.entries(checker.getProperties()).map(([field, [item]]) => [field, item]));
   } catch {
@@ -108,7 +159,9 @@
   const whole = checkWhole(value, fields);
   if (whole !== undefined) return whole;
   // Why once more field by field: each fault then has its own path.
-  for (const field of Object.keys(value)) if (fields[field] === undefined) faults.push({ path: `${path}/${Documents.escape(field)}`, fault: 'unknown field' });
+  for (const field of Object.keys(value))
+    if (fields[field] === undefined)
+      faults.push({ path: `${path}/${Documents.escape(field)}`, fault: 'unknown field' });
   for (const [field, { format, default: fallback }] of Object.entries(fields)) {
     const given = Object.hasOwn(value, field);
     if (!given && fallback === needed) faults.push({ path: `${path}/${field}`, fault: 'is missing' });
@@ -118,13 +171,23 @@
       checker.load({ [field]: [structuredClone(value[field])] });
       checker.validate({ allowed: 'strict' });
     } catch (error) {
-      faults.push({ path: `${path}/${field}`, fault: messageOf(error).replace(`${field}: `, '').replace(/: value was .*$/s, '') });
+      faults.push({
+        path: `${path}/${field}`,
+        fault: messageOf(error)
+          .replace(`${field}: `, '')
+          .replace(/: value was .*$/s, ''),
+      });
     }
   }
   return {};
 };
 
-const checkNamed = (value: unknown, path: string, faults: Fault[], fieldsOf: (item: unknown) => Fields): Record<string, unknown> => {
+const checkNamed = (
+  value: unknown,
+  path: string,
+  faults: Fault[],
+  fieldsOf: (item: unknown) => Fields,
+): Record<string, unknown> => {
   const taken: Record<string, unknown> = {};
   if (!isObject(value)) {
     faults.push({ path, fault: 'must be an object of named pieces' });
@@ -134,7 +197,8 @@
   if (entries.length > BlueprintLimits.named) faults.push({ path, fault: `at most ${BlueprintLimits.named} pieces` });
   for (const [pieceName, piece] of entries) {
     const piecePath = `${path}/${Documents.escape(pieceName)}`;
-    if (!/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/.test(pieceName)) faults.push({ path: piecePath, fault: 'a name has 1 to 64 letters, digits, dots, dashes' });
+    if (!/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/.test(pieceName))
+      faults.push({ path: piecePath, fault: 'a name has 1 to 64 letters, digits, dots, dashes' });
     taken[pieceName] = checkFields(piece, fieldsOf(piece), piecePath, faults);
   }
   return taken;
@@ -145,12 +209,15 @@
     faults.push({ path: '', fault: 'must be an object' });
     return {};
   }
-  for (const field of Object.keys(value)) if (!allowed.includes(field)) faults.push({ path: `/${Documents.escape(field)}`, fault: 'unknown field' });
-  for (const field of allowed) if (!Object.hasOwn(value, field)) faults.push({ path: `/${field}`, fault: 'is missing' });
+  for (const field of Object.keys(value))
+    if (!allowed.includes(field)) faults.push({ path: `/${Documents.escape(field)}`, fault: 'unknown field' });
+  for (const field of allowed)
+    if (!Object.hasOwn(value, field)) faults.push({ path: `/${field}`, fault: 'is missing' });
   return value;
 };
 
-export type Checked<Value> = Readonly<{ kind: 'good'; value: Value }> | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }>;
+export type Checked<Value> =
+  Readonly<{ kind: 'good'; value: Value }> | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }>;
 
 const outcome = <Value>(faults: readonly Fault[], value: unknown): Checked<Value> =>
   faults.length > 0 ? { kind: 'faulty', faults } : { kind: 'good', value: value as Value };
@@ -159,8 +226,10 @@
   const seenMappings = new Map<string, string>();
   for (const [mappingName, mapping] of Object.entries(blueprint.mappings)) {
     const path = `/mappings/${Documents.escape(mappingName)}`;
-    if (!Object.hasOwn(blueprint.services, mapping.service)) faults.push({ path: `${path}/service`, fault: 'names no service' });
-    if (!Object.hasOwn(blueprint.classes, mapping.class)) faults.push({ path: `${path}/class`, fault: 'names no class' });
+    if (!Object.hasOwn(blueprint.services, mapping.service))
+      faults.push({ path: `${path}/service`, fault: 'names no service' });
+    if (!Object.hasOwn(blueprint.classes, mapping.class))
+      faults.push({ path: `${path}/class`, fault: 'names no class' });
     const place = `${mapping.path}\u0000${mapping.model}`;
     const other = seenMappings.get(place);
     if (other !== undefined) faults.push({ path, fault: `has the path and model of ${other}` });
@@ -172,7 +241,11 @@
   for (const [tenantName, tenant] of Object.entries(blueprint.tenants)) {
     for (const [index, key] of tenant.keys.entries()) {
       // Why never name the key: faults are printed and logged.
-      if (owners.has(key)) faults.push({ path: `/tenants/${Documents.escape(tenantName)}/keys/${index}`, fault: 'this key is given twice' });
+      if (owners.has(key))
+        faults.push({
+          path: `/tenants/${Documents.escape(tenantName)}/keys/${index}`,
+          fault: 'this key is given twice',
+        });
       owners.set(key, tenantName);
     }
   }
@@ -185,7 +258,9 @@
     const taken = {
       classes: checkNamed(top['classes'], '/classes', faults, () => classFields),
       tenants: checkNamed(top['tenants'], '/tenants', faults, () => tenantFields),
-      services: checkNamed(top['services'], '/services', faults, (item) => (isObject(item) && item['kind'] === 'app' ? appFields : poolFields)),
+      services: checkNamed(top['services'], '/services', faults, (item) =>
+        isObject(item) && item['kind'] === 'app' ? appFields : poolFields,
+      ),
       mappings: checkNamed(top['mappings'], '/mappings', faults, () => mappingFields),
     };
     // Why only when sound: links between faulty pieces would name faults that are not there.
@@ -199,7 +274,8 @@
     const seen = new Map<string, string>();
     for (const [engineName, engine] of Object.entries(engines)) {
       const at = (engine as { address?: string }).address ?? '';
-      if (seen.has(at)) faults.push({ path: `/engines/${engineName}/address`, fault: `is the address of ${seen.get(at)}` });
+      if (seen.has(at))
+        faults.push({ path: `/engines/${engineName}/address`, fault: `is the address of ${seen.get(at)}` });
       seen.set(at, engineName);
     }
     return outcome(faults, { engines });
@@ -222,11 +298,16 @@
   },
 } as const;
 
-type Remembered = Readonly<{ key: DocumentKey; source: string; checked: Checked<Blueprint | EngineList | CoreMembers> }>;
+type Remembered = Readonly<{
+  key: DocumentKey;
+  source: string;
+  checked: Checked<Blueprint | EngineList | CoreMembers>;
+}>;
 let remembered: readonly Remembered[] = [];
 
 const checkTextNow = (key: DocumentKey, source: string): Checked<Blueprint | EngineList | CoreMembers> => {
-  if (Buffer.byteLength(source) > BlueprintLimits.textBytes) return { kind: 'faulty', faults: [{ path: '', fault: `longer than ${BlueprintLimits.textBytes} bytes` }] };
+  if (Buffer.byteLength(source) > BlueprintLimits.textBytes)
+    return { kind: 'faulty', faults: [{ path: '', fault: `longer than ${BlueprintLimits.textBytes} bytes` }] };
   const document = Documents.read(source);
   if (document.kind === 'faulty') return document;
   if (key === 'blueprint') return Blueprints.check(document.value);
--- a/source/shared/blueprint/document.ts
+++ b/source/shared/blueprint/document.ts
@@ -2,8 +2,7 @@
 
 export type Fault = Readonly<{ path: string; fault: string }>;
 export type DocumentRead =
-  | Readonly<{ kind: 'read'; value: unknown; tree: Node }>
-  | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }>;
+  Readonly<{ kind: 'read'; value: unknown; tree: Node }> | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }>;
 
 const mostDepth = 32;
 
@@ -15,7 +14,8 @@
     faults.push({ path, fault: 'nested too deep' });
     return;
   }
-  if (node.type === 'array') node.children?.forEach((child, index) => walk(child, `${path}/${index}`, depth + 1, faults));
+  if (node.type === 'array')
+    node.children?.forEach((child, index) => walk(child, `${path}/${index}`, depth + 1, faults));
   if (node.type !== 'object') return;
   const seen = new Set<string>();
   for (const property of node.children ?? []) {
@@ -25,7 +25,8 @@
     const childPath = `${path}/${escape(name)}`;
     // Why: the last of two equal names would win silently, and the operator reads back something else.
     if (seen.has(name)) faults.push({ path: childPath, fault: 'named twice' });
-    if (name === '__proto__' || name === 'constructor' || name === 'prototype') faults.push({ path: childPath, fault: 'name not allowed' });
+    if (name === '__proto__' || name === 'constructor' || name === 'prototype')
+      faults.push({ path: childPath, fault: 'name not allowed' });
     seen.add(name);
     walk(valueNode, childPath, depth + 1, faults);
   }
@@ -35,9 +36,14 @@
 export const Documents = {
   read: (text: string): DocumentRead => {
     const errors: ParseError[] = [];
-    const tree = parseTree(text, errors, { disallowComments: true, allowTrailingComma: false, allowEmptyContent: false });
+    const tree = parseTree(text, errors, {
+      disallowComments: true,
+      allowTrailingComma: false,
+      allowEmptyContent: false,
+    });
     const first = errors[0];
-    if (tree === undefined || first !== undefined) return { kind: 'faulty', faults: [{ path: '', fault: `broken JSON at character ${first?.offset ?? 0}` }] };
+    if (tree === undefined || first !== undefined)
+      return { kind: 'faulty', faults: [{ path: '', fault: `broken JSON at character ${first?.offset ?? 0}` }] };
     const faults: Fault[] = [];
     walk(tree, '', 0, faults);
     if (faults.length > 0) return { kind: 'faulty', faults };
@@ -56,8 +62,10 @@
   escape,
 } as const;
 
-export type PieceChange = Readonly<{ kind: 'put'; path: string; text: string }> | Readonly<{ kind: 'remove'; path: string }>;
-export type PieceOutcome = Readonly<{ kind: 'changed'; text: string }> | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }>;
+export type PieceChange =
+  Readonly<{ kind: 'put'; path: string; text: string }> | Readonly<{ kind: 'remove'; path: string }>;
+export type PieceOutcome =
+  Readonly<{ kind: 'changed'; text: string }> | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }>;
 
 const childOf = (node: Node, name: string): Node | undefined => {
   if (node.type === 'object') return node.children?.find((property) => property.children?.[0]?.value === name);
@@ -83,8 +91,13 @@
   const last = parent.children?.at(-1);
   const start = last === undefined ? parent.offset + 1 : last.offset + last.length;
   const comma = last === undefined ? '' : ', ';
-  if (parent.type === 'object') return { kind: 'changed', text: `${text.slice(0, start)}${comma}${JSON.stringify(name)}: ${piece}${text.slice(start)}` };
-  if (parent.type === 'array' && (name === '-' || name === String(parent.children?.length ?? 0))) return { kind: 'changed', text: `${text.slice(0, start)}${comma}${piece}${text.slice(start)}` };
+  if (parent.type === 'object')
+    return {
+      kind: 'changed',
+      text: `${text.slice(0, start)}${comma}${JSON.stringify(name)}: ${piece}${text.slice(start)}`,
+    };
+  if (parent.type === 'array' && (name === '-' || name === String(parent.children?.length ?? 0)))
+    return { kind: 'changed', text: `${text.slice(0, start)}${comma}${piece}${text.slice(start)}` };
   return faulty(`/${name}`, 'no such place');
 };
 
@@ -93,7 +106,8 @@
     const document = Documents.read(text);
     if (document.kind === 'faulty') return document;
     const names = Documents.pointer(change.path);
-    if (names === undefined || names.length === 0) return faulty(change.path, 'a piece is named by a path such as /mappings/tags');
+    if (names === undefined || names.length === 0)
+      return faulty(change.path, 'a piece is named by a path such as /mappings/tags');
     let parent: Node = document.tree;
     for (const name of names.slice(0, -1)) {
       const child = childOf(parent, name);
@@ -102,18 +116,29 @@
     }
     const name = names.at(-1) ?? '';
     const child = childOf(parent, name);
-    if (change.kind === 'remove') return child === undefined ? faulty(change.path, 'nothing to remove') : { kind: 'changed', text: cut(text, parent, child) };
+    if (change.kind === 'remove')
+      return child === undefined
+        ? faulty(change.path, 'nothing to remove')
+        : { kind: 'changed', text: cut(text, parent, child) };
     if (child === undefined) return add(text, parent, name, change.text);
     const value = valueOf(child);
-    return { kind: 'changed', text: text.slice(0, value.offset) + change.text + text.slice(value.offset + value.length) };
+    return {
+      kind: 'changed',
+      text: text.slice(0, value.offset) + change.text + text.slice(value.offset + value.length),
+    };
   },
 
   /** The order of an operator: {"changes":[{"put":"/path","value":…},{"remove":"/path"}]}. Values keep their bytes. */
-  read: (text: string): Readonly<{ kind: 'read'; changes: readonly PieceChange[] }> | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }> => {
+  read: (
+    text: string,
+  ):
+    | Readonly<{ kind: 'read'; changes: readonly PieceChange[] }>
+    | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }> => {
     const document = Documents.read(text);
     if (document.kind === 'faulty') return document;
     const list = valueOf(childOf(document.tree, 'changes') ?? document.tree);
-    if (list.type !== 'array' || (list.children ?? []).length === 0) return { kind: 'faulty', faults: [{ path: '/changes', fault: 'a list of changes is needed' }] };
+    if (list.type !== 'array' || (list.children ?? []).length === 0)
+      return { kind: 'faulty', faults: [{ path: '/changes', fault: 'a list of changes is needed' }] };
     const changes: PieceChange[] = [];
     const faults: Fault[] = [];
     (list.children ?? []).forEach((node, index) => {
@@ -125,7 +150,8 @@
       if (typeof putPath === 'string' && value !== undefined && removePath === undefined) {
         const piece = valueOf(value);
         changes.push({ kind: 'put', path: putPath, text: text.slice(piece.offset, piece.offset + piece.length) });
-      } else if (typeof removePath === 'string' && putPath === undefined && value === undefined) changes.push({ kind: 'remove', path: removePath });
+      } else if (typeof removePath === 'string' && putPath === undefined && value === undefined)
+        changes.push({ kind: 'remove', path: removePath });
       else faults.push({ path: `/changes/${index}`, fault: 'either put with value, or remove' });
     });
     return faults.length > 0 ? { kind: 'faulty', faults } : { kind: 'read', changes };
--- a/source/shared/blueprint/types.ts
+++ b/source/shared/blueprint/types.ts
@@ -37,7 +37,13 @@
 }>;
 
 /** The platform's list. */
-export type Engine = Readonly<{ kind: 'engine' | 'app' | 'store'; service: string; address: string; zone: string; state: 'ready' | 'draining' }>;
+export type Engine = Readonly<{
+  kind: 'engine' | 'app' | 'store';
+  service: string;
+  address: string;
+  zone: string;
+  state: 'ready' | 'draining';
+}>;
 export type EngineList = Readonly<{ engines: Readonly<Record<string, Engine>> }>;
 
 export type CoreMember = Readonly<{ address: string; operatorsAddress: string; zone: string }>;
--- a/source/shared/directory/blockState.ts
+++ b/source/shared/directory/blockState.ts
@@ -33,15 +33,21 @@
   step: (state: BlockState, event: BlockEvent): BlockState => {
     switch (event.kind) {
       case 'reserve':
-        return state.kind === 'absent' ? { kind: 'reserved', fill: event.fill, moves: event.moves, epoch: event.epoch } : state;
+        return state.kind === 'absent'
+          ? { kind: 'reserved', fill: event.fill, moves: event.moves, epoch: event.epoch }
+          : state;
       case 'attest':
-        return (state.kind === 'reserved' || state.kind === 'quarantined') && state.fill === event.fill ? { kind: 'writing', fill: state.fill, epoch: state.epoch } : state;
+        return (state.kind === 'reserved' || state.kind === 'quarantined') && state.fill === event.fill
+          ? { kind: 'writing', fill: state.fill, epoch: state.epoch }
+          : state;
       case 'confirm':
         return state.kind === 'writing' ? { kind: 'committed', epoch: state.epoch } : state;
       case 'abandon':
         if ((state.kind !== 'reserved' && state.kind !== 'writing') || state.fill !== event.fill) return state;
         // Why: where the engine was told to import, its region may still be written to, and nobody has said it is not.
-        return state.kind === 'reserved' && state.moves ? { kind: 'quarantined', fill: state.fill, epoch: state.epoch } : absent;
+        return state.kind === 'reserved' && state.moves
+          ? { kind: 'quarantined', fill: state.fill, epoch: state.epoch }
+          : absent;
       case 'notSent':
         return state.kind === 'reserved' && state.fill === event.fill ? absent : state;
       case 'evict':
--- a/source/shared/directory/fills.ts
+++ b/source/shared/directory/fills.ts
@@ -1,7 +1,14 @@
 /** Single flight: one fill a key set and engine; who comes later joins, is charged once, and is told how it ended. */
 export type FillNotice = 'pending' | 'finished' | 'failed' | 'fenced';
 
-export type Fill = Readonly<{ name: string; epoch: number; keys: readonly string[]; charge: number; joiners: number; notice: FillNotice }>;
+export type Fill = Readonly<{
+  name: string;
+  epoch: number;
+  keys: readonly string[];
+  charge: number;
+  joiners: number;
+  notice: FillNotice;
+}>;
 export type Fills = Readonly<{ open: Readonly<Record<string, Fill>>; charged: number; over: readonly Fill[] }>;
 
 export type FillEvent =
@@ -20,25 +27,45 @@
 export const FillTables = {
   empty: { open: {}, charged: 0, over: [] } as Fills,
 
-  forKey: (fills: Fills, key: string): Fill | undefined => Object.values(fills.open).find((fill) => fill.keys.includes(key)),
+  forKey: (fills: Fills, key: string): Fill | undefined =>
+    Object.values(fills.open).find((fill) => fill.keys.includes(key)),
 
-  notice: (fills: Fills, name: string): FillNotice => fills.open[name]?.notice ?? fills.over.find((fill) => fill.name === name)?.notice ?? 'fenced',
+  notice: (fills: Fills, name: string): FillNotice =>
+    fills.open[name]?.notice ?? fills.over.find((fill) => fill.name === name)?.notice ?? 'fenced',
 
   reduce: (fills: Fills, event: FillEvent): Fills => {
     switch (event.kind) {
       case 'begin':
-        return { ...fills, open: { ...fills.open, [event.name]: { name: event.name, epoch: event.epoch, keys: event.keys, charge: event.keys.length, joiners: 0, notice: 'pending' } }, charged: fills.charged + event.keys.length };
+        return {
+          ...fills,
+          open: {
+            ...fills.open,
+            [event.name]: {
+              name: event.name,
+              epoch: event.epoch,
+              keys: event.keys,
+              charge: event.keys.length,
+              joiners: 0,
+              notice: 'pending',
+            },
+          },
+          charged: fills.charged + event.keys.length,
+        };
       case 'join': {
         const fill = fills.open[event.name];
         // Why no charge: the blocks are the same ones.
-        return fill === undefined ? fills : { ...fills, open: { ...fills.open, [event.name]: { ...fill, joiners: fill.joiners + 1 } } };
+        return fill === undefined
+          ? fills
+          : { ...fills, open: { ...fills.open, [event.name]: { ...fill, joiners: fill.joiners + 1 } } };
       }
       case 'end': {
         const fill = fills.open[event.name];
         return fill === undefined ? fills : close(fills, fill, event.notice);
       }
       case 'fence':
-        return Object.values(fills.open).filter((fill) => fill.epoch < event.epoch).reduce((left, fill) => close(left, fill, 'fenced'), fills);
+        return Object.values(fills.open)
+          .filter((fill) => fill.epoch < event.epoch)
+          .reduce((left, fill) => close(left, fill, 'fenced'), fills);
     }
   },
 } as const;
--- a/source/shared/directory/hashChain.ts
+++ b/source/shared/directory/hashChain.ts
@@ -26,7 +26,11 @@
     const chain: string[] = [];
     let before = '';
     for (let index = 0; index < count; index += 1) {
-      before = createHash('sha256').update(before).update('\u0000').update(prompt.slice(index * blockCharacters, (index + 1) * blockCharacters)).digest('hex');
+      before = createHash('sha256')
+        .update(before)
+        .update('\u0000')
+        .update(prompt.slice(index * blockCharacters, (index + 1) * blockCharacters))
+        .digest('hex');
       chain.push(before);
     }
     return chain;
@@ -37,7 +41,10 @@
    * was meant for leaves wrong bytes behind, and no later order may come upon them by name.
    */
   named: (keys: readonly BlockKey[], fill: string): readonly NamedKey[] =>
-    keys.map((key) => ({ ...key, name: createHash('sha256').update(key.physical).update('\u0000').update(fill).digest('hex').slice(0, 32) })),
+    keys.map((key) => ({
+      ...key,
+      name: createHash('sha256').update(key.physical).update('\u0000').update(fill).digest('hex').slice(0, 32),
+    })),
 
   keys: (chain: readonly string[], pool: Pool, weights: string, trustDomain: string): readonly BlockKey[] =>
     chain.map((prefix, index) => {
--- a/source/shared/directory/identity.ts
+++ b/source/shared/directory/identity.ts
@@ -37,11 +37,27 @@
   trustDomain: (tenant: string, walled: boolean): string => (walled ? `walled/${tenant}` : 'shared'),
 
   logicalBytes: (identity: CacheIdentity): Buffer =>
-    delimited('GPCL', [identity.trustDomain, identity.model, identity.weights, identity.tokenizer, identity.adapter, identity.prefix, identity.multimodal]),
+    delimited('GPCL', [
+      identity.trustDomain,
+      identity.model,
+      identity.weights,
+      identity.tokenizer,
+      identity.adapter,
+      identity.prefix,
+      identity.multimodal,
+    ]),
 
   physicalBytes: (identity: CacheIdentity): Buffer =>
     Buffer.concat([
-      delimited('GPCK', [identity.dtype, identity.quant, identity.layout, identity.shard, identity.rope, String(identity.blockCharacters), String(identity.validLength)]),
+      delimited('GPCK', [
+        identity.dtype,
+        identity.quant,
+        identity.layout,
+        identity.shard,
+        identity.rope,
+        String(identity.blockCharacters),
+        String(identity.validLength),
+      ]),
       Identities.logicalBytes(identity),
     ]),
 
@@ -49,7 +65,19 @@
   physical: (identity: CacheIdentity): string => digest(Identities.physicalBytes(identity)),
 
   ofPool: (pool: Pool, weights: string, trustDomain: string, prefix: string, blocks: number): CacheIdentity => ({
-    trustDomain, model: pool.model, weights, tokenizer: pool.tokenizer, adapter: pool.adapter, dtype: pool.dtype, quant: pool.quant,
-    layout: pool.layout, shard: pool.shard, rope: pool.rope, blockCharacters: pool.blockCharacters, validLength: blocks * pool.blockCharacters, prefix, multimodal: '',
+    trustDomain,
+    model: pool.model,
+    weights,
+    tokenizer: pool.tokenizer,
+    adapter: pool.adapter,
+    dtype: pool.dtype,
+    quant: pool.quant,
+    layout: pool.layout,
+    shard: pool.shard,
+    rope: pool.rope,
+    blockCharacters: pool.blockCharacters,
+    validLength: blocks * pool.blockCharacters,
+    prefix,
+    multimodal: '',
   }),
 } as const;
--- a/source/shared/directory/lookup.ts
+++ b/source/shared/directory/lookup.ts
@@ -29,7 +29,8 @@
       if (bootEpochOf(holder) !== bootEpoch) otherBoot = true;
       else found.push({ holder, matched, bootEpoch, epoch });
     }
-    if (found.length === 0) return { kind: 'miss', reason: otherBoot ? 'otherBoot' : incompatible ? 'incompatible' : 'absent' };
+    if (found.length === 0)
+      return { kind: 'miss', reason: otherBoot ? 'otherBoot' : incompatible ? 'incompatible' : 'absent' };
     found.sort((left, right) => right.matched - left.matched || (left.holder < right.holder ? -1 : 1));
     return { kind: (found[0]?.matched ?? 0) === keys.length ? 'hit' : 'prefixHit', found };
   },
--- a/source/shared/directory/shardDirectory.ts
+++ b/source/shared/directory/shardDirectory.ts
@@ -5,7 +5,14 @@
 import { ShardNews } from './shardNews';
 
 export type DirectoryNote =
-  | Readonly<{ kind: 'register'; holder: string; epoch: number; fill: string; moves: boolean; keys: readonly NamedKey[] }>
+  | Readonly<{
+      kind: 'register';
+      holder: string;
+      epoch: number;
+      fill: string;
+      moves: boolean;
+      keys: readonly NamedKey[];
+    }>
   | Readonly<{ kind: 'attest'; holder: string; fill: string; bootEpoch: string; weights: string }>
   | Readonly<{ kind: 'abandon' | 'notSent'; holder: string; fill: string }>;
 
@@ -16,9 +23,16 @@
 
 type Block = Readonly<{ state: BlockState; key: NamedKey }>;
 
-export type ShardLimits = Readonly<{ blocks: number; chargedBlocks: number; quarantinedBlocks: number; unclaimed: number }>;
+export type ShardLimits = Readonly<{
+  blocks: number;
+  chargedBlocks: number;
+  quarantinedBlocks: number;
+  unclaimed: number;
+}>;
 
-export const ShardLimits = { usual: { blocks: 100_000, chargedBlocks: 512, quarantinedBlocks: 1024, unclaimed: 8192 } satisfies ShardLimits } as const;
+export const ShardLimits = {
+  usual: { blocks: 100_000, chargedBlocks: 512, quarantinedBlocks: 1024, unclaimed: 8192 } satisfies ShardLimits,
+} as const;
 
 /** The steward's shard: which blocks one holder keeps, who fills them, and under which epoch. */
 export class ShardDirectory {
@@ -31,7 +45,12 @@
   private nextSequence: number | undefined;
   private quarantinedCount = 0;
 
-  public constructor(holder: string, term: number, private readonly limits: ShardLimits, private readonly checksWeights: boolean) {
+  public constructor(
+    holder: string,
+    term: number,
+    private readonly limits: ShardLimits,
+    private readonly checksWeights: boolean,
+  ) {
     this.news = new ShardNews({ holder, term, epoch: 1, bootEpoch: '', weights: '', version: 0 });
   }
 
@@ -75,16 +94,26 @@
 
   public grant(fill: string, epoch: number, keys: readonly NamedKey[]): GrantAnswer {
     if (epoch !== this.epoch) return { kind: 'refused', reason: 'otherEpoch' };
-    const open = keys.map(({ physical }) => FillTables.forKey(this.fills, physical)).find((found) => found !== undefined);
+    const open = keys
+      .map(({ physical }) => FillTables.forKey(this.fills, physical))
+      .find((found) => found !== undefined);
     if (open !== undefined) {
       this.fills = FillTables.reduce(this.fills, { kind: 'join', name: open.name });
       return { kind: 'joined', fill: open.name, notice: 'pending' };
     }
-    if (keys.some(({ physical }) => this.blocks.get(physical)?.state.kind === 'quarantined')) return { kind: 'refused', reason: 'quarantined' };
+    if (keys.some(({ physical }) => this.blocks.get(physical)?.state.kind === 'quarantined'))
+      return { kind: 'refused', reason: 'quarantined' };
     // Why quarantined ones count: their room is not free until an epoch or an attestation says so.
-    const full = this.fills.charged + keys.length > this.limits.chargedBlocks || this.quarantinedCount + keys.length > this.limits.quarantinedBlocks;
+    const full =
+      this.fills.charged + keys.length > this.limits.chargedBlocks ||
+      this.quarantinedCount + keys.length > this.limits.quarantinedBlocks;
     if (full || this.blocks.size + keys.length > this.limits.blocks) return { kind: 'refused', reason: 'limit' };
-    this.fills = FillTables.reduce(this.fills, { kind: 'begin', name: fill, epoch, keys: keys.map(({ physical }) => physical) });
+    this.fills = FillTables.reduce(this.fills, {
+      kind: 'begin',
+      name: fill,
+      epoch,
+      keys: keys.map(({ physical }) => physical),
+    });
     this.register(fill, epoch, true, keys);
     return { kind: 'granted', fill, epoch };
   }
@@ -113,7 +142,8 @@
   public list(list: KvList): void {
     if (list.bootEpoch !== this.news.present.bootEpoch) return;
     const listed = new Set(list.keys);
-    for (const { state, key } of [...this.blocks.values()]) if (state.kind === 'committed' && !listed.has(key.name)) this.evicted(key.name);
+    for (const { state, key } of [...this.blocks.values()])
+      if (state.kind === 'committed' && !listed.has(key.name)) this.evicted(key.name);
     this.unclaimed.clear();
     for (const key of listed) this.stored(key);
     this.nextSequence = list.sequence + 1;
@@ -121,9 +151,14 @@
 
   private register(fill: string, epoch: number, moves: boolean, keys: readonly NamedKey[]): void {
     if (epoch !== this.epoch || this.fillKeys.has(fill)) return;
-    const fresh = keys.filter(({ physical }) => (this.blocks.get(physical) ?? { state: BlockStates.absent }).state.kind === 'absent');
+    const fresh = keys.filter(
+      ({ physical }) => (this.blocks.get(physical) ?? { state: BlockStates.absent }).state.kind === 'absent',
+    );
     const taken = fresh.slice(0, Math.max(0, this.limits.blocks - this.blocks.size));
-    this.fillKeys.set(fill, taken.map(({ physical }) => physical));
+    this.fillKeys.set(
+      fill,
+      taken.map(({ physical }) => physical),
+    );
     for (const key of taken) {
       this.blocks.set(key.physical, { state: BlockStates.absent, key });
       this.byName.set(key.name, key.physical);
@@ -145,7 +180,8 @@
   private endFill(fill: string, event: BlockEvent, notice: 'finished' | 'failed'): void {
     for (const physical of this.fillKeys.get(fill) ?? []) {
       this.step(physical, event);
-      if (event.kind === 'attest' && this.unclaimed.has(this.blocks.get(physical)?.key.name ?? '')) this.step(physical, { kind: 'confirm' });
+      if (event.kind === 'attest' && this.unclaimed.has(this.blocks.get(physical)?.key.name ?? ''))
+        this.step(physical, { kind: 'confirm' });
     }
     if (notice === 'failed' || event.kind === 'attest') this.fillKeys.delete(fill);
     this.fills = FillTables.reduce(this.fills, { kind: 'end', name: fill, notice });
@@ -153,7 +189,8 @@
 
   private stored(name: string): void {
     const physical = this.byName.get(name);
-    if (physical !== undefined && this.blocks.get(physical)?.state.kind === 'writing') this.step(physical, { kind: 'confirm' });
+    if (physical !== undefined && this.blocks.get(physical)?.state.kind === 'writing')
+      this.step(physical, { kind: 'confirm' });
     // Why keep it: the event may come before the daemon that ordered the block has said so. Bounded, and never a hit by itself.
     if (this.unclaimed.size < this.limits.unclaimed) this.unclaimed.add(name);
   }
--- a/source/shared/directory/shardNews.ts
+++ b/source/shared/directory/shardNews.ts
@@ -1,7 +1,14 @@
 import type { NamedKey } from './hashChain';
 
 /** One holder's committed blocks as all daemons see them: a set that grows by versions under (term, epoch). */
-export type ShardHead = Readonly<{ holder: string; term: number; epoch: number; bootEpoch: string; weights: string; version: number }>;
+export type ShardHead = Readonly<{
+  holder: string;
+  term: number;
+  epoch: number;
+  bootEpoch: string;
+  weights: string;
+  version: number;
+}>;
 export type ShardMark = readonly [term: number, epoch: number, version: number];
 
 export type ShardChange = Readonly<{
@@ -16,7 +23,8 @@
 
 const keptSteps = 4096;
 
-const compareMarks = (left: ShardMark, right: ShardMark): number => left[0] - right[0] || left[1] - right[1] || left[2] - right[2];
+const compareMarks = (left: ShardMark, right: ShardMark): number =>
+  left[0] - right[0] || left[1] - right[1] || left[2] - right[2];
 
 export const ShardMarks = {
   compare: compareMarks,
@@ -93,7 +101,12 @@
     if (!sameEpoch || mark[2] + 1 < oldest) return { head: this.head, from: null, put: this.entries(), gone: [] };
     const last = new Map<string, NamedKey | null>();
     for (const step of this.steps) if (step.version > mark[2]) last.set(step.physical, step.key);
-    return { head: this.head, from: mark[2], put: [...last.values()].flatMap((key) => key ?? []), gone: [...last].filter(([, key]) => key === null).map(([physical]) => physical) };
+    return {
+      head: this.head,
+      from: mark[2],
+      put: [...last.values()].flatMap((key) => key ?? []),
+      gone: [...last].filter(([, key]) => key === null).map(([physical]) => physical),
+    };
   }
 
   /** Takes another daemon's change if it continues this state; false asks for a frame later. */
@@ -101,13 +114,19 @@
     const order = compareMarks(ShardMarks.of(change.head), ShardMarks.of(this.head));
     if (order <= 0) return false;
     const { term, epoch } = this.head;
-    const continues = change.from !== null && change.head.term === term && change.head.epoch === epoch && change.from <= this.head.version;
+    const continues =
+      change.from !== null &&
+      change.head.term === term &&
+      change.head.epoch === epoch &&
+      change.from <= this.head.version;
     if (!continues && change.from !== null) return false;
     if (!continues) this.fence(change.head);
     for (const physical of change.gone) this.remove(physical);
     for (const key of change.put) this.put(key);
     // Why set anew: versions are the steward's; the steps noted here must not run ahead of them.
-    this.steps = this.steps.map((step) => (step.version > change.head.version ? { ...step, version: change.head.version } : step));
+    this.steps = this.steps.map((step) =>
+      step.version > change.head.version ? { ...step, version: change.head.version } : step,
+    );
     this.head = change.head;
     return true;
   }
--- a/source/shared/effects/clock/clock.ts
+++ b/source/shared/effects/clock/clock.ts
@@ -18,7 +18,11 @@
     }),
 
   /** Resolves with undefined when the limit passes first; the work itself goes on. */
-  within: async <Result>(clock: Clock, limitMicroseconds: number, work: Promise<Result>): Promise<Result | undefined> => {
+  within: async <Result>(
+    clock: Clock,
+    limitMicroseconds: number,
+    work: Promise<Result>,
+  ): Promise<Result | undefined> => {
     let cancel: Cancel = () => undefined;
     const limit = new Promise<undefined>((resolve) => {
       cancel = clock.after(limitMicroseconds, () => resolve(undefined));
--- a/source/shared/effects/disk/disk.ts
+++ b/source/shared/effects/disk/disk.ts
@@ -18,6 +18,9 @@
 export const DiskFaults = {
   of: (error: unknown): DiskFault => {
     const code = (error as { code?: string }).code ?? '';
-    return { kind: code === 'ENOSPC' || code === 'EDQUOT' ? 'full' : 'broken', text: String((error as Error).message ?? error) };
+    return {
+      kind: code === 'ENOSPC' || code === 'EDQUOT' ? 'full' : 'broken',
+      text: String((error as Error).message ?? error),
+    };
   },
 } as const;
--- a/source/shared/effects/disk/nodeDisk.ts
+++ b/source/shared/effects/disk/nodeDisk.ts
@@ -28,7 +28,8 @@
       return {
         append: async (bytes) => {
           let written = 0;
-          while (written < bytes.length) written += (await handle.write(bytes, written, bytes.length - written)).bytesWritten;
+          while (written < bytes.length)
+            written += (await handle.write(bytes, written, bytes.length - written)).bytesWritten;
         },
         sync: () => handle.sync(),
         truncate: (length) => handle.truncate(length),
--- a/source/shared/effects/random/random.ts
+++ b/source/shared/effects/random/random.ts
@@ -21,13 +21,20 @@
     mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
     return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
   };
-  const word = (): string => Math.floor(fraction() * 2 ** 32).toString(16).padStart(8, '0');
+  const word = (): string =>
+    Math.floor(fraction() * 2 ** 32)
+      .toString(16)
+      .padStart(8, '0');
   return { fraction, name: () => word() + word() + word() };
 };
 
 export const Randoms = {
   below: (random: Random, most: number): number => Math.floor(random.fraction() * most),
-  pick: <Item>(random: Random, items: readonly Item[]): Item | undefined => items[Math.floor(random.fraction() * items.length)],
+  pick: <Item>(random: Random, items: readonly Item[]): Item | undefined =>
+    items[Math.floor(random.fraction() * items.length)],
   shuffled: <Item>(random: Random, items: readonly Item[]): readonly Item[] =>
-    items.map((item) => ({ item, place: random.fraction() })).sort((left, right) => left.place - right.place).map(({ item }) => item),
+    items
+      .map((item) => ({ item, place: random.fraction() }))
+      .sort((left, right) => left.place - right.place)
+      .map(({ item }) => item),
 } as const;
--- a/source/shared/effects/transport/framing.ts
+++ b/source/shared/effects/transport/framing.ts
@@ -41,7 +41,12 @@
       const number = this.rest.readUInt32BE(5);
       const body = this.rest.subarray(headBytes, headBytes + length);
       this.rest = this.rest.subarray(headBytes + length);
-      const whole = this.join({ kind: (flags & kindBit) !== 0 ? 'answer' : 'ask', last: (flags & lastBit) !== 0, number, bytes: body });
+      const whole = this.join({
+        kind: (flags & kindBit) !== 0 ? 'answer' : 'ask',
+        last: (flags & lastBit) !== 0,
+        number,
+        bytes: body,
+      });
       if (whole !== undefined) wholes.push(whole);
     }
   }
--- a/source/shared/effects/transport/tcpTransport.ts
+++ b/source/shared/effects/transport/tcpTransport.ts
@@ -2,7 +2,15 @@
 import { pack, unpack } from 'msgpackr';
 import type { Clock, Cancel } from '../clock/clock';
 import { FrameReader, Framing } from './framing';
-import { Messages, TransportLimits, type Answer, type Handler, type Listener, type Message, type Transport } from './transport';
+import {
+  Messages,
+  TransportLimits,
+  type Answer,
+  type Handler,
+  type Listener,
+  type Message,
+  type Transport,
+} from './transport';
 
 type Open = Readonly<{ settle: (answer: Answer) => void; cancel: Cancel }>;
 
@@ -13,7 +21,11 @@
   private readonly socket: net.Socket;
   public closed = false;
 
-  public constructor(private readonly clock: Clock, address: string, private readonly forget: () => void) {
+  public constructor(
+    private readonly clock: Clock,
+    address: string,
+    private readonly forget: () => void,
+  ) {
     const { host, port } = Addresses.split(address);
     this.socket = net.connect({ host, port, noDelay: true });
     const reader = new FrameReader();
@@ -29,7 +41,8 @@
   }
 
   public ask(message: Message, limitMicroseconds: number): Promise<Answer> {
-    if (this.open.size >= TransportLimits.openAsks) return Promise.resolve({ kind: 'silent', reason: 'too many open asks' });
+    if (this.open.size >= TransportLimits.openAsks)
+      return Promise.resolve({ kind: 'silent', reason: 'too many open asks' });
     return new Promise((resolve) => {
       const number = this.nextNumber;
       this.nextNumber = (this.nextNumber % 0xfffffff0) + 1;
--- a/source/shared/effects/transport/transport.ts
+++ b/source/shared/effects/transport/transport.ts
@@ -1,9 +1,7 @@
 /** What our processes say to each other: one question, one answer, under a limit. */
 export type Message = Readonly<{ kind: string }> & Readonly<Record<string, unknown>>;
 
-export type Answer =
-  | Readonly<{ kind: 'answered'; message: Message }>
-  | Readonly<{ kind: 'silent'; reason: string }>;
+export type Answer = Readonly<{ kind: 'answered'; message: Message }> | Readonly<{ kind: 'silent'; reason: string }>;
 
 export type Handler = (message: Message) => Promise<Message>;
 
@@ -27,5 +25,8 @@
 
 export const Messages = {
   is: (value: unknown): value is Message =>
-    typeof value === 'object' && value !== null && !Array.isArray(value) && typeof (value as { kind?: unknown }).kind === 'string',
+    typeof value === 'object' &&
+    value !== null &&
+    !Array.isArray(value) &&
+    typeof (value as { kind?: unknown }).kind === 'string',
 } as const;
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -8,26 +8,55 @@
 
 /** "Revision R was current when I asked", with the age of that moment instead of a time. */
 export type Statement = Readonly<{
-  key: DocumentKey; revision: number; digest: string; ageMicroseconds: number;
-  weights: Readonly<Record<string, Readonly<{ weights: string; previous: string | null; ageMicroseconds: number | null }>>>;
+  key: DocumentKey;
+  revision: number;
+  digest: string;
+  ageMicroseconds: number;
+  weights: Readonly<
+    Record<string, Readonly<{ weights: string; previous: string | null; ageMicroseconds: number | null }>>
+  >;
 }>;
 
 export type Body = Readonly<{ key: DocumentKey; revision: number; digest: string; text: string }>;
 
 type Confirmed = Readonly<{ revision: number; digest: string; asOfMicroseconds: number }>;
-type Applied<Value> = Readonly<{ revision: number; digest: string; text: string; value: Value; asOfMicroseconds: number }>;
+type Applied<Value> = Readonly<{
+  revision: number;
+  digest: string;
+  text: string;
+  value: Value;
+  asOfMicroseconds: number;
+}>;
 
 export type DocumentValue = Blueprint | EngineList | CoreMembers;
 
 export const Statements = {
   isList: (value: unknown): value is readonly Statement[] =>
-    Array.isArray(value) && value.length <= 8 && value.every((item: unknown) => {
+    Array.isArray(value) &&
+    value.length <= 8 &&
+    value.every((item: unknown) => {
       const statement = item as Partial<Statement> | null;
-      return typeof statement === 'object' && statement !== null && isDocumentKey(statement.key) && Number.isSafeInteger(statement.revision) && typeof statement.digest === 'string' && typeof statement.ageMicroseconds === 'number' && statement.ageMicroseconds >= 0 && typeof statement.weights === 'object';
+      return (
+        typeof statement === 'object' &&
+        statement !== null &&
+        isDocumentKey(statement.key) &&
+        Number.isSafeInteger(statement.revision) &&
+        typeof statement.digest === 'string' &&
+        typeof statement.ageMicroseconds === 'number' &&
+        statement.ageMicroseconds >= 0 &&
+        typeof statement.weights === 'object'
+      );
     }),
   isBody: (value: unknown): value is Body => {
     const body = value as Partial<Body> | null;
-    return typeof body === 'object' && body !== null && isDocumentKey(body.key) && Number.isSafeInteger(body.revision) && typeof body.digest === 'string' && typeof body.text === 'string';
+    return (
+      typeof body === 'object' &&
+      body !== null &&
+      isDocumentKey(body.key) &&
+      Number.isSafeInteger(body.revision) &&
+      typeof body.digest === 'string' &&
+      typeof body.text === 'string'
+    );
   },
 } as const;
 
@@ -36,17 +65,26 @@
   public applied: Applied<DocumentValue> | undefined;
   public wanted: Confirmed | undefined;
 
-  public constructor(private readonly key: DocumentKey, private readonly clock: Clock) {}
+  public constructor(
+    private readonly key: DocumentKey,
+    private readonly clock: Clock,
+  ) {}
 
   public confirm(confirmed: Confirmed): void {
     const applied = this.applied;
     if (applied !== undefined && confirmed.revision < applied.revision) return;
     if (applied !== undefined && confirmed.revision === applied.revision && confirmed.digest === applied.digest) {
-      if (confirmed.asOfMicroseconds > applied.asOfMicroseconds) this.applied = { ...applied, asOfMicroseconds: confirmed.asOfMicroseconds };
+      if (confirmed.asOfMicroseconds > applied.asOfMicroseconds)
+        this.applied = { ...applied, asOfMicroseconds: confirmed.asOfMicroseconds };
       return;
     }
     const wanted = this.wanted;
-    if (wanted === undefined || confirmed.revision > wanted.revision || (confirmed.revision === wanted.revision && confirmed.asOfMicroseconds > wanted.asOfMicroseconds)) this.wanted = confirmed;
+    if (
+      wanted === undefined ||
+      confirmed.revision > wanted.revision ||
+      (confirmed.revision === wanted.revision && confirmed.asOfMicroseconds > wanted.asOfMicroseconds)
+    )
+      this.wanted = confirmed;
   }
 
   /** A body counts only when its revision is known to be decided. */
@@ -56,7 +94,13 @@
     if (createHash('sha256').update(body.text).digest('hex').slice(0, 32) !== wanted.digest) return false;
     const checked: Checked<DocumentValue> = Blueprints.checkText(this.key, body.text);
     if (checked.kind === 'faulty') return false;
-    this.applied = { revision: wanted.revision, digest: wanted.digest, text: body.text, value: checked.value, asOfMicroseconds: wanted.asOfMicroseconds };
+    this.applied = {
+      revision: wanted.revision,
+      digest: wanted.digest,
+      text: body.text,
+      value: checked.value,
+      asOfMicroseconds: wanted.asOfMicroseconds,
+    };
     this.wanted = undefined;
     return true;
   }
@@ -72,7 +116,11 @@
   private sinceRevision = -1;
 
   public constructor(private readonly clock: Clock) {
-    this.keys = { blueprint: new KeyFreshness('blueprint', clock), engines: new KeyFreshness('engines', clock), 'core-members': new KeyFreshness('core-members', clock) };
+    this.keys = {
+      blueprint: new KeyFreshness('blueprint', clock),
+      engines: new KeyFreshness('engines', clock),
+      'core-members': new KeyFreshness('core-members', clock),
+    };
   }
 
   public get blueprint(): Blueprint | undefined {
@@ -93,7 +141,9 @@
 
   public applied(key: DocumentKey): Body | undefined {
     const applied = this.keys[key].applied;
-    return applied === undefined ? undefined : { key, revision: applied.revision, digest: applied.digest, text: applied.text };
+    return applied === undefined
+      ? undefined
+      : { key, revision: applied.revision, digest: applied.digest, text: applied.text };
   }
 
   /** How long ago the applied blueprint and engine list were both known to be current. */
@@ -102,7 +152,9 @@
   }
 
   public wanted(): readonly Readonly<{ key: DocumentKey; revision: number; digest: string }>[] {
-    return (Object.entries(this.keys) as readonly (readonly [DocumentKey, KeyFreshness])[]).flatMap(([key, { wanted }]) => (wanted === undefined ? [] : [{ key, revision: wanted.revision, digest: wanted.digest }]));
+    return (Object.entries(this.keys) as readonly (readonly [DocumentKey, KeyFreshness])[]).flatMap(
+      ([key, { wanted }]) => (wanted === undefined ? [] : [{ key, revision: wanted.revision, digest: wanted.digest }]),
+    );
   }
 
   public weightsSince(service: string): WeightsSince | undefined {
@@ -111,13 +163,21 @@
 
   /** `askedMicroseconds` is when this daemon asked; whatever came later on the way only adds to the age. */
   public hear(statement: Statement, askedMicroseconds: number): void {
-    this.keys[statement.key].confirm({ revision: statement.revision, digest: statement.digest, asOfMicroseconds: askedMicroseconds - statement.ageMicroseconds });
+    this.keys[statement.key].confirm({
+      revision: statement.revision,
+      digest: statement.digest,
+      asOfMicroseconds: askedMicroseconds - statement.ageMicroseconds,
+    });
     if (statement.key !== 'blueprint' || statement.revision < this.sinceRevision) return;
     const same = statement.revision === this.sinceRevision;
     this.sinceRevision = statement.revision;
     const next: Record<string, WeightsSince> = {};
     for (const [service, word] of Object.entries(statement.weights)) {
-      const heard: WeightsSince = { weights: word.weights, previous: word.previous, sinceMicroseconds: word.ageMicroseconds === null ? null : askedMicroseconds - word.ageMicroseconds };
+      const heard: WeightsSince = {
+        weights: word.weights,
+        previous: word.previous,
+        sinceMicroseconds: word.ageMicroseconds === null ? null : askedMicroseconds - word.ageMicroseconds,
+      };
       const before = this.since[service];
       next[service] = before !== undefined && before.weights === heard.weights ? earlier(before, heard) : heard;
     }
@@ -130,9 +190,25 @@
 
   public statements(): readonly Statement[] {
     const now = this.clock.nowMicroseconds();
-    const weights = Object.fromEntries(Object.entries(this.since).map(([service, { weights: name, previous, sinceMicroseconds }]) => [service, { weights: name, previous, ageMicroseconds: sinceMicroseconds === null ? null : now - sinceMicroseconds }]));
-    return (Object.entries(this.keys) as readonly (readonly [DocumentKey, KeyFreshness])[]).flatMap(([key, { applied }]) =>
-      applied === undefined ? [] : [{ key, revision: applied.revision, digest: applied.digest, ageMicroseconds: now - applied.asOfMicroseconds, weights: key === 'blueprint' && applied.revision === this.sinceRevision ? weights : {} }],
+    const weights = Object.fromEntries(
+      Object.entries(this.since).map(([service, { weights: name, previous, sinceMicroseconds }]) => [
+        service,
+        { weights: name, previous, ageMicroseconds: sinceMicroseconds === null ? null : now - sinceMicroseconds },
+      ]),
+    );
+    return (Object.entries(this.keys) as readonly (readonly [DocumentKey, KeyFreshness])[]).flatMap(
+      ([key, { applied }]) =>
+        applied === undefined
+          ? []
+          : [
+              {
+                key,
+                revision: applied.revision,
+                digest: applied.digest,
+                ageMicroseconds: now - applied.asOfMicroseconds,
+                weights: key === 'blueprint' && applied.revision === this.sinceRevision ? weights : {},
+              },
+            ],
     );
   }
 }
--- a/source/shared/http/httpDoor.ts
+++ b/source/shared/http/httpDoor.ts
@@ -5,10 +5,20 @@
 import { Addresses } from '../effects/transport/tcpTransport';
 
 export type HttpService = restana.Service<restana.Protocol.HTTP>;
-export type HttpLimits = Readonly<{ headBytes: number; headMicroseconds: number; bodyMicroseconds: number; conns: number }>;
+export type HttpLimits = Readonly<{
+  headBytes: number;
+  headMicroseconds: number;
+  bodyMicroseconds: number;
+  conns: number;
+}>;
 
 export const HttpLimits = {
-  usual: { headBytes: 16_384, headMicroseconds: 5_000_000, bodyMicroseconds: 15_000_000, conns: 2048 } satisfies HttpLimits,
+  usual: {
+    headBytes: 16_384,
+    headMicroseconds: 5_000_000,
+    bodyMicroseconds: 15_000_000,
+    conns: 2048,
+  } satisfies HttpLimits,
 } as const;
 
 export type HttpDoor = Readonly<{
@@ -18,7 +28,8 @@
   close: () => Promise<void>;
 }>;
 
-export type BodyRead = Readonly<{ kind: 'read'; text: string }> | Readonly<{ kind: 'tooLarge' }> | Readonly<{ kind: 'broken' }>;
+export type BodyRead =
+  Readonly<{ kind: 'read'; text: string }> | Readonly<{ kind: 'tooLarge' }> | Readonly<{ kind: 'broken' }>;
 
 export const HttpDoors = {
   open: async (address: string, limits: HttpLimits, routes: (service: HttpService) => void): Promise<HttpDoor> => {
@@ -30,7 +41,11 @@
       keepAliveTimeout: 30_000,
     });
     server.maxConnections = limits.conns;
-    const service = restana({ server, errorHandler: (_error, _order, response) => Replies.json(response as unknown as ServerResponse, 500, { error: 'internal' }) });
+    const service = restana({
+      server,
+      errorHandler: (_error, _order, response) =>
+        Replies.json(response as unknown as ServerResponse, 500, { error: 'internal' }),
+    });
     routes(service);
     const { host, port } = Addresses.split(address);
     await new Promise<void>((resolve, reject) => {
@@ -85,11 +100,26 @@
 } as const;
 
 export const Replies = {
-  json: (response: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void => Replies.text(response, status, `${JSON.stringify(value)}\n`, { 'content-type': 'application/json', ...headers }),
+  json: (
+    response: ServerResponse,
+    status: number,
+    value: unknown,
+    headers: Readonly<Record<string, string>> = {},
+  ): void =>
+    Replies.text(response, status, `${JSON.stringify(value)}\n`, { 'content-type': 'application/json', ...headers }),
 
-  text: (response: ServerResponse, status: number, body: string, headers: Readonly<Record<string, string>> = {}): void => {
+  text: (
+    response: ServerResponse,
+    status: number,
+    body: string,
+    headers: Readonly<Record<string, string>> = {},
+  ): void => {
     if (response.headersSent || response.destroyed) return;
-    response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8', ...headers, 'content-length': String(Buffer.byteLength(body)) });
+    response.writeHead(status, {
+      'content-type': 'text/plain; charset=utf-8',
+      ...headers,
+      'content-length': String(Buffer.byteLength(body)),
+    });
     response.end(body);
   },
 } as const;
--- a/source/shared/metrics/metrics.ts
+++ b/source/shared/metrics/metrics.ts
@@ -1,6 +1,7 @@
 type Labels = Readonly<Record<string, string>>;
 
-const escapeLabel = (value: string): string => value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
+const escapeLabel = (value: string): string =>
+  value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
 const lineName = (name: string, labels: Labels): string => {
   const parts = Object.entries(labels).map(([label, value]) => `${label}="${escapeLabel(value)}"`);
   return parts.length === 0 ? name : `${name}{${parts.join(',')}}`;
@@ -29,7 +30,9 @@
   }
 
   public page(): string {
-    const now = this.gauges.flatMap((read) => read().map(([name, labels, value]) => `${lineName(name, labels)} ${value}`));
+    const now = this.gauges.flatMap((read) =>
+      read().map(([name, labels, value]) => `${lineName(name, labels)} ${value}`),
+    );
     return [...[...this.counts].map(([line, value]) => `${line} ${value}`), ...now].sort().join('\n') + '\n';
   }
 }
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -1,12 +1,37 @@
 import type { FactVersion } from './facts';
 
 export type MemberState = 'alive' | 'suspect' | 'gone' | 'left';
-export type MemberFact = Readonly<{ name: string; zone: string; address: string; proxyAddress: string; pagesAddress: string; boot: string; state: MemberState }>;
+export type MemberFact = Readonly<{
+  name: string;
+  zone: string;
+  address: string;
+  proxyAddress: string;
+  pagesAddress: string;
+  boot: string;
+  state: MemberState;
+}>;
 
 /** What a steward last heard from its engine. */
-export type EngineFact = Readonly<{ engine: string; kind: 'engine' | 'store'; address: string; bootEpoch: string; weights: string; capacity: number; inFlight: number; accepting: boolean; changing: boolean; reachable: boolean }>;
+export type EngineFact = Readonly<{
+  engine: string;
+  kind: 'engine' | 'store';
+  address: string;
+  bootEpoch: string;
+  weights: string;
+  capacity: number;
+  inFlight: number;
+  accepting: boolean;
+  changing: boolean;
+  reachable: boolean;
+}>;
 export type StewardFact = Readonly<{ engine: string; holder: string; term: number }>;
-export type LoadFact = Readonly<{ agent: string; engines: Readonly<Record<string, number>>; classes: Readonly<Record<string, number>>; waiting: Readonly<Record<string, number>>; tenants: Readonly<Record<string, number>> }>;
+export type LoadFact = Readonly<{
+  agent: string;
+  engines: Readonly<Record<string, number>>;
+  classes: Readonly<Record<string, number>>;
+  waiting: Readonly<Record<string, number>>;
+  tenants: Readonly<Record<string, number>>;
+}>;
 
 export const FactKeys = {
   member: (name: string): string => `member/${name}`,
--- a/source/shared/news/facts.ts
+++ b/source/shared/news/facts.ts
@@ -72,8 +72,18 @@
 
 export const Facts = {
   isList: (value: unknown): value is readonly Fact[] =>
-    Array.isArray(value) && value.length <= FactLimits.perMessage && value.every((item: unknown) => {
+    Array.isArray(value) &&
+    value.length <= FactLimits.perMessage &&
+    value.every((item: unknown) => {
       const fact = item as Partial<Fact> | null;
-      return typeof fact === 'object' && fact !== null && typeof fact.key === 'string' && fact.key.length <= 256 && Array.isArray(fact.version) && fact.version.length === 2 && fact.version.every((part) => Number.isSafeInteger(part));
+      return (
+        typeof fact === 'object' &&
+        fact !== null &&
+        typeof fact.key === 'string' &&
+        fact.key.length <= 256 &&
+        Array.isArray(fact.version) &&
+        fact.version.length === 2 &&
+        fact.version.every((part) => Number.isSafeInteger(part))
+      );
     }),
 } as const;
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -17,19 +17,36 @@
  * Agents do it with their few colleagues, each proxy with its agent.
  */
 export class NewsExchange {
-
-  public constructor(private readonly parts: NewsParts, private readonly effects: Effects, private readonly ownKey: string) {}
+  public constructor(
+    private readonly parts: NewsParts,
+    private readonly effects: Effects,
+    private readonly ownKey: string,
+  ) {}
 
   public digest(): Message {
     const { facts, shards, freshness } = this.parts;
-    const revisions: Revisions = Object.fromEntries((['blueprint', 'engines', 'core-members'] as const).map((key) => [key, freshness.revision(key)]));
+    const revisions: Revisions = Object.fromEntries(
+      (['blueprint', 'engines', 'core-members'] as const).map((key) => [key, freshness.revision(key)]),
+    );
     const own = facts.get(this.ownKey);
     // Why the own entry in full: a keeper asked as a seed keeps no digests, and names the askers to each other.
-    return { kind: 'news', own: own ?? null, sum: facts.sum(), digest: facts.digest(), marks: shards.marks(), revisions };
+    return {
+      kind: 'news',
+      own: own ?? null,
+      sum: facts.sum(),
+      digest: facts.digest(),
+      marks: shards.marks(),
+      revisions,
+    };
   }
 
   /** Asks one colleague. False when it stayed silent. `extra` and `onAnswer` carry what only one pair says. */
-  public async ask(address: string, limitMicroseconds: number, extra: Readonly<Record<string, unknown>> = {}, onAnswer: (message: Message) => void = () => undefined): Promise<boolean> {
+  public async ask(
+    address: string,
+    limitMicroseconds: number,
+    extra: Readonly<Record<string, unknown>> = {},
+    onAnswer: (message: Message) => void = () => undefined,
+  ): Promise<boolean> {
     const asked = this.effects.clock.nowMicroseconds();
     const answer = await this.effects.transport.ask(address, { ...this.digest(), ...extra }, limitMicroseconds);
     if (answer.kind !== 'answered' || answer.message.kind !== 'newsBack') return false;
@@ -37,13 +54,23 @@
     this.take(message, asked);
     onAnswer(message);
     const lacks = this.lacking(message);
-    if (lacks !== undefined) await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore' }, limitMicroseconds);
+    if (lacks !== undefined)
+      await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore' }, limitMicroseconds);
     return true;
   }
 
   public answer(message: Message): Message {
     const statements = this.parts.freshness.statements();
-    return { ...(this.lacking(message) ?? {}), kind: 'newsBack', statements, pulses: this.parts.pulses.say(), sum: this.parts.facts.sum(), digest: message['sum'] === this.parts.facts.sum() ? null : this.parts.facts.digest(), marks: this.parts.shards.marks(), revisions: this.digest()['revisions'] };
+    return {
+      ...(this.lacking(message) ?? {}),
+      kind: 'newsBack',
+      statements,
+      pulses: this.parts.pulses.say(),
+      sum: this.parts.facts.sum(),
+      digest: message['sum'] === this.parts.facts.sum() ? null : this.parts.facts.digest(),
+      marks: this.parts.shards.marks(),
+      revisions: this.digest()['revisions'],
+    };
   }
 
   /** News pushed on after an exchange. It brings bodies and facts, but no statements: those must be asked for. */
@@ -52,17 +79,22 @@
     return { kind: 'heard' };
   }
 
-  private lacking(message: Message): Readonly<{ facts: readonly Fact[]; bodies: readonly Body[]; shards: readonly ShardChange[] }> | undefined {
+  private lacking(
+    message: Message,
+  ): Readonly<{ facts: readonly Fact[]; bodies: readonly Body[]; shards: readonly ShardChange[] }> | undefined {
     const { facts, shards, freshness } = this.parts;
     const digest = message['digest'] as FactDigest | null | undefined;
-    const newer = message['sum'] === facts.sum() || digest === null || digest === undefined ? [] : facts.newerThan(digest);
+    const newer =
+      message['sum'] === facts.sum() || digest === null || digest === undefined ? [] : facts.newerThan(digest);
     const theirs = (message['revisions'] ?? {}) as Revisions;
     const bodies = (['blueprint', 'engines', 'core-members'] as const).flatMap((key) => {
       const body = freshness.applied(key);
       return body !== undefined && body.revision > (theirs[key] ?? 0) ? [body] : [];
     });
     const changes = shards.since((message['marks'] ?? {}) as ShardMarkBook, mostShardEntries);
-    return newer.length === 0 && bodies.length === 0 && changes.length === 0 ? undefined : { facts: newer, bodies, shards: changes };
+    return newer.length === 0 && bodies.length === 0 && changes.length === 0
+      ? undefined
+      : { facts: newer, bodies, shards: changes };
   }
 
   private take(message: Message, askedMicroseconds: number): void {
@@ -71,7 +103,8 @@
     const statements = message['statements'];
     if (Statements.isList(statements)) for (const statement of statements) freshness.hear(statement, askedMicroseconds);
     const bodies = message['bodies'];
-    if (Array.isArray(bodies)) for (const body of bodies as readonly unknown[]) if (Statements.isBody(body)) freshness.give(body);
+    if (Array.isArray(bodies))
+      for (const body of bodies as readonly unknown[]) if (Statements.isBody(body)) freshness.give(body);
     const news = message['facts'];
     if (Facts.isList(news)) for (const fact of news) facts.put(fact);
     const changes = message['shards'];
--- a/source/shared/news/pulses.ts
+++ b/source/shared/news/pulses.ts
@@ -13,7 +13,10 @@
   holders: 4096,
 } as const;
 
-const later = (left: Heard, right: Heard): boolean => left.term - right.term > 0 || (left.term === right.term && (left.epoch > right.epoch || (left.epoch === right.epoch && left.asOfMicroseconds > right.asOfMicroseconds)));
+const later = (left: Heard, right: Heard): boolean =>
+  left.term - right.term > 0 ||
+  (left.term === right.term &&
+    (left.epoch > right.epoch || (left.epoch === right.epoch && left.asOfMicroseconds > right.asOfMicroseconds)));
 
 /** How recently each holder was seen by its steward, as far as this daemon can prove. */
 export class Pulses {
@@ -31,13 +34,25 @@
     if (!Array.isArray(pulses)) return;
     for (const pulse of pulses as readonly Partial<Pulse>[]) {
       const { holder, term, epoch, ageMicroseconds } = pulse;
-      if (typeof holder === 'string' && typeof term === 'number' && typeof epoch === 'number' && typeof ageMicroseconds === 'number' && ageMicroseconds >= 0) this.saw(holder, term, epoch, askedMicroseconds - ageMicroseconds);
+      if (
+        typeof holder === 'string' &&
+        typeof term === 'number' &&
+        typeof epoch === 'number' &&
+        typeof ageMicroseconds === 'number' &&
+        ageMicroseconds >= 0
+      )
+        this.saw(holder, term, epoch, askedMicroseconds - ageMicroseconds);
     }
   }
 
   public say(): readonly Pulse[] {
     const now = this.clock.nowMicroseconds();
-    return [...this.heard].map(([holder, { term, epoch, asOfMicroseconds }]) => ({ holder, term, epoch, ageMicroseconds: now - asOfMicroseconds }));
+    return [...this.heard].map(([holder, { term, epoch, asOfMicroseconds }]) => ({
+      holder,
+      term,
+      epoch,
+      ageMicroseconds: now - asOfMicroseconds,
+    }));
   }
 
   /** How long ago the holder was last seen to answer, under whatever epoch. */
@@ -48,6 +63,11 @@
 
   public fresh(holder: string, term: number, epoch: number): boolean {
     const known = this.heard.get(holder);
-    return known !== undefined && known.term === term && known.epoch === epoch && this.clock.nowMicroseconds() - known.asOfMicroseconds < PulseLimits.freshMicroseconds;
+    return (
+      known !== undefined &&
+      known.term === term &&
+      known.epoch === epoch &&
+      this.clock.nowMicroseconds() - known.asOfMicroseconds < PulseLimits.freshMicroseconds
+    );
   }
 }
--- a/source/shared/register/types.ts
+++ b/source/shared/register/types.ts
@@ -5,7 +5,8 @@
 
 export const Epochs = {
   none: { number: 0, keeper: '' } as Epoch,
-  compare: (left: Epoch, right: Epoch): number => left.number - right.number || (left.keeper < right.keeper ? -1 : left.keeper > right.keeper ? 1 : 0),
+  compare: (left: Epoch, right: Epoch): number =>
+    left.number - right.number || (left.keeper < right.keeper ? -1 : left.keeper > right.keeper ? 1 : 0),
   text: (epoch: Epoch): string => `${epoch.number}.${epoch.keeper}`,
 } as const;
 
@@ -45,9 +46,14 @@
 export const Stamps = {
   /** Answers of a keeper that has since lost its disk do not count towards a majority. */
   sound: <Item extends Readonly<{ stamp: Stamp }>>(answers: readonly Item[]): readonly Item[] =>
-    answers.filter(({ stamp }) => answers.every((other) => (other.stamp.known[stamp.keeper] ?? 0) <= stamp.incarnation)),
+    answers.filter(({ stamp }) =>
+      answers.every((other) => (other.stamp.known[stamp.keeper] ?? 0) <= stamp.incarnation),
+    ),
   majority: (count: number): number => Math.floor(count / 2) + 1,
   /** A majority of each set; while one member changes there are two sets. */
   reached: (sets: readonly (readonly string[])[], names: readonly string[]): boolean =>
-    sets.length > 0 && sets.every((set) => set.length > 0 && set.filter((name) => names.includes(name)).length >= Stamps.majority(set.length)),
+    sets.length > 0 &&
+    sets.every(
+      (set) => set.length > 0 && set.filter((name) => names.includes(name)).length >= Stamps.majority(set.length),
+    ),
 } as const;
--- a/source/shared/settings/program.ts
+++ b/source/shared/settings/program.ts
@@ -19,7 +19,10 @@
       if (begun) return;
       begun = true;
       setTimeout(() => process.exit(3), limitMicroseconds / 1000).unref();
-      finish().then(() => process.exit(0), () => process.exit(1));
+      finish().then(
+        () => process.exit(0),
+        () => process.exit(1),
+      );
     };
     process.on('SIGTERM', term);
     process.on('SIGINT', term);
--- a/source/shared/settings/settings.ts
+++ b/source/shared/settings/settings.ts
@@ -7,13 +7,21 @@
 
 export const SettingFormats = {
   address: (value: unknown): void => {
-    if (typeof value !== 'string' || !addressPattern.test(value)) throw new Error('must be an IP number and a port, such as 127.0.0.1:7000');
+    if (typeof value !== 'string' || !addressPattern.test(value))
+      throw new Error('must be an IP number and a port, such as 127.0.0.1:7000');
   },
   seeds: (value: unknown): void => {
-    if (!Array.isArray(value) || value.length === 0 || value.length > 16 || !value.every((item) => typeof item === 'string' && addressPattern.test(item))) throw new Error('must be a list of 1 to 16 addresses');
+    if (
+      !Array.isArray(value) ||
+      value.length === 0 ||
+      value.length > 16 ||
+      !value.every((item) => typeof item === 'string' && addressPattern.test(item))
+    )
+      throw new Error('must be a list of 1 to 16 addresses');
   },
   name: (value: unknown): void => {
-    if (typeof value !== 'string' || !/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/.test(value)) throw new Error('must be a name of letters, digits, dots and dashes');
+    if (typeof value !== 'string' || !/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/.test(value))
+      throw new Error('must be a name of letters, digits, dots and dashes');
   },
   text: (value: unknown): void => {
     if (typeof value !== 'string') throw new Error('must be a text');
@@ -23,10 +31,16 @@
   },
 } as const;
 
-export type Setting = Readonly<{ doc: string; format: (value: unknown) => void; default: unknown; kind: 'text' | 'list' | 'whole' }>;
+export type Setting = Readonly<{
+  doc: string;
+  format: (value: unknown) => void;
+  default: unknown;
+  kind: 'text' | 'list' | 'whole';
+}>;
 export type SettingSchema = Readonly<Record<string, Setting>>;
 
-const fromFlag = (setting: Setting, flag: string): unknown => (setting.kind === 'list' ? flag.split(',') : setting.kind === 'whole' ? Number(flag) : flag);
+const fromFlag = (setting: Setting, flag: string): unknown =>
+  setting.kind === 'list' ? flag.split(',') : setting.kind === 'whole' ? Number(flag) : flag;
 
 const help = (program: string, purpose: string, schema: SettingSchema): string => {
   const lines = Object.entries(schema).map(([name, setting]) => {
@@ -38,26 +52,44 @@
 
 /** Settings from a file, then flags, checked by convict. Faults: one sentence on stderr, exit code 2. */
 export const Settings = {
-  read: (program: string, purpose: string, schema: SettingSchema, words: readonly string[]): Readonly<Record<string, unknown>> => {
+  read: (
+    program: string,
+    purpose: string,
+    schema: SettingSchema,
+    words: readonly string[],
+  ): Readonly<Record<string, unknown>> => {
     const leave = (sentence: string): never => {
       process.stderr.write(`${program}: ${sentence}\n`);
       process.exit(2);
     };
     try {
-      const options = Object.fromEntries([...Object.keys(schema), 'settings'].map((name) => [name, { type: 'string' as const }]));
+      const options = Object.fromEntries(
+        [...Object.keys(schema), 'settings'].map((name) => [name, { type: 'string' as const }]),
+      );
       const parsed = parseArgs({ args: [...words], options: { ...options, help: { type: 'boolean' } }, strict: true });
       const values = parsed.values as Readonly<Record<string, string | boolean | undefined>>;
       if (values['help'] === true) {
         process.stdout.write(help(program, purpose, schema));
         process.exit(0);
       }
-      const checker = convict(Object.fromEntries(Object.entries(schema).map(([name, { doc, format, default: fallback }]) => [name, { doc, format, default: fallback }])) as never) as unknown as {
-        load: (source: unknown) => void; validate: (options: unknown) => void; getProperties: () => Readonly<Record<string, unknown>>;
+      const checker = convict(
+        Object.fromEntries(
+          Object.entries(schema).map(([name, { doc, format, default: fallback }]) => [
+            name,
+            { doc, format, default: fallback },
+          ]),
+        ) as never,
+      ) as unknown as {
+        load: (source: unknown) => void;
+        validate: (options: unknown) => void;
+        getProperties: () => Readonly<Record<string, unknown>>;
       };
       const file = values['settings'];
       if (typeof file === 'string') checker.load(JSON.parse(readFileSync(file, 'utf8')));
       const flags = Object.entries(values).filter(([name]) => name !== 'settings' && schema[name] !== undefined);
-      checker.load(Object.fromEntries(flags.map(([name, value]) => [name, fromFlag(schema[name] as Setting, String(value))])));
+      checker.load(
+        Object.fromEntries(flags.map(([name, value]) => [name, fromFlag(schema[name] as Setting, String(value))])),
+      );
       checker.validate({ allowed: 'strict' });
       return checker.getProperties();
     } catch (error) {
--- a/source/stand-in-app/main.ts
+++ b/source/stand-in-app/main.ts
@@ -13,15 +13,27 @@
 };
 
 Programs.run('stand-in-app', async () => {
-  const settings = Settings.read('stand-in-app', 'an application engine for tests and demos', schema, process.argv.slice(2));
-  const file = String(settings['record']) === '' ? undefined : createWriteStream(String(settings['record']), { flags: 'a' });
+  const settings = Settings.read(
+    'stand-in-app',
+    'an application engine for tests and demos',
+    schema,
+    process.argv.slice(2),
+  );
+  const file =
+    String(settings['record']) === '' ? undefined : createWriteStream(String(settings['record']), { flags: 'a' });
   const door = await HttpDoors.open(String(settings['address']), HttpLimits.usual, (service) => {
     service.all('/*', async (given, response) => {
       const order = given as unknown as IncomingMessage;
       const body = await HttpDoors.body(order, 4 * 1024 * 1024);
       const text = body.kind === 'read' ? body.text : '';
-      file?.write(`${JSON.stringify({ engine: String(settings['name']), order: order.headers[BackEndHeaders.order] ?? '', nonce: Answers.nonce(text), tenant: order.headers[BackEndHeaders.tenant] ?? '', blocks: [], ended: 'whole', parts: 1, weightsAtStart: '', weightsAtEnd: '' })}\n`);
-      Replies.json(response as unknown as ServerResponse, 200, { path: order.url, echo: Answers.digest(text), nonce: Answers.nonce(text) });
+      file?.write(
+        `${JSON.stringify({ engine: String(settings['name']), order: order.headers[BackEndHeaders.order] ?? '', nonce: Answers.nonce(text), tenant: order.headers[BackEndHeaders.tenant] ?? '', blocks: [], ended: 'whole', parts: 1, weightsAtStart: '', weightsAtEnd: '' })}\n`,
+      );
+      Replies.json(response as unknown as ServerResponse, 200, {
+        path: order.url,
+        echo: Answers.digest(text),
+        nonce: Answers.nonce(text),
+      });
     });
   });
   Programs.onTerm(5_000_000, () => door.drain());
--- a/source/stand-in-engine/engineHttp.ts
+++ b/source/stand-in-engine/engineHttp.ts
@@ -8,14 +8,24 @@
 export const httpNeighbours: KvNeighbours = {
   fetch: async (address, keys) => {
     try {
-      const { body } = await request(`http://${address}${Paths.exports}`, { method: 'POST', body: JSON.stringify({ keys }), headersTimeout: 2000, bodyTimeout: 2000 });
+      const { body } = await request(`http://${address}${Paths.exports}`, {
+        method: 'POST',
+        body: JSON.stringify({ keys }),
+        headersTimeout: 2000,
+        bodyTimeout: 2000,
+      });
       return ((await body.json()) as { blocks: readonly KvBlock[] }).blocks;
     } catch {
       return [];
     }
   },
   put: async (address, blocks) => {
-    const { body } = await request(`http://${address}${Paths.exports}`, { method: 'PUT', body: JSON.stringify({ blocks }), headersTimeout: 2000, bodyTimeout: 2000 });
+    const { body } = await request(`http://${address}${Paths.exports}`, {
+      method: 'PUT',
+      body: JSON.stringify({ blocks }),
+      headersTimeout: 2000,
+      bodyTimeout: 2000,
+    });
     await body.dump();
   },
 };
@@ -29,7 +39,9 @@
 /** The pages that engines and stores share. */
 export const kvRoutes = (service: HttpService, kv: () => KvHolder): void => {
   service.get(Paths.events, (order, response) => {
-    const after = Number(new URL((order as unknown as IncomingMessage).url ?? '/', 'http://engine').searchParams.get('after') ?? 0);
+    const after = Number(
+      new URL((order as unknown as IncomingMessage).url ?? '/', 'http://engine').searchParams.get('after') ?? 0,
+    );
     Replies.json(raw(response), 200, kv().read(after));
   });
   service.get(Paths.list, (_order, response) => Replies.json(raw(response), 200, kv().list()));
@@ -61,11 +73,15 @@
       service.post('/v1/chat/completions', async (order, response) => {
         const body = await textOf(order);
         const target = raw(response);
-        await engine.run({ headers: (order as unknown as IncomingMessage).headers as Record<string, string | undefined>, body }, sinkOf(target), (act) => {
-          target.on('close', () => {
-            if (!target.writableFinished) act();
-          });
-        });
+        await engine.run(
+          { headers: (order as unknown as IncomingMessage).headers as Record<string, string | undefined>, body },
+          sinkOf(target),
+          (act) => {
+            target.on('close', () => {
+              if (!target.writableFinished) act();
+            });
+          },
+        );
       });
     }),
 } as const;
--- a/source/stand-in-engine/kvHolder.ts
+++ b/source/stand-in-engine/kvHolder.ts
@@ -2,12 +2,29 @@
 import type { Random } from '../shared/effects/random/random';
 
 /** What the bytes of a block were really made of; the daemons never see this, the checkers do. */
-export type KvBlock = Readonly<{ key: string; weights: string; tenant: string; digest: string; madeBy: string; makerNonce: string }>;
+export type KvBlock = Readonly<{
+  key: string;
+  weights: string;
+  tenant: string;
+  digest: string;
+  madeBy: string;
+  makerNonce: string;
+}>;
 
 /** Per mille of events that get lost, repeated or swapped with the next one. */
-export type EventFaults = Readonly<{ lostPerMille: number; repeatedPerMille: number; swappedPerMille: number; lateMicroseconds: number }>;
+export type EventFaults = Readonly<{
+  lostPerMille: number;
+  repeatedPerMille: number;
+  swappedPerMille: number;
+  lateMicroseconds: number;
+}>;
 
-export const noEventFaults: EventFaults = { lostPerMille: 0, repeatedPerMille: 0, swappedPerMille: 0, lateMicroseconds: 0 };
+export const noEventFaults: EventFaults = {
+  lostPerMille: 0,
+  repeatedPerMille: 0,
+  swappedPerMille: 0,
+  lateMicroseconds: 0,
+};
 
 const keptEvents = 2000;
 
@@ -19,7 +36,13 @@
   private events: Stamped[] = [];
   private sequence = 0;
 
-  public constructor(public bootEpoch: string, private readonly mostBlocks: number, private readonly random: Random, private readonly now: () => number, public faults: EventFaults = noEventFaults) {}
+  public constructor(
+    public bootEpoch: string,
+    private readonly mostBlocks: number,
+    private readonly random: Random,
+    private readonly now: () => number,
+    public faults: EventFaults = noEventFaults,
+  ) {}
 
   public get size(): number {
     return this.blocks.size;
@@ -60,7 +83,9 @@
 
   public read(after: number): KvEvents {
     const until = this.now() - this.faults.lateMicroseconds;
-    const ready = this.events.filter(({ sequence, atMicroseconds }) => sequence > after && atMicroseconds <= until).slice(0, 1000);
+    const ready = this.events
+      .filter(({ sequence, atMicroseconds }) => sequence > after && atMicroseconds <= until)
+      .slice(0, 1000);
     const told: KvEvent[] = [];
     for (const { sequence, kind, key } of ready) {
       const draw = this.random.fraction() * 1000;
--- a/source/stand-in-engine/main.ts
+++ b/source/stand-in-engine/main.ts
@@ -6,7 +6,12 @@
 import { EngineHttp, httpNeighbours } from './engineHttp';
 import { StandInEngine } from './standInEngine';
 
-const whole = (doc: string, fallback: number): SettingSchema[string] => ({ doc, format: SettingFormats.whole, default: fallback, kind: 'whole' });
+const whole = (doc: string, fallback: number): SettingSchema[string] => ({
+  doc,
+  format: SettingFormats.whole,
+  default: fallback,
+  kind: 'whole',
+});
 const schema: SettingSchema = {
   name: { doc: 'name of this engine', format: SettingFormats.name, default: null, kind: 'text' },
   address: { doc: 'where it listens', format: SettingFormats.address, default: null, kind: 'text' },
@@ -22,15 +27,31 @@
 };
 
 Programs.run('stand-in-engine', async () => {
-  const settings = Settings.read('stand-in-engine', 'a model engine for tests and demos', schema, process.argv.slice(2));
+  const settings = Settings.read(
+    'stand-in-engine',
+    'a model engine for tests and demos',
+    schema,
+    process.argv.slice(2),
+  );
   const count = (name: string): number => Number(settings[name]);
-  const file = String(settings['record']) === '' ? undefined : createWriteStream(String(settings['record']), { flags: 'a' });
+  const file =
+    String(settings['record']) === '' ? undefined : createWriteStream(String(settings['record']), { flags: 'a' });
   const engine = new StandInEngine(
     {
-      name: String(settings['name']), weights: String(settings['weights']), capacity: count('capacity'), mostBlocks: count('mostBlocks'), blockCharacters: count('blockCharacters'),
-      prefillMicrosecondsPerBlock: count('prefillMicrosecondsPerBlock'), importMicrosecondsPerBlock: count('importMicrosecondsPerBlock'), partMicroseconds: count('partMicroseconds'), loadMicroseconds: count('loadMicroseconds'),
+      name: String(settings['name']),
+      weights: String(settings['weights']),
+      capacity: count('capacity'),
+      mostBlocks: count('mostBlocks'),
+      blockCharacters: count('blockCharacters'),
+      prefillMicrosecondsPerBlock: count('prefillMicrosecondsPerBlock'),
+      importMicrosecondsPerBlock: count('importMicrosecondsPerBlock'),
+      partMicroseconds: count('partMicroseconds'),
+      loadMicroseconds: count('loadMicroseconds'),
     },
-    realClock, realRandom, httpNeighbours, (line) => void file?.write(`${JSON.stringify(line)}\n`),
+    realClock,
+    realRandom,
+    httpNeighbours,
+    (line) => void file?.write(`${JSON.stringify(line)}\n`),
   );
   const door = await EngineHttp.open(engine, String(settings['address']));
   Programs.onTerm(5_000_000, () => door.drain());
--- a/source/stand-in-engine/standInEngine.ts
+++ b/source/stand-in-engine/standInEngine.ts
@@ -6,12 +6,29 @@
 import type { Random } from '../shared/effects/random/random';
 import { KvHolder, type EventFaults, type KvBlock } from './kvHolder';
 
-export type BlockUse = Readonly<{ key: string; from: 'kept' | 'imported' | 'made'; weights: string; tenant: string; makerNonce: string; right: boolean }>;
+export type BlockUse = Readonly<{
+  key: string;
+  from: 'kept' | 'imported' | 'made';
+  weights: string;
+  tenant: string;
+  makerNonce: string;
+  right: boolean;
+}>;
 
 /** One line of the engine's own record: what it really ran. Checkers judge from this alone. */
 export type RunRecord = Readonly<{
-  engine: string; bootEpoch: string; order: string; nonce: string; tenant: string; weightsAtStart: string; weightsAtEnd: string;
-  startedMicroseconds: number; endedMicroseconds: number; blocks: readonly BlockUse[]; ended: 'whole' | 'cut'; parts: number;
+  engine: string;
+  bootEpoch: string;
+  order: string;
+  nonce: string;
+  tenant: string;
+  weightsAtStart: string;
+  weightsAtEnd: string;
+  startedMicroseconds: number;
+  endedMicroseconds: number;
+  blocks: readonly BlockUse[];
+  ended: 'whole' | 'cut';
+  parts: number;
 }>;
 
 export type EngineOrder = Readonly<{ headers: Readonly<Record<string, string | undefined>>; body: string }>;
@@ -29,8 +46,15 @@
 }
 
 export type EngineSettings = Readonly<{
-  name: string; weights: string; capacity: number; mostBlocks: number; blockCharacters: number;
-  prefillMicrosecondsPerBlock: number; importMicrosecondsPerBlock: number; partMicroseconds: number; loadMicroseconds: number;
+  name: string;
+  weights: string;
+  capacity: number;
+  mostBlocks: number;
+  blockCharacters: number;
+  prefillMicrosecondsPerBlock: number;
+  importMicrosecondsPerBlock: number;
+  partMicroseconds: number;
+  loadMicroseconds: number;
 }>;
 
 export const Answers = {
@@ -75,7 +99,13 @@
   }
 
   public status(): EngineStatus {
-    return { bootEpoch: this.kv.bootEpoch, weights: this.weights, capacity: this.settings.capacity, inFlight: this.running.size, accepting: this.loading === undefined && !this.draining };
+    return {
+      bootEpoch: this.kv.bootEpoch,
+      weights: this.weights,
+      capacity: this.settings.capacity,
+      inFlight: this.running.size,
+      accepting: this.loading === undefined && !this.draining,
+    };
   }
 
   /** All that was in memory is gone; it comes back on the weights it was installed with. */
@@ -102,7 +132,10 @@
 
   public async run(order: EngineOrder, sink: EngineSink, gone: (act: () => void) => void): Promise<void> {
     if (this.loading !== undefined || this.draining || this.running.size >= this.capacityNow) {
-      sink.head(503, { 'content-type': 'application/json', [BackEndHeaders.notRun]: this.loading !== undefined ? 'loading' : this.draining ? 'draining' : 'busy' });
+      sink.head(503, {
+        'content-type': 'application/json',
+        [BackEndHeaders.notRun]: this.loading !== undefined ? 'loading' : this.draining ? 'draining' : 'busy',
+      });
       sink.part('{"error":"not run"}');
       sink.end();
       return;
@@ -121,7 +154,20 @@
       if (over) return;
       over = true;
       this.running.delete(running);
-      const line: RunRecord = { engine: this.settings.name, bootEpoch, order: order.headers[BackEndHeaders.order] ?? '', nonce: Answers.nonce(prompt), tenant, weightsAtStart, weightsAtEnd: this.weights, startedMicroseconds, endedMicroseconds: this.clock.nowMicroseconds(), blocks, ended, parts: sent };
+      const line: RunRecord = {
+        engine: this.settings.name,
+        bootEpoch,
+        order: order.headers[BackEndHeaders.order] ?? '',
+        nonce: Answers.nonce(prompt),
+        tenant,
+        weightsAtStart,
+        weightsAtEnd: this.weights,
+        startedMicroseconds,
+        endedMicroseconds: this.clock.nowMicroseconds(),
+        blocks,
+        ended,
+        parts: sent,
+      };
       this.records.push(line);
       this.record(line);
       if (ended === 'whole') sink.end();
@@ -135,8 +181,11 @@
     if (over) return;
     sink.head(200, {
       'content-type': body.stream === true ? 'text/event-stream' : 'application/json',
-      [BackEndHeaders.bootEpoch]: bootEpoch, [BackEndHeaders.weights]: weightsAtStart,
-      ...(prefix.importMicroseconds > 0 ? { [BackEndHeaders.importMicroseconds]: String(prefix.importMicroseconds) } : {}),
+      [BackEndHeaders.bootEpoch]: bootEpoch,
+      [BackEndHeaders.weights]: weightsAtStart,
+      ...(prefix.importMicroseconds > 0
+        ? { [BackEndHeaders.importMicroseconds]: String(prefix.importMicroseconds) }
+        : {}),
     });
     const words = Answers.text(prompt, parts);
     for (const word of words) {
@@ -150,7 +199,12 @@
     finish('whole');
   }
 
-  private async prefill(order: EngineOrder, prompt: string, tenant: string, over: () => boolean): Promise<Readonly<{ uses: readonly BlockUse[]; importMicroseconds: number }>> {
+  private async prefill(
+    order: EngineOrder,
+    prompt: string,
+    tenant: string,
+    over: () => boolean,
+  ): Promise<Readonly<{ uses: readonly BlockUse[]; importMicroseconds: number }>> {
     const target = CacheHeaders.readTarget(order.headers[BackEndHeaders.cacheTarget] ?? '');
     const source = CacheHeaders.readSource(order.headers[BackEndHeaders.cacheSource] ?? '');
     const keys = target?.keys ?? [];
@@ -159,12 +213,21 @@
     for (const [index, key] of keys.entries()) {
       const block = this.kv.use(key);
       if (block === undefined) break;
-      uses.push({ key, from: 'kept', weights: block.weights, tenant: block.tenant, makerNonce: block.makerNonce, right: right(block, index) });
+      uses.push({
+        key,
+        from: 'kept',
+        weights: block.weights,
+        tenant: block.tenant,
+        makerNonce: block.makerNonce,
+        right: right(block, index),
+      });
     }
     let importMicroseconds = 0;
     if (source !== undefined) {
       const began = this.clock.nowMicroseconds();
-      const got = new Map((await this.neighbours.fetch(source.address, source.keys)).map((block) => [block.key, block]));
+      const got = new Map(
+        (await this.neighbours.fetch(source.address, source.keys)).map((block) => [block.key, block]),
+      );
       await Clocks.wait(this.clock, got.size * this.settings.importMicrosecondsPerBlock);
       for (let index = uses.length; index < keys.length; index += 1) {
         const given = got.get(source.keys[index - source.at] ?? '');
@@ -173,7 +236,14 @@
         const block: KvBlock = { ...given, key };
         // Why unchecked: engines check neither tenant nor weights when they import.
         if (!over()) this.kv.keep(block);
-        uses.push({ key: block.key, from: 'imported', weights: block.weights, tenant: block.tenant, makerNonce: block.makerNonce, right: right(block, index) });
+        uses.push({
+          key: block.key,
+          from: 'imported',
+          weights: block.weights,
+          tenant: block.tenant,
+          makerNonce: block.makerNonce,
+          right: right(block, index),
+        });
       }
       importMicroseconds = Math.max(1, this.clock.nowMicroseconds() - began);
     }
@@ -182,13 +252,28 @@
     const whole = Math.ceil(prompt.length / this.settings.blockCharacters);
     await Clocks.wait(this.clock, Math.max(1, whole - uses.length) * this.settings.prefillMicrosecondsPerBlock);
     if (over() || bootEpoch !== this.kv.bootEpoch) return { uses, importMicroseconds };
-    const made = missing.map((key, offset): KvBlock => ({ key, weights: this.weights, tenant, digest: this.digestOf(prompt, keys.length - missing.length + offset), madeBy: this.settings.name, makerNonce: Answers.nonce(prompt) }));
+    const made = missing.map((key, offset): KvBlock => ({
+      key,
+      weights: this.weights,
+      tenant,
+      digest: this.digestOf(prompt, keys.length - missing.length + offset),
+      madeBy: this.settings.name,
+      makerNonce: Answers.nonce(prompt),
+    }));
     for (const block of made) {
       this.kv.keep(block);
-      uses.push({ key: block.key, from: 'made', weights: block.weights, tenant, makerNonce: block.makerNonce, right: true });
+      uses.push({
+        key: block.key,
+        from: 'made',
+        weights: block.weights,
+        tenant,
+        makerNonce: block.makerNonce,
+        right: true,
+      });
     }
     const kept = keys.flatMap((key) => this.kv.peek(key) ?? []);
-    if (target !== undefined && target.store !== '' && kept.length > 0) void this.neighbours.put(target.store, kept).catch(() => undefined);
+    if (target !== undefined && target.store !== '' && kept.length > 0)
+      void this.neighbours.put(target.store, kept).catch(() => undefined);
     return { uses, importMicroseconds };
   }
 
--- a/source/stand-in-store/main.ts
+++ b/source/stand-in-store/main.ts
@@ -14,14 +14,30 @@
 };
 
 Programs.run('stand-in-store', async () => {
-  const settings = Settings.read('stand-in-store', 'a shared prefix store for tests and demos', schema, process.argv.slice(2));
-  const kv = new KvHolder(realRandom.name(), Number(settings['mostBlocks']), realRandom, () => realClock.nowMicroseconds());
+  const settings = Settings.read(
+    'stand-in-store',
+    'a shared prefix store for tests and demos',
+    schema,
+    process.argv.slice(2),
+  );
+  const kv = new KvHolder(realRandom.name(), Number(settings['mostBlocks']), realRandom, () =>
+    realClock.nowMicroseconds(),
+  );
   const door = await HttpDoors.open(String(settings['address']), HttpLimits.usual, (service) => {
     kvRoutes(service, () => kv);
-    service.get(Paths.status, (_order, response) => Replies.json(response as unknown as ServerResponse, 200, { bootEpoch: kv.bootEpoch, weights: '', capacity: 0, inFlight: 0, accepting: true }));
+    service.get(Paths.status, (_order, response) =>
+      Replies.json(response as unknown as ServerResponse, 200, {
+        bootEpoch: kv.bootEpoch,
+        weights: '',
+        capacity: 0,
+        inFlight: 0,
+        accepting: true,
+      }),
+    );
     service.put(Paths.exports, async (order, response) => {
       const body = await HttpDoors.body(order as unknown as IncomingMessage, 16 * 1024 * 1024);
-      if (body.kind === 'read') for (const block of (JSON.parse(body.text) as { blocks: readonly KvBlock[] }).blocks) kv.keep(block);
+      if (body.kind === 'read')
+        for (const block of (JSON.parse(body.text) as { blocks: readonly KvBlock[] }).blocks) kv.keep(block);
       Replies.json(response as unknown as ServerResponse, 200, { kept: kv.size });
     });
   });
--- a/source/stand-in-user-agents/standInUserAgents.ts
+++ b/source/stand-in-user-agents/standInUserAgents.ts
@@ -5,7 +5,10 @@
 import { Answers } from '../stand-in-engine/standInEngine';
 import type { CallRecord, LoadKind, LoadPlan, LoadTenant } from './loadPlan';
 
-const pickByShare = <Item extends Readonly<{ share: number }>>(items: readonly Item[], random: Random): Item | undefined => {
+const pickByShare = <Item extends Readonly<{ share: number }>>(
+  items: readonly Item[],
+  random: Random,
+): Item | undefined => {
   let left = random.fraction() * items.reduce((sum, { share }) => sum + share, 0);
   return items.find(({ share }) => (left -= share) < 0) ?? items.at(-1);
 };
@@ -28,14 +31,20 @@
         return '';
       }
     }
-    return text.split('\n\n').flatMap((event) => {
-      if (!event.startsWith('data: {')) return [];
-      try {
-        return [(JSON.parse(event.slice(6)) as { choices: { delta: { content: string } }[] }).choices[0]?.delta.content ?? ''];
-      } catch {
-        return [];
-      }
-    }).join('');
+    return text
+      .split('\n\n')
+      .flatMap((event) => {
+        if (!event.startsWith('data: {')) return [];
+        try {
+          return [
+            (JSON.parse(event.slice(6)) as { choices: { delta: { content: string } }[] }).choices[0]?.delta.content ??
+              '',
+          ];
+        } catch {
+          return [];
+        }
+      })
+      .join('');
   },
 } as const;
 
@@ -44,7 +53,10 @@
   private readonly agent = new Agent({ connections: 256, pipelining: 1, headersTimeout: 60_000, bodyTimeout: 60_000 });
   private made = 0;
 
-  public constructor(private readonly clock: Clock, private readonly random: Random) {}
+  public constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
 
   public async run(plan: LoadPlan, record: (line: CallRecord) => void): Promise<void> {
     const one = async (): Promise<void> => {
@@ -73,7 +85,12 @@
     let first = 0;
     let whole = false;
     try {
-      const answer = await request(`http://${proxy}${kind.path}`, { method: 'POST', dispatcher: this.agent, body, headers: { 'content-type': 'application/json', authorization: `Bearer ${tenant.key}` } });
+      const answer = await request(`http://${proxy}${kind.path}`, {
+        method: 'POST',
+        dispatcher: this.agent,
+        body,
+        headers: { 'content-type': 'application/json', authorization: `Bearer ${tenant.key}` },
+      });
       status = answer.statusCode;
       verdict = String(answer.headers['postdrum-verdict'] ?? '');
       retryAfter = String(answer.headers['retry-after'] ?? '');
@@ -88,6 +105,18 @@
     }
     const expected = Answers.text(HashChains.canonicalPrompt(messages), kind.parts).join('');
     const right = kind.app ? text.includes(nonce) : Prompts.wordsIn(text, kind.stream) === expected;
-    return { nonce, kind: kind.name, tenant: tenant.name, status, verdict, code, whole, right, firstPartMicroseconds: first, microseconds: this.clock.nowMicroseconds() - started, retryAfter };
+    return {
+      nonce,
+      kind: kind.name,
+      tenant: tenant.name,
+      status,
+      verdict,
+      code,
+      whole,
+      right,
+      firstPartMicroseconds: first,
+      microseconds: this.clock.nowMicroseconds() - started,
+      retryAfter,
+    };
   }
 }
--- a/tests/back-ends.test.ts
+++ b/tests/back-ends.test.ts
@@ -15,7 +15,10 @@
 type Ended = Readonly<{ head?: SendHead; text: string; end: 'whole' | SendFailure['kind'] | 'cut'; read: string }>;
 
 /** A back end that reads what is sent and then does what it is told on the bare conn. */
-const nasty = async (act: (socket: net.Socket) => void, onConn: (socket: net.Socket) => void = () => undefined): Promise<Readonly<{ address: string; read: () => string; close: () => Promise<void> }>> => {
+const nasty = async (
+  act: (socket: net.Socket) => void,
+  onConn: (socket: net.Socket) => void = () => undefined,
+): Promise<Readonly<{ address: string; read: () => string; close: () => Promise<void> }>> => {
   let read = '';
   const sockets = new Set<net.Socket>();
   const server = net.createServer((socket) => {
@@ -33,11 +36,13 @@
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   return {
-    address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, read: () => read,
-    close: () => new Promise((resolve) => {
-      for (const socket of sockets) socket.destroy();
-      server.close(() => resolve());
-    }),
+    address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+    read: () => read,
+    close: () =>
+      new Promise((resolve) => {
+        for (const socket of sockets) socket.destroy();
+        server.close(() => resolve());
+      }),
   };
 };
 
@@ -45,19 +50,28 @@
   new Promise((resolve) => {
     let head: SendHead | undefined;
     let text = '';
-    new HttpBackEndSender(500_000).send({ address, method: 'POST', path: '/v1/chat/completions', headers: { 'content-type': 'application/json' }, body: '{"at":"end"}' }, {
-      mayGo: () => mayGo,
-      head: (given) => {
-        head = given;
+    new HttpBackEndSender(500_000).send(
+      {
+        address,
+        method: 'POST',
+        path: '/v1/chat/completions',
+        headers: { 'content-type': 'application/json' },
+        body: '{"at":"end"}',
       },
-      part: (bytes) => {
-        text += Buffer.from(bytes).toString();
-        // Why a promise here: a paused answer that breaks off is the harder case.
-        return Promise.resolve();
+      {
+        mayGo: () => mayGo,
+        head: (given) => {
+          head = given;
+        },
+        part: (bytes) => {
+          text += Buffer.from(bytes).toString();
+          // Why a promise here: a paused answer that breaks off is the harder case.
+          return Promise.resolve();
+        },
+        end: () => resolve({ head, text, end: 'whole' }),
+        failed: ({ kind }) => resolve({ head, text, end: kind }),
       },
-      end: () => resolve({ head, text, end: 'whole' }),
-      failed: ({ kind }) => resolve({ head, text, end: kind }),
-    });
+    );
   });
 
 const against = async (act: (socket: net.Socket) => void, onConn?: (socket: net.Socket) => void): Promise<Ended> => {
@@ -79,20 +93,36 @@
   test('closed after the order was written, or before a byte of it was read: it may have run', async () => {
     assert.equal((await against((socket) => socket.destroy())).end, 'mayHaveRun');
     assert.equal((await against((socket) => socket.end())).end, 'mayHaveRun');
-    assert.notEqual((await against(() => undefined, (socket) => socket.resetAndDestroy())).end, 'whole');
+    assert.notEqual(
+      (
+        await against(
+          () => undefined,
+          (socket) => socket.resetAndDestroy(),
+        )
+      ).end,
+      'whole',
+    );
   });
   test('garbage in place of a head, and a head without end, may have run', async () => {
     assert.equal((await against((socket) => socket.end('\u0000\u0001 not http at all\r\n\r\n'))).end, 'mayHaveRun');
-    assert.equal((await against((socket) => socket.write(`HTTP/1.1 200 OK\r\n${'x-long: '.concat('y'.repeat(40_000))}\r\n\r\n`))).end, 'mayHaveRun');
+    assert.equal(
+      (await against((socket) => socket.write(`HTTP/1.1 200 OK\r\n${'x-long: '.concat('y'.repeat(40_000))}\r\n\r\n`)))
+        .end,
+      'mayHaveRun',
+    );
   });
   test('a chunked answer without its last chunk, and one shorter than its length, are never whole', async () => {
-    const chunked = await against((socket) => socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n'));
+    const chunked = await against((socket) =>
+      socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n'),
+    );
     assert.deepEqual([chunked.end, chunked.text], ['mayHaveRun', 'hello']);
     const short = await against((socket) => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello'));
     assert.equal(short.end, 'mayHaveRun');
   });
   test('an answer with neither length nor chunks says so, for the caller of it to judge', async () => {
-    const unframed = await against((socket) => socket.end('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: {}\n\n'));
+    const unframed = await against((socket) =>
+      socket.end('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: {}\n\n'),
+    );
     assert.equal(unframed.end, 'whole');
     assert.equal(unframed.head?.framed, false);
   });
@@ -106,9 +136,12 @@
   });
   test('an order is never written twice, whatever the conn does', async () => {
     let conns = 0;
-    const ended = await against((socket) => socket.resetAndDestroy(), () => {
-      conns += 1;
-    });
+    const ended = await against(
+      (socket) => socket.resetAndDestroy(),
+      () => {
+        conns += 1;
+      },
+    );
     assert.deepEqual([ended.end, conns], ['mayHaveRun', 1]);
   });
 });
@@ -116,7 +149,10 @@
 test('the control side takes a sound answer or none', async () => {
   const door = new HttpBackEndDoor();
   const pages: Record<string, string> = {
-    '/ready': '{"bootEpoch":"b","weights":7}', '/kv/list': '{"bootEpoch":"b","sequence":1,"keys":["no key"]}', '/kv/events?after=0&epoch=b': '{"bootEpoch":"b","last":1,"events":[{"sequence":-1,"kind":"stored","key":"00000000000000000000000000000000"}]}',
+    '/ready': '{"bootEpoch":"b","weights":7}',
+    '/kv/list': '{"bootEpoch":"b","sequence":1,"keys":["no key"]}',
+    '/kv/events?after=0&epoch=b':
+      '{"bootEpoch":"b","last":1,"events":[{"sequence":-1,"kind":"stored","key":"00000000000000000000000000000000"}]}',
   };
   const server = http.createServer((order, response) => response.end(pages[order.url ?? ''] ?? '{"broken'));
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -134,9 +170,16 @@
 
 test('cache headers: what is written is read, and broken ones are nothing', () => {
   const key = 'a'.repeat(32);
-  assert.deepEqual(CacheHeaders.readTarget(CacheHeaders.target({ store: '127.0.0.1:9', keys: [key, key] })), { store: '127.0.0.1:9', keys: [key, key] });
-  assert.deepEqual(CacheHeaders.readSource(CacheHeaders.source({ address: '127.0.0.1:9', bootEpoch: 'b', at: 3, keys: [key] })), { address: '127.0.0.1:9', bootEpoch: 'b', at: 3, keys: [key] });
-  for (const text of ['', 'keys=xyz', 'from=a; epoch=b; keys=', `from=a; epoch=b; at=-1; keys=${key}`]) assert.equal(CacheHeaders.readSource(text), undefined);
+  assert.deepEqual(CacheHeaders.readTarget(CacheHeaders.target({ store: '127.0.0.1:9', keys: [key, key] })), {
+    store: '127.0.0.1:9',
+    keys: [key, key],
+  });
+  assert.deepEqual(
+    CacheHeaders.readSource(CacheHeaders.source({ address: '127.0.0.1:9', bootEpoch: 'b', at: 3, keys: [key] })),
+    { address: '127.0.0.1:9', bootEpoch: 'b', at: 3, keys: [key] },
+  );
+  for (const text of ['', 'keys=xyz', 'from=a; epoch=b; keys=', `from=a; epoch=b; at=-1; keys=${key}`])
+    assert.equal(CacheHeaders.readSource(text), undefined);
   assert.equal(BackEndAnswers.events({ bootEpoch: 'b', last: 1, events: 'many' }), undefined);
 });
 
@@ -171,10 +214,17 @@
     }
     ended();
   };
-  const proxy = { handle, metrics: new Metrics(), fresh: () => true, identifier: { tenantOf: () => ({ kind: 'tenant', tenant: 't' }) } } as unknown as EdgeProxy;
+  const proxy = {
+    handle,
+    metrics: new Metrics(),
+    fresh: () => true,
+    identifier: { tenantOf: () => ({ kind: 'tenant', tenant: 't' }) },
+  } as unknown as EdgeProxy;
   const door = await CallersDoor.open(proxy, '127.0.0.1:0', HttpLimits.usual, 1000, realClock, realRandom);
   const [host, port] = door.address.split(':');
-  const socket = net.connect(Number(port), host, () => socket.write('POST /x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer kkkkkkkk\r\ncontent-length: 0\r\n\r\n'));
+  const socket = net.connect(Number(port), host, () =>
+    socket.write('POST /x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer kkkkkkkk\r\ncontent-length: 0\r\n\r\n'),
+  );
   socket.on('error', () => undefined);
   socket.pause();
   await Promise.race([stall, over]);
--- a/tests/blueprint.test.ts
+++ b/tests/blueprint.test.ts
@@ -8,14 +8,16 @@
 import { Documents, Pieces } from '../source/shared/blueprint/document';
 
 const settings = { numRuns: Number(process.env['POSTDRUM_TEST_RUNS'] ?? 100), seed: 4711 };
-const first = (): Record<string, Record<string, Record<string, unknown>>> => structuredClone(SimBlueprints.first()) as never;
+const first = (): Record<string, Record<string, Record<string, unknown>>> =>
+  structuredClone(SimBlueprints.first()) as never;
 const faultPaths = (text: string): readonly string[] => {
   const checked = Blueprints.checkText('blueprint', text);
   return checked.kind === 'good' ? [] : checked.faults.map(({ path }) => path);
 };
 
 test('the examples are good blueprints', () => {
-  for (const name of ['koro-sea', 'swanreach']) assert.equal(Blueprints.checkText('blueprint', readFileSync(`examples/${name}.json`, 'utf8')).kind, 'good');
+  for (const name of ['koro-sea', 'swanreach'])
+    assert.equal(Blueprints.checkText('blueprint', readFileSync(`examples/${name}.json`, 'utf8')).kind, 'good');
 });
 
 test('each fault is named with its path, all of them at once', () => {
@@ -24,7 +26,16 @@
   (blueprint['tenants'] ??= {})['open1'] = { walled: 'yes', keys: ['short', 7] };
   (blueprint['mappings'] ??= {})['x'] = { path: 'no-slash', service: 'pool', class: 'short', resumable: 'true' };
   (blueprint['classes'] ??= {})['short'] = { rank: '1', sharePerMille: 100 };
-  assert.deepEqual([...faultPaths(JSON.stringify(blueprint))].sort(), ['/classes/long/extra', '/classes/long/rank', '/classes/long/sharePerMille', '/classes/short/rank', '/mappings/x/path', '/mappings/x/resumable', '/tenants/open1/keys', '/tenants/open1/walled']);
+  assert.deepEqual([...faultPaths(JSON.stringify(blueprint))].sort(), [
+    '/classes/long/extra',
+    '/classes/long/rank',
+    '/classes/long/sharePerMille',
+    '/classes/short/rank',
+    '/mappings/x/path',
+    '/mappings/x/resumable',
+    '/tenants/open1/keys',
+    '/tenants/open1/walled',
+  ]);
 });
 
 test('dangling names, shares above the whole, a key of two tenants and a mapping twice are refused', () => {
@@ -33,7 +44,13 @@
   (blueprint['mappings'] ??= {})['y'] = { path: '/v1/chat/completions', model: 'long', service: 'pool', class: 'long' };
   (blueprint['tenants'] ??= {})['thief'] = { keys: ['key-open2-a'] };
   (blueprint['classes'] ??= {})['more'] = { rank: 3, sharePerMille: 1 };
-  assert.deepEqual([...faultPaths(JSON.stringify(blueprint))].sort(), ['/classes', '/mappings/x/class', '/mappings/x/service', '/mappings/y', '/tenants/thief/keys/0']);
+  assert.deepEqual([...faultPaths(JSON.stringify(blueprint))].sort(), [
+    '/classes',
+    '/mappings/x/class',
+    '/mappings/x/service',
+    '/mappings/y',
+    '/tenants/thief/keys/0',
+  ]);
 });
 
 test('no fault text ever shows a key', () => {
@@ -47,7 +64,8 @@
 test('names given twice, __proto__, broken JSON, too deep and too long texts are refused', () => {
   assert.deepEqual(faultPaths('{"classes":{},"classes":{}}').includes('/classes'), true);
   assert.ok(faultPaths('{"tenants":{"__proto__":{}}}').some((path) => path.includes('__proto__')));
-  for (const text of ['', '{', '{"a":1,}', '// c\n{}', '[1', 'nul', '{"a":01}', '{"a":"\u0001"}']) assert.equal(Documents.read(text).kind, 'faulty', text);
+  for (const text of ['', '{', '{"a":1,}', '// c\n{}', '[1', 'nul', '{"a":01}', '{"a":"\u0001"}'])
+    assert.equal(Documents.read(text).kind, 'faulty', text);
   assert.equal(Documents.read('['.repeat(50) + ']'.repeat(50)).kind, 'faulty');
   assert.equal(Blueprints.checkText('blueprint', ' '.repeat(5 * 1024 * 1024)).kind, 'faulty');
 });
@@ -59,22 +77,41 @@
 });
 
 test('a piece change leaves every byte outside its piece alone', () => {
-  const names = fc.string({ minLength: 1, maxLength: 8 }).filter((name) => !['__proto__', 'constructor', 'prototype'].includes(name));
+  const names = fc
+    .string({ minLength: 1, maxLength: 8 })
+    .filter((name) => !['__proto__', 'constructor', 'prototype'].includes(name));
   const leaf = fc.oneof(fc.integer(), fc.string({ maxLength: 6 }), fc.boolean());
-  fc.assert(fc.property(fc.dictionary(names, fc.dictionary(names, leaf, { maxKeys: 4 }), { minKeys: 1, maxKeys: 5 }), fc.nat(), fc.nat(), leaf, fc.integer({ min: 0, max: 3 }), (made, one, two, put, indent) => {
-    const value = JSON.parse(JSON.stringify(made)) as typeof made;
-    const text = JSON.stringify(value, undefined, indent);
-    const outer = Object.keys(value)[one % Object.keys(value).length] ?? '';
-    const inner = Object.keys(value[outer] ?? {});
-    const name = inner[two % Math.max(1, inner.length)] ?? 'new';
-    const path = `/${Documents.escape(outer)}/${Documents.escape(name)}`;
-    const changed = Pieces.change(text, { kind: 'put', path, text: JSON.stringify(put) });
-    assert.equal(changed.kind, 'changed');
-    if (changed.kind !== 'changed') return;
-    assert.deepEqual(JSON.parse(changed.text), { ...value, [outer]: { ...value[outer], [name]: put } });
-    const back = inner.includes(name) ? Pieces.change(changed.text, { kind: 'put', path, text: JSON.stringify((value[outer] ?? {})[name]) }) : Pieces.change(changed.text, { kind: 'remove', path });
-    assert.ok(back.kind === 'changed' && (inner.includes(name) ? back.text === text : JSON.stringify(JSON.parse(back.text)) === JSON.stringify(value)));
-  }), settings);
+  fc.assert(
+    fc.property(
+      fc.dictionary(names, fc.dictionary(names, leaf, { maxKeys: 4 }), { minKeys: 1, maxKeys: 5 }),
+      fc.nat(),
+      fc.nat(),
+      leaf,
+      fc.integer({ min: 0, max: 3 }),
+      (made, one, two, put, indent) => {
+        const value = JSON.parse(JSON.stringify(made)) as typeof made;
+        const text = JSON.stringify(value, undefined, indent);
+        const outer = Object.keys(value)[one % Object.keys(value).length] ?? '';
+        const inner = Object.keys(value[outer] ?? {});
+        const name = inner[two % Math.max(1, inner.length)] ?? 'new';
+        const path = `/${Documents.escape(outer)}/${Documents.escape(name)}`;
+        const changed = Pieces.change(text, { kind: 'put', path, text: JSON.stringify(put) });
+        assert.equal(changed.kind, 'changed');
+        if (changed.kind !== 'changed') return;
+        assert.deepEqual(JSON.parse(changed.text), { ...value, [outer]: { ...value[outer], [name]: put } });
+        const back = inner.includes(name)
+          ? Pieces.change(changed.text, { kind: 'put', path, text: JSON.stringify((value[outer] ?? {})[name]) })
+          : Pieces.change(changed.text, { kind: 'remove', path });
+        assert.ok(
+          back.kind === 'changed' &&
+            (inner.includes(name)
+              ? back.text === text
+              : JSON.stringify(JSON.parse(back.text)) === JSON.stringify(value)),
+        );
+      },
+    ),
+    settings,
+  );
 });
 
 test('one change id has one outcome; used for another change it is refused; an old revision loses', () => {
--- a/tests/contracts.test.ts
+++ b/tests/contracts.test.ts
@@ -21,15 +21,17 @@
 type Run = <Result>(work: Promise<Result>) => Promise<Result>;
 
 const plainRun: Run = (work) => work;
-const worldRun = (world: World): Run => async (work) => {
-  let over = false;
-  const done = work.finally(() => {
-    over = true;
-  });
-  done.catch(() => undefined);
-  for (let turn = 0; turn < 10_000 && !over; turn += 1) await world.runFor(10_000);
-  return done;
-};
+const worldRun =
+  (world: World): Run =>
+  async (work) => {
+    let over = false;
+    const done = work.finally(() => {
+      over = true;
+    });
+    done.catch(() => undefined);
+    for (let turn = 0; turn < 10_000 && !over; turn += 1) await world.runFor(10_000);
+    return done;
+  };
 
 const clockContract = (name: string, make: () => Readonly<{ clock: Clock; run: Run }>): void => {
   describe(`clock contract: ${name}`, () => {
@@ -78,18 +80,35 @@
 randomContract('seeded', seededRandom(7));
 test('the same seed gives the same row', () => {
   const [one, two] = [seededRandom(9), seededRandom(9)];
-  assert.deepEqual(Array.from({ length: 50 }, () => one.name()), Array.from({ length: 50 }, () => two.name()));
+  assert.deepEqual(
+    Array.from({ length: 50 }, () => one.name()),
+    Array.from({ length: 50 }, () => two.name()),
+  );
 });
 
-type Wires = Readonly<{ one: Transport; two: Transport; address: (host: number) => string; run: Run; end: () => Promise<void> }>;
+type Wires = Readonly<{
+  one: Transport;
+  two: Transport;
+  address: (host: number) => string;
+  run: Run;
+  end: () => Promise<void>;
+}>;
 
 const transportContract = (name: string, make: () => Wires): void => {
   describe(`transport contract: ${name}`, () => {
     test('an ask gets the answer of its own question, many at once', async () => {
       const { one, two, address, run, end } = make();
-      const listener = await run(two.listen(address(2), (message) => Promise.resolve({ kind: 'back', number: message['number'] })));
-      const answers = await run(Promise.all(Array.from({ length: 200 }, (_, number) => one.ask(listener.address, { kind: 'there', number }, 5_000_000))));
-      answers.forEach((answer, number) => assert.deepEqual(answer, { kind: 'answered', message: { kind: 'back', number } }));
+      const listener = await run(
+        two.listen(address(2), (message) => Promise.resolve({ kind: 'back', number: message['number'] })),
+      );
+      const answers = await run(
+        Promise.all(
+          Array.from({ length: 200 }, (_, number) => one.ask(listener.address, { kind: 'there', number }, 5_000_000)),
+        ),
+      );
+      answers.forEach((answer, number) =>
+        assert.deepEqual(answer, { kind: 'answered', message: { kind: 'back', number } }),
+      );
       await end();
     });
     test('a message of many parts arrives whole both ways', async () => {
@@ -128,13 +147,26 @@
 transportContract('tcp', () => {
   const one = new TcpTransport(realClock);
   const two = new TcpTransport(realClock);
-  return { one, two, address: (host) => (host === 3 ? '127.0.0.1:1' : '127.0.0.1:0'), run: plainRun, end: async () => void (await Promise.all([one.close(), two.close()])) };
+  return {
+    one,
+    two,
+    address: (host) => (host === 3 ? '127.0.0.1:1' : '127.0.0.1:0'),
+    run: plainRun,
+    end: async () => void (await Promise.all([one.close(), two.close()])),
+  };
 });
 transportContract('simulated', () => {
   const world = new World(2);
   const network = new SimNetwork(world);
-  const of = (number: number): Transport => network.transportOf(new SimProcess(world, `p${number}`, `10.0.0.${number}`));
-  return { one: of(1), two: of(2), address: (host) => `10.0.0.${host}:1`, run: worldRun(world), end: () => Promise.resolve() };
+  const of = (number: number): Transport =>
+    network.transportOf(new SimProcess(world, `p${number}`, `10.0.0.${number}`));
+  return {
+    one: of(1),
+    two: of(2),
+    address: (host) => `10.0.0.${host}:1`,
+    run: worldRun(world),
+    end: () => Promise.resolve(),
+  };
 });
 
 test('tcp: garbage, a part out of bounds and a truncated message close that conn and no other', async () => {
@@ -208,5 +240,9 @@
 diskContract('simulated', () => {
   const world = new World(3);
   const disk = new SimDisk(world);
-  return { disk: () => Promise.resolve(disk.of(new SimProcess(world, 'one', '10.0.0.1'))), run: worldRun(world), end: () => undefined };
+  return {
+    disk: () => Promise.resolve(disk.of(new SimProcess(world, 'one', '10.0.0.1'))),
+    run: worldRun(world),
+    end: () => undefined,
+  };
 });
--- a/tests/directory.test.ts
+++ b/tests/directory.test.ts
@@ -13,43 +13,85 @@
 const settings = { numRuns: Number(process.env['POSTDRUM_TEST_RUNS'] ?? 100), seed: 4711 };
 const text = fc.string({ maxLength: 6 });
 const identity: fc.Arbitrary<CacheIdentity> = fc.record({
-  trustDomain: text, model: text, weights: text, tokenizer: text, adapter: text, dtype: text, quant: text, layout: text, shard: text, rope: text,
-  blockCharacters: fc.nat(9), validLength: fc.nat(9), prefix: text, multimodal: text,
+  trustDomain: text,
+  model: text,
+  weights: text,
+  tokenizer: text,
+  adapter: text,
+  dtype: text,
+  quant: text,
+  layout: text,
+  shard: text,
+  rope: text,
+  blockCharacters: fc.nat(9),
+  validLength: fc.nat(9),
+  prefix: text,
+  multimodal: text,
 });
 
 test('identity: equal bytes mean equal identities, and each field alone changes the physical key', () => {
-  fc.assert(fc.property(identity, identity, (one, two) => {
-    assert.equal(Identities.physicalBytes(one).equals(Identities.physicalBytes(two)), JSON.stringify(one) === JSON.stringify(two));
-    for (const field of Object.keys(one) as (keyof CacheIdentity)[]) {
-      const value = one[field];
-      const other = { ...one, [field]: typeof value === 'number' ? value + 1 : `${value}x` };
-      assert.notEqual(Identities.physical(other), Identities.physical(one), field);
-    }
-  }), settings);
+  fc.assert(
+    fc.property(identity, identity, (one, two) => {
+      assert.equal(
+        Identities.physicalBytes(one).equals(Identities.physicalBytes(two)),
+        JSON.stringify(one) === JSON.stringify(two),
+      );
+      for (const field of Object.keys(one) as (keyof CacheIdentity)[]) {
+        const value = one[field];
+        const other = { ...one, [field]: typeof value === 'number' ? value + 1 : `${value}x` };
+        assert.notEqual(Identities.physical(other), Identities.physical(one), field);
+      }
+    }),
+    settings,
+  );
 });
 
 test('identity: layout, shard and lengths leave the logical key as it is; tenant and weights do not', () => {
-  fc.assert(fc.property(identity, (one) => {
-    assert.equal(Identities.logical({ ...one, layout: 'other', shard: 'other', dtype: 'other', validLength: 99 }), Identities.logical(one));
-    assert.notEqual(Identities.logical({ ...one, trustDomain: `${one.trustDomain}x` }), Identities.logical(one));
-    assert.notEqual(Identities.logical({ ...one, weights: `${one.weights}x` }), Identities.logical(one));
-    assert.equal(Identities.logicalBytes(one).subarray(0, 4).toString(), 'GPCL');
-    assert.equal(Identities.physicalBytes(one).subarray(0, 4).toString(), 'GPCK');
-  }), settings);
+  fc.assert(
+    fc.property(identity, (one) => {
+      assert.equal(
+        Identities.logical({ ...one, layout: 'other', shard: 'other', dtype: 'other', validLength: 99 }),
+        Identities.logical(one),
+      );
+      assert.notEqual(Identities.logical({ ...one, trustDomain: `${one.trustDomain}x` }), Identities.logical(one));
+      assert.notEqual(Identities.logical({ ...one, weights: `${one.weights}x` }), Identities.logical(one));
+      assert.equal(Identities.logicalBytes(one).subarray(0, 4).toString(), 'GPCL');
+      assert.equal(Identities.physicalBytes(one).subarray(0, 4).toString(), 'GPCK');
+    }),
+    settings,
+  );
 });
 
 test('chains: two prompts share exactly the blocks of their common beginning', () => {
-  fc.assert(fc.property(fc.string({ maxLength: 60 }), fc.string({ maxLength: 60 }), fc.string({ maxLength: 60 }), (common, left, right) => {
-    const one = HashChains.blocks(common + left, 8, 100);
-    const two = HashChains.blocks(common + right, 8, 100);
-    let shared = 0;
-    while (shared < one.length && shared < two.length && (common + left).slice(0, (shared + 1) * 8) === (common + right).slice(0, (shared + 1) * 8)) shared += 1;
-    one.forEach((hash, index) => assert.equal(hash === two[index], index < shared));
-  }), settings);
+  fc.assert(
+    fc.property(
+      fc.string({ maxLength: 60 }),
+      fc.string({ maxLength: 60 }),
+      fc.string({ maxLength: 60 }),
+      (common, left, right) => {
+        const one = HashChains.blocks(common + left, 8, 100);
+        const two = HashChains.blocks(common + right, 8, 100);
+        let shared = 0;
+        while (
+          shared < one.length &&
+          shared < two.length &&
+          (common + left).slice(0, (shared + 1) * 8) === (common + right).slice(0, (shared + 1) * 8)
+        )
+          shared += 1;
+        one.forEach((hash, index) => assert.equal(hash === two[index], index < shared));
+      },
+    ),
+    settings,
+  );
 });
 
 const blockEvent: fc.Arbitrary<BlockEvent> = fc.oneof(
-  fc.record({ kind: fc.constant('reserve' as const), fill: fc.constantFrom('a', 'b'), moves: fc.boolean(), epoch: fc.integer({ min: 1, max: 3 }) }),
+  fc.record({
+    kind: fc.constant('reserve' as const),
+    fill: fc.constantFrom('a', 'b'),
+    moves: fc.boolean(),
+    epoch: fc.integer({ min: 1, max: 3 }),
+  }),
   fc.record({ kind: fc.constant('attest' as const), fill: fc.constantFrom('a', 'b') }),
   fc.constant<BlockEvent>({ kind: 'confirm' }),
   fc.record({ kind: fc.constantFrom('abandon' as const, 'notSent' as const), fill: fc.constantFrom('a', 'b') }),
@@ -58,24 +100,35 @@
 );
 
 test('blocks: readable only after an attested fill was confirmed; a quarantined one is freed by attestation or a higher epoch alone', () => {
-  fc.assert(fc.property(fc.array(blockEvent, { maxLength: 30 }), (events) => {
-    let state: BlockState = BlockStates.absent;
-    let attested = false;
-    for (const event of events) {
-      const before: BlockState = state;
-      state = BlockStates.step(before, event);
-      if (event.kind === 'reserve' && before.kind === 'absent') attested = false;
-      if (event.kind === 'attest' && state !== before) attested = true;
-      if (BlockStates.isReadable(state)) assert.ok(attested);
-      if (before.kind === 'quarantined' && state.kind !== 'quarantined') {
-        assert.ok((event.kind === 'attest' && event.fill === before.fill) || (event.kind === 'reclaimFenced' && event.epoch > before.epoch), event.kind);
+  fc.assert(
+    fc.property(fc.array(blockEvent, { maxLength: 30 }), (events) => {
+      let state: BlockState = BlockStates.absent;
+      let attested = false;
+      for (const event of events) {
+        const before: BlockState = state;
+        state = BlockStates.step(before, event);
+        if (event.kind === 'reserve' && before.kind === 'absent') attested = false;
+        if (event.kind === 'attest' && state !== before) attested = true;
+        if (BlockStates.isReadable(state)) assert.ok(attested);
+        if (before.kind === 'quarantined' && state.kind !== 'quarantined') {
+          assert.ok(
+            (event.kind === 'attest' && event.fill === before.fill) ||
+              (event.kind === 'reclaimFenced' && event.epoch > before.epoch),
+            event.kind,
+          );
+        }
+        if (state.kind === 'quarantined') assert.ok(BlockStates.isUsed(state));
       }
-      if (state.kind === 'quarantined') assert.ok(BlockStates.isUsed(state));
-    }
-  }), settings);
+    }),
+    settings,
+  );
 });
 
-const keysOf = (count: number, fill: string): readonly NamedKey[] => HashChains.named(Array.from({ length: count }, (_, index) => ({ physical: `p${index}`, logical: `l${index}` })), fill);
+const keysOf = (count: number, fill: string): readonly NamedKey[] =>
+  HashChains.named(
+    Array.from({ length: count }, (_, index) => ({ physical: `p${index}`, logical: `l${index}` })),
+    fill,
+  );
 
 const shardAt = (bootEpoch = 'boot', weights = 'w'): ShardDirectory => {
   const shard = new ShardDirectory('engine', 1, ShardLimits.usual, true);
@@ -83,10 +136,16 @@
   shard.list({ bootEpoch, sequence: 0, keys: [] });
   return shard;
 };
-const stored = (keys: readonly NamedKey[], from = 1): { bootEpoch: string; events: { sequence: number; kind: 'stored'; key: string }[]; last: number } =>
-  ({ bootEpoch: 'boot', events: keys.map(({ name }, index) => ({ sequence: from + index, kind: 'stored', key: name })), last: from + keys.length - 1 });
+const stored = (
+  keys: readonly NamedKey[],
+  from = 1,
+): { bootEpoch: string; events: { sequence: number; kind: 'stored'; key: string }[]; last: number } => ({
+  bootEpoch: 'boot',
+  events: keys.map(({ name }, index) => ({ sequence: from + index, kind: 'stored', key: name })),
+  last: from + keys.length - 1,
+});
 
-test('shard: committed takes an order, its attestation and the holder\'s word, in any order of the last two', () => {
+test("shard: committed takes an order, its attestation and the holder's word, in any order of the last two", () => {
   for (const eventFirst of [true, false]) {
     const shard = shardAt();
     const keys = keysOf(3, 'f');
@@ -107,7 +166,10 @@
 });
 
 test('shard: an answer under another boot or other weights commits nothing', () => {
-  for (const [bootEpoch, weights] of [['other', 'w'], ['boot', 'x']] as const) {
+  for (const [bootEpoch, weights] of [
+    ['other', 'w'],
+    ['boot', 'x'],
+  ] as const) {
     const shard = shardAt();
     const keys = keysOf(2, 'f');
     shard.note({ kind: 'register', holder: 'engine', epoch: shard.epoch, fill: 'f', moves: false, keys });
@@ -169,38 +231,71 @@
 });
 
 test('shard: grants stay inside their limits', () => {
-  const shard = new ShardDirectory('engine', 1, { blocks: 100, chargedBlocks: 5, quarantinedBlocks: 100, unclaimed: 10 }, true);
+  const shard = new ShardDirectory(
+    'engine',
+    1,
+    { blocks: 100, chargedBlocks: 5, quarantinedBlocks: 100, unclaimed: 10 },
+    true,
+  );
   shard.observe('boot', 'w');
   assert.equal(shard.grant('f', shard.epoch, keysOf(4, 'f')).kind, 'granted');
-  const others = HashChains.named([{ physical: 'q1', logical: 'm1' }, { physical: 'q2', logical: 'm2' }], 'g');
+  const others = HashChains.named(
+    [
+      { physical: 'q1', logical: 'm1' },
+      { physical: 'q2', logical: 'm2' },
+    ],
+    'g',
+  );
   assert.deepEqual(shard.grant('g', shard.epoch, others), { kind: 'refused', reason: 'limit' });
 });
 
 test('news of a shard: whatever changes are lost or late, a follower that applies what it gets is never ahead and ends equal', () => {
-  const step = fc.oneof(fc.record({ put: fc.nat(20) }), fc.record({ gone: fc.nat(20) }), fc.constant({ fence: true }), fc.constant({ sync: true }), fc.constant({ late: true }));
-  fc.assert(fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
-    const leader = new ShardNews({ holder: 'e', term: 1, epoch: 1, bootEpoch: 'b', weights: 'w', version: 0 });
-    const book = new ShardBook();
-    let kept = leader.since(undefined);
-    let epoch = 1;
-    for (const item of steps) {
-      if ('put' in item) leader.put({ physical: `p${item.put}`, logical: `l${item.put}`, name: `n${item.put}` });
-      else if ('gone' in item) leader.remove(`p${item.gone}`);
-      else if ('fence' in item) leader.fence({ term: 1, epoch: ++epoch, bootEpoch: 'b', weights: 'w' });
-      else if ('late' in item) {
-        if (kept !== undefined) book.apply(kept);
-      } else {
-        kept = leader.since(book.marks()['e']);
-        if (kept !== undefined) book.apply(kept);
-        assert.deepEqual([...(book.get('e')?.entries() ?? [])].map(({ name }) => name).sort(), leader.entries().map(({ name }) => name).sort());
+  const step = fc.oneof(
+    fc.record({ put: fc.nat(20) }),
+    fc.record({ gone: fc.nat(20) }),
+    fc.constant({ fence: true }),
+    fc.constant({ sync: true }),
+    fc.constant({ late: true }),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const leader = new ShardNews({ holder: 'e', term: 1, epoch: 1, bootEpoch: 'b', weights: 'w', version: 0 });
+      const book = new ShardBook();
+      let kept = leader.since(undefined);
+      let epoch = 1;
+      for (const item of steps) {
+        if ('put' in item) leader.put({ physical: `p${item.put}`, logical: `l${item.put}`, name: `n${item.put}` });
+        else if ('gone' in item) leader.remove(`p${item.gone}`);
+        else if ('fence' in item) leader.fence({ term: 1, epoch: ++epoch, bootEpoch: 'b', weights: 'w' });
+        else if ('late' in item) {
+          if (kept !== undefined) book.apply(kept);
+        } else {
+          kept = leader.since(book.marks()['e']);
+          if (kept !== undefined) book.apply(kept);
+          assert.deepEqual(
+            [...(book.get('e')?.entries() ?? [])].map(({ name }) => name).sort(),
+            leader
+              .entries()
+              .map(({ name }) => name)
+              .sort(),
+          );
+        }
+        const follower = book.get('e');
+        if (follower !== undefined)
+          assert.ok(ShardMarks.compare(ShardMarks.of(follower.present), ShardMarks.of(leader.present)) <= 0);
       }
-      const follower = book.get('e');
-      if (follower !== undefined) assert.ok(ShardMarks.compare(ShardMarks.of(follower.present), ShardMarks.of(leader.present)) <= 0);
-    }
-    const last = leader.since(book.marks()['e']);
-    if (last !== undefined) book.apply(last);
-    assert.deepEqual([...(book.get('e')?.entries() ?? [])].map(({ name }) => name).sort(), leader.entries().map(({ name }) => name).sort());
-  }), settings);
+      const last = leader.since(book.marks()['e']);
+      if (last !== undefined) book.apply(last);
+      assert.deepEqual(
+        [...(book.get('e')?.entries() ?? [])].map(({ name }) => name).sort(),
+        leader
+          .entries()
+          .map(({ name }) => name)
+          .sort(),
+      );
+    }),
+    settings,
+  );
 });
 
 test('lookup: hit, prefix hit and each reason of a miss', () => {
@@ -219,9 +314,22 @@
   for (const key of HashChains.named(otherLayout, 'f')) shard.put(key);
   assert.deepEqual(LookUps.find(book, keys, boot), { kind: 'miss', reason: 'incompatible' });
   for (const key of HashChains.named(keys, 'f').slice(0, 2)) shard.put(key);
-  assert.deepEqual(LookUps.find(book, keys, boot), { kind: 'prefixHit', found: [{ holder: 'e', matched: 2, bootEpoch: 'b', epoch: 2 }] });
+  assert.deepEqual(LookUps.find(book, keys, boot), {
+    kind: 'prefixHit',
+    found: [{ holder: 'e', matched: 2, bootEpoch: 'b', epoch: 2 }],
+  });
   for (const key of HashChains.named(keys, 'f')) shard.put(key);
   assert.equal(LookUps.find(book, keys, boot).kind, 'hit');
-  assert.deepEqual(LookUps.find(book, keys, () => 'other'), { kind: 'miss', reason: 'otherBoot' });
-  for (const [weights, domain] of [['w2', 'shared'], ['w1', 'walled/a']] as const) assert.deepEqual(LookUps.find(book, HashChains.keys(chain, pool, weights, domain), boot), { kind: 'miss', reason: 'absent' });
+  assert.deepEqual(
+    LookUps.find(book, keys, () => 'other'),
+    { kind: 'miss', reason: 'otherBoot' },
+  );
+  for (const [weights, domain] of [
+    ['w2', 'shared'],
+    ['w1', 'walled/a'],
+  ] as const)
+    assert.deepEqual(LookUps.find(book, HashChains.keys(chain, pool, weights, domain), boot), {
+      kind: 'miss',
+      reason: 'absent',
+    });
 });
--- a/tests/fleet-behaviour.test.ts
+++ b/tests/fleet-behaviour.test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { judgeAll } from '../source/fleet-simulator/judges/judges';
-import { SimBlueprints, SimFleet, SimKinds, usualShape, type SimEdge } from '../source/fleet-simulator/machines/simFleet';
+import {
+  SimBlueprints,
+  SimFleet,
+  SimKinds,
+  usualShape,
+  type SimEdge,
+} from '../source/fleet-simulator/machines/simFleet';
 import type { SimCall } from '../source/fleet-simulator/machines/simCallers';
 import { World } from '../source/fleet-simulator/world/world';
 
@@ -19,8 +25,10 @@
   return call;
 };
 
-const long = (fleet: SimFleet, edge: SimEdge, tenant = 'open1', key = 'key-open1-a'): SimCall => fleet.callers.call(fleet.handle(edge), SimKinds.long(), tenant, key);
-const usesOf = (fleet: SimFleet, call: SimCall): readonly string[] => fleet.backEnds.runs.find(({ nonce }) => nonce === call.nonce)?.blocks.map(({ from }) => from) ?? [];
+const long = (fleet: SimFleet, edge: SimEdge, tenant = 'open1', key = 'key-open1-a'): SimCall =>
+  fleet.callers.call(fleet.handle(edge), SimKinds.long(), tenant, key);
+const usesOf = (fleet: SimFleet, call: SimCall): readonly string[] =>
+  fleet.backEnds.runs.find(({ nonce }) => nonce === call.nonce)?.blocks.map(({ from }) => from) ?? [];
 
 test('a prefix read once is kept for callers of every other daemon', async () => {
   const { world, fleet } = await started(11);
@@ -29,7 +37,10 @@
   await world.runFor(1_500_000);
   for (const edge of fleet.edges) {
     const call = await answered(world, long(fleet, edge, 'open2', 'key-open2-a'));
-    assert.ok(usesOf(fleet, call).every((from) => from === 'kept'), usesOf(fleet, call).join());
+    assert.ok(
+      usesOf(fleet, call).every((from) => from === 'kept'),
+      usesOf(fleet, call).join(),
+    );
   }
   assert.deepEqual(judgeAll(fleet), []);
 });
@@ -44,7 +55,10 @@
   const crowd = Array.from({ length: 16 }, (_, number) => long(fleet, fleet.edge(number % 4)));
   for (const call of crowd) await answered(world, call);
   const uses = crowd.flatMap((call) => usesOf(fleet, call));
-  assert.ok(uses.filter((from) => from === 'imported').length >= 7, `imported ${uses.filter((from) => from === 'imported').length}`);
+  assert.ok(
+    uses.filter((from) => from === 'imported').length >= 7,
+    `imported ${uses.filter((from) => from === 'imported').length}`,
+  );
   assert.deepEqual(judgeAll(fleet), []);
 });
 
@@ -56,7 +70,10 @@
   fleet.backEnds.kill(holder);
   await world.runFor(3_000_000);
   const second = await answered(world, long(fleet, fleet.edge(1)));
-  assert.ok(usesOf(fleet, second).every((from) => from === 'imported'), usesOf(fleet, second).join());
+  assert.ok(
+    usesOf(fleet, second).every((from) => from === 'imported'),
+    usesOf(fleet, second).join(),
+  );
   assert.deepEqual(judgeAll(fleet), []);
 });
 
@@ -99,7 +116,10 @@
   fleet.startEdge(late);
   assert.ok(await world.runUntil(() => late.proxy.fresh(), 5_000_000), 'it serves');
   const all = [...fleet.edges, late];
-  assert.ok(await world.runUntil(() => all.every(({ agent }) => agent.membership.present().length === 5), 5_000_000), 'all know all');
+  assert.ok(
+    await world.runUntil(() => all.every(({ agent }) => agent.membership.present().length === 5), 5_000_000),
+    'all know all',
+  );
   const call = await answered(world, long(fleet, late));
   assert.ok(call.right);
 });
@@ -111,19 +131,35 @@
   await world.runFor(600_000);
   assert.equal(fleet.edge(2).agent.membership.member(leaver.name)?.state, 'left');
   vanisher.agentProcess.kill();
-  assert.ok(await world.runUntil(() => [2, 3].every((index) => fleet.edge(index).agent.membership.member(vanisher.name)?.state === 'gone'), 8_000_000));
+  assert.ok(
+    await world.runUntil(
+      () => [2, 3].every((index) => fleet.edge(index).agent.membership.member(vanisher.name)?.state === 'gone'),
+      8_000_000,
+    ),
+  );
   leaver.agentProcess.kill();
   fleet.startAgent(leaver);
   fleet.startAgent(vanisher);
-  assert.ok(await world.runUntil(() => [2, 3].every((index) => fleet.edge(index).agent.membership.present().length === 4), 8_000_000));
+  assert.ok(
+    await world.runUntil(
+      () => [2, 3].every((index) => fleet.edge(index).agent.membership.present().length === 4),
+      8_000_000,
+    ),
+  );
 });
 
 test('every engine gets a steward, again after its steward dies, and the duties spread', async () => {
   const { world, fleet } = await started(18);
-  const holders = (): readonly string[] => fleet.edges.filter(({ agentProcess }) => agentProcess.alive).flatMap(({ agent, name }) => agent.stewardship.held().map(({ name: engine }) => `${engine} by ${name}`)).sort();
+  const holders = (): readonly string[] =>
+    fleet.edges
+      .filter(({ agentProcess }) => agentProcess.alive)
+      .flatMap(({ agent, name }) => agent.stewardship.held().map(({ name: engine }) => `${engine} by ${name}`))
+      .sort();
   await world.runFor(20_000_000);
   assert.equal(holders().length, 5);
-  const busiest = fleet.edges.reduce((best, edge) => (edge.agent.stewardship.held().length > best.agent.stewardship.held().length ? edge : best));
+  const busiest = fleet.edges.reduce((best, edge) =>
+    edge.agent.stewardship.held().length > best.agent.stewardship.held().length ? edge : best,
+  );
   busiest.agentProcess.kill();
   assert.ok(await world.runUntil(() => holders().length === 5, 10_000_000), holders().join('; '));
   assert.ok(holders().every((holder) => !holder.endsWith(busiest.name)));
@@ -135,7 +171,10 @@
   await world.runFor(1_900_000);
   const call = fleet.callers.call(fleet.handle(fleet.edge(0)), SimKinds.short, 'open1', 'key-open1-a');
   await world.runFor(5000);
-  assert.deepEqual([call.over, call.status, call.verdict, call.code, call.retryAfterSeconds], [true, 503, 'notRun', 'notFresh', 2]);
+  assert.deepEqual(
+    [call.over, call.status, call.verdict, call.code, call.retryAfterSeconds],
+    [true, 503, 'notRun', 'notFresh', 2],
+  );
 });
 
 test('new weights: every engine changes, capacity never goes to nothing, nobody is refused', async () => {
@@ -145,17 +184,40 @@
   let stopped = false;
   const one = (): void => {
     if (stopped) return;
-    calls.push(fleet.callers.call(fleet.handle(fleet.edge(calls.length % 4)), calls.length % 8 === 0 ? SimKinds.long() : SimKinds.once, 'open1', 'key-open1-a'));
+    calls.push(
+      fleet.callers.call(
+        fleet.handle(fleet.edge(calls.length % 4)),
+        calls.length % 8 === 0 ? SimKinds.long() : SimKinds.once,
+        'open1',
+        'key-open1-a',
+      ),
+    );
     world.plan(25_000, one);
   };
   one();
-  const change = fleet.change(fleet.keeper(0), { key: 'blueprint', form: 'whole', text: JSON.stringify(pool), ifMatch: 1 });
-  assert.ok(await world.runUntil(() => fleet.backEnds.engines().every((engine) => engine.status().weights === 'w2'), 12_000_000), 'all engines changed in time');
+  const change = fleet.change(fleet.keeper(0), {
+    key: 'blueprint',
+    form: 'whole',
+    text: JSON.stringify(pool),
+    ifMatch: 1,
+  });
+  assert.ok(
+    await world.runUntil(
+      () => fleet.backEnds.engines().every((engine) => engine.status().weights === 'w2'),
+      12_000_000,
+    ),
+    'all engines changed in time',
+  );
   await world.runFor(1_000_000);
   stopped = true;
   await world.runFor(3_000_000);
   assert.equal(change.outcome?.kind, 'taken');
-  assert.deepEqual(calls.filter(({ status, right }) => status !== 200 || !right).map(({ nonce, status, code, verdict }) => `${nonce} ${status} ${code} ${verdict}`), []);
+  assert.deepEqual(
+    calls
+      .filter(({ status, right }) => status !== 200 || !right)
+      .map(({ nonce, status, code, verdict }) => `${nonce} ${status} ${code} ${verdict}`),
+    [],
+  );
   assert.deepEqual(judgeAll(fleet), []);
 });
 
@@ -164,11 +226,18 @@
   const deaf = fleet.engineNames[1] ?? '';
   const engine = fleet.backEnds.get(deaf).engine;
   if (engine !== undefined) engine.deaf = true;
-  const change = fleet.change(fleet.keeper(0), { key: 'blueprint', form: 'whole', text: JSON.stringify(SimBlueprints.first('w2')), ifMatch: 1 });
+  const change = fleet.change(fleet.keeper(0), {
+    key: 'blueprint',
+    form: 'whole',
+    text: JSON.stringify(SimBlueprints.first('w2')),
+    ifMatch: 1,
+  });
   await world.runFor(12_500_000);
   assert.equal(change.outcome?.kind, 'taken');
   const from = fleet.backEnds.arrivals.length;
-  const calls = Array.from({ length: 12 }, (_, number) => fleet.callers.call(fleet.handle(fleet.edge(number % 4)), SimKinds.once, 'open1', 'key-open1-a'));
+  const calls = Array.from({ length: 12 }, (_, number) =>
+    fleet.callers.call(fleet.handle(fleet.edge(number % 4)), SimKinds.once, 'open1', 'key-open1-a'),
+  );
   await world.runFor(3_000_000);
   assert.ok(calls.every(({ status, right }) => status === 200 && right));
   assert.ok(fleet.backEnds.arrivals.slice(from).every(({ engine: name }) => name !== deaf));
