--- /dev/null
+++ b/tests/judges-can-fail-1.test.ts
@@ -0,0 +1,3 @@
+import { judgesSeeTheirPart } from './support/sabotages';
+
+judgesSeeTheirPart(0, 4);
--- a/tests/ledger.test.ts
+++ b/tests/ledger.test.ts
@@ -11,34 +11,56 @@
 const seeds = Number(process.env['POSTDRUM_TEST_RUNS'] ?? 100);
 const settings = { numRuns: seeds, seed: 4711 };
 
-const promise = (number: number): KeeperEvent => ({ kind: 'promised', key: 'blueprint', epoch: { number, keeper: 'k' } });
+const promise = (number: number): KeeperEvent => ({
+  kind: 'promised',
+  key: 'blueprint',
+  epoch: { number, keeper: 'k' },
+});
 
 test('records: cut anywhere, a file gives back a whole prefix of what was written, never anything else', () => {
-  fc.assert(fc.property(fc.array(fc.string({ maxLength: 40 }), { minLength: 1, maxLength: 8 }), fc.nat(), (texts, place) => {
-    const whole = Buffer.concat(texts.map((text) => Records.make([text])));
-    const cutAt = place % (whole.length + 1);
-    const read = Records.read(whole.subarray(0, cutAt));
-    assert.equal(read.kind, 'sound');
-    if (read.kind !== 'sound') return;
-    assert.deepEqual(read.bodies, texts.slice(0, read.bodies.length).map((text) => [text]));
-    assert.ok(read.length <= cutAt);
-  }), settings);
+  fc.assert(
+    fc.property(fc.array(fc.string({ maxLength: 40 }), { minLength: 1, maxLength: 8 }), fc.nat(), (texts, place) => {
+      const whole = Buffer.concat(texts.map((text) => Records.make([text])));
+      const cutAt = place % (whole.length + 1);
+      const read = Records.read(whole.subarray(0, cutAt));
+      assert.equal(read.kind, 'sound');
+      if (read.kind !== 'sound') return;
+      assert.deepEqual(
+        read.bodies,
+        texts.slice(0, read.bodies.length).map((text) => [text]),
+      );
+      assert.ok(read.length <= cutAt);
+    }),
+    settings,
+  );
 });
 
 test('records: a flipped byte before the last record is a refusal, in the last one a cut, never silent loss', () => {
-  fc.assert(fc.property(fc.array(fc.string({ maxLength: 40 }), { minLength: 2, maxLength: 6 }), fc.nat(), fc.integer({ min: 1, max: 255 }), (texts, place, flip) => {
-    const parts = texts.map((text) => Records.make([text]));
-    const whole = Buffer.concat(parts);
-    const lastStart = whole.length - (parts.at(-1)?.length ?? 0);
-    const at = place % whole.length;
-    whole[at] = (whole[at] ?? 0) ^ flip;
-    const read = Records.read(whole);
-    if (at < lastStart) assert.equal(read.kind, 'corrupt');
-    else assert.ok(read.kind === 'sound' && read.bodies.length === texts.length - 1);
-  }), settings);
+  fc.assert(
+    fc.property(
+      fc.array(fc.string({ maxLength: 40 }), { minLength: 2, maxLength: 6 }),
+      fc.nat(),
+      fc.integer({ min: 1, max: 255 }),
+      (texts, place, flip) => {
+        const parts = texts.map((text) => Records.make([text]));
+        const whole = Buffer.concat(parts);
+        const lastStart = whole.length - (parts.at(-1)?.length ?? 0);
+        const at = place % whole.length;
+        whole[at] = (whole[at] ?? 0) ^ flip;
+        const read = Records.read(whole);
+        if (at < lastStart) assert.equal(read.kind, 'corrupt');
+        else assert.ok(read.kind === 'sound' && read.bodies.length === texts.length - 1);
+      },
+    ),
+    settings,
+  );
 });
 
-const opened = async (world: World, disk: SimDisk, rewriteBytes = 1_000_000): Promise<Readonly<{ ledger: Ledger; process: SimProcess; kind: string }>> => {
+const opened = async (
+  world: World,
+  disk: SimDisk,
+  rewriteBytes = 1_000_000,
+): Promise<Readonly<{ ledger: Ledger; process: SimProcess; kind: string }>> => {
   const process = new SimProcess(world, 'keeper', '10.0.0.1');
   const ledger = new Ledger(disk.of(process), process.clock, () => undefined, rewriteBytes);
   let kind = '';
--- /dev/null
+++ b/tests/must-never-alone-1.test.ts
@@ -0,0 +1,3 @@
+import { eachFaultAlone } from './support/mustNever';
+
+eachFaultAlone(0, 4);
--- a/tests/policies.test.ts
+++ b/tests/policies.test.ts
@@ -28,18 +28,31 @@
 
 const settings = { numRuns: Number(process.env['POSTDRUM_TEST_RUNS'] ?? 100), seed: 4711 };
 
-const load: fc.Arbitrary<ClassLoad> = fc.record({ name: fc.constantFrom('a', 'b', 'c'), rank: fc.nat(3), entitled: fc.nat(10), lends: fc.boolean(), running: fc.nat(10), held: fc.nat(3) });
+const load: fc.Arbitrary<ClassLoad> = fc.record({
+  name: fc.constantFrom('a', 'b', 'c'),
+  rank: fc.nat(3),
+  entitled: fc.nat(10),
+  lends: fc.boolean(),
+  running: fc.nat(10),
+  held: fc.nat(3),
+});
 const loads = fc.uniqueArray(load, { selector: ({ name }) => name, minLength: 1, maxLength: 3 });
 
 test('shares: never above capacity; a class below its share is never shut out while there is room; best rank first', () => {
-  fc.assert(fc.property(fc.nat(24), loads, (capacity, classes) => {
-    const eligible = Shares.eligible(capacity, classes);
-    const total = classes.reduce((sum, { running }) => sum + running, 0);
-    if (total >= capacity) assert.deepEqual(eligible, []);
-    else for (const item of classes) if (item.running < item.entitled) assert.ok(eligible.includes(item.name));
-    const ranks = eligible.map((name) => classes.find((item) => item.name === name)?.rank ?? 0);
-    assert.deepEqual(ranks, [...ranks].sort((left, right) => left - right));
-  }), settings);
+  fc.assert(
+    fc.property(fc.nat(24), loads, (capacity, classes) => {
+      const eligible = Shares.eligible(capacity, classes);
+      const total = classes.reduce((sum, { running }) => sum + running, 0);
+      if (total >= capacity) assert.deepEqual(eligible, []);
+      else for (const item of classes) if (item.running < item.entitled) assert.ok(eligible.includes(item.name));
+      const ranks = eligible.map((name) => classes.find((item) => item.name === name)?.rank ?? 0);
+      assert.deepEqual(
+        ranks,
+        [...ranks].sort((left, right) => left - right),
+      );
+    }),
+    settings,
+  );
 });
 
 test('shares: idle room is lent, what does not lend is kept, and what is asked back is not lent any more', () => {
@@ -54,9 +67,21 @@
 
 const deskOf = (world: World, capacity: number, classes: Readonly<Record<string, ServiceClass>>): TakeDesk => {
   const view = { capacity: () => capacity, otherLoads: () => [], proxies: () => 1 } as unknown as EngineView;
-  return new TakeDesk(world.clock, view, () => classes, (service, name) => `${service}/${name}`, new Metrics());
+  return new TakeDesk(
+    world.clock,
+    view,
+    () => classes,
+    (service, name) => `${service}/${name}`,
+    new Metrics(),
+  );
+};
+const oneClass: ServiceClass = {
+  rank: 0,
+  sharePerMille: 1000,
+  lends: true,
+  holdingMost: 6,
+  holdingLimitMicroseconds: 1_000_000,
 };
-const oneClass: ServiceClass = { rank: 0, sharePerMille: 1000, lends: true, holdingMost: 6, holdingLimitMicroseconds: 1_000_000 };
 
 test('holding: tenants take turns, however many orders one of them brings', async () => {
   const world = new World(1);
@@ -64,11 +89,13 @@
   const row: string[] = [];
   const releases: (() => void)[] = [];
   for (const tenant of ['big', 'big', 'big', 'big', 'small']) {
-    void desk.take('s', 'c', tenant, () => undefined).then((taken) => {
-      if (taken.kind !== 'taken') return;
-      row.push(tenant);
-      releases.push(taken.release);
-    });
+    void desk
+      .take('s', 'c', tenant, () => undefined)
+      .then((taken) => {
+        if (taken.kind !== 'taken') return;
+        row.push(tenant);
+        releases.push(taken.release);
+      });
   }
   for (let turn = 0; turn < 5; turn += 1) {
     await world.runFor(1000);
@@ -84,9 +111,17 @@
   const codes: string[] = [];
   let leave: () => void = () => undefined;
   for (let number = 0; number < 7; number += 1) {
-    void desk.take('s', 'c', 't', (act) => {
-      if (number === 0) leave = act;
-    }).then((taken) => codes.push(taken.kind === 'refuse' ? `${taken.refusal.code} ${taken.refusal.verdict} ${taken.refusal.retryAfterSeconds ?? 0}` : 'taken'));
+    void desk
+      .take('s', 'c', 't', (act) => {
+        if (number === 0) leave = act;
+      })
+      .then((taken) =>
+        codes.push(
+          taken.kind === 'refuse'
+            ? `${taken.refusal.code} ${taken.refusal.verdict} ${taken.refusal.retryAfterSeconds ?? 0}`
+            : 'taken',
+        ),
+      );
   }
   await world.runFor(1000);
   assert.deepEqual(codes, ['holdingFull notRun 6']);
@@ -100,20 +135,26 @@
 });
 
 test('retry budget: nine proxies together stay at a fifth and the allowance, whatever the mix', () => {
-  fc.assert(fc.property(fc.array(fc.tuple(fc.nat(8), fc.boolean()), { maxLength: 600 }), (steps) => {
-    const world = new World(3);
-    const budgets = Array.from({ length: 9 }, () => new RetryBudget(world.clock, () => 9, { windowSeconds: 10, perMille: 200, fleetAllowance: 18 }));
-    let firsts = 0;
-    let agains = 0;
-    for (const [proxy, again] of steps) {
-      if (again) agains += budgets[proxy]?.spend() === true ? 1 : 0;
-      else {
-        budgets[proxy]?.first();
-        firsts += 1;
+  fc.assert(
+    fc.property(fc.array(fc.tuple(fc.nat(8), fc.boolean()), { maxLength: 600 }), (steps) => {
+      const world = new World(3);
+      const budgets = Array.from(
+        { length: 9 },
+        () => new RetryBudget(world.clock, () => 9, { windowSeconds: 10, perMille: 200, fleetAllowance: 18 }),
+      );
+      let firsts = 0;
+      let agains = 0;
+      for (const [proxy, again] of steps) {
+        if (again) agains += budgets[proxy]?.spend() === true ? 1 : 0;
+        else {
+          budgets[proxy]?.first();
+          firsts += 1;
+        }
       }
-    }
-    assert.ok(agains <= firsts / 5 + 18);
-  }), settings);
+      assert.ok(agains <= firsts / 5 + 18);
+    }),
+    settings,
+  );
 });
 
 test('sends: an unframed answer is whole only with its final event; nothing follows the end', () => {
@@ -127,48 +168,101 @@
 });
 
 test('the final event is found however the bytes are cut, and not when more follows', () => {
-  fc.assert(fc.property(fc.array(fc.nat(40), { maxLength: 5 }), fc.boolean(), (cuts, more) => {
-    const text = `data: {"a":1}\n\ndata: [DONE]\n\n${more ? 'data: {"late":1}\n\n' : ''}`;
-    const places = [...new Set([0, ...cuts.map((cut) => cut % text.length), text.length])].sort((left, right) => left - right);
-    const final = new FinalEvent();
-    let last = false;
-    let seen = false;
-    for (let index = 1; index < places.length; index += 1) {
-      last = final.see(Buffer.from(text.slice(places[index - 1], places[index])));
-      seen ||= last;
-    }
-    if (!more) assert.ok(seen);
-  }), settings);
+  fc.assert(
+    fc.property(fc.array(fc.nat(40), { maxLength: 5 }), fc.boolean(), (cuts, more) => {
+      const text = `data: {"a":1}\n\ndata: [DONE]\n\n${more ? 'data: {"late":1}\n\n' : ''}`;
+      const places = [...new Set([0, ...cuts.map((cut) => cut % text.length), text.length])].sort(
+        (left, right) => left - right,
+      );
+      const final = new FinalEvent();
+      let last = false;
+      let seen = false;
+      for (let index = 1; index < places.length; index += 1) {
+        last = final.see(Buffer.from(text.slice(places[index - 1], places[index])));
+        seen ||= last;
+      }
+      if (!more) assert.ok(seen);
+    }),
+    settings,
+  );
 });
 
 test('weights: about half of a pool keeps serving until the first half is done or time is short', () => {
   const engines = ['e1', 'e2', 'e3', 'e4', 'e5'];
-  const fact = (engine: string, weights: string): EngineFact => ({ engine, kind: 'engine', address: '', bootEpoch: 'b', weights, capacity: 1, inFlight: 0, accepting: true, changing: false, reachable: true });
-  const pool = (done: readonly string[]): Record<string, EngineFact> => Object.fromEntries(engines.map((engine) => [engine, fact(engine, done.includes(engine) ? 'new' : 'old')]));
+  const fact = (engine: string, weights: string): EngineFact => ({
+    engine,
+    kind: 'engine',
+    address: '',
+    bootEpoch: 'b',
+    weights,
+    capacity: 1,
+    inFlight: 0,
+    accepting: true,
+    changing: false,
+    reachable: true,
+  });
+  const pool = (done: readonly string[]): Record<string, EngineFact> =>
+    Object.fromEntries(engines.map((engine) => [engine, fact(engine, done.includes(engine) ? 'new' : 'old')]));
   const since = { weights: 'new', previous: 'old', sinceMicroseconds: 0 };
   const first = WeightsPlans.firstRound('s', 'new', engines);
   assert.equal(first.length, 3);
-  const kinds = (done: readonly string[], now: number): readonly string[] => engines.filter((engine) => WeightsPlans.step(engine, since, done.includes(engine) ? 'new' : 'old', pool(done), 's', now).kind === 'load');
+  const kinds = (done: readonly string[], now: number): readonly string[] =>
+    engines.filter(
+      (engine) =>
+        WeightsPlans.step(engine, since, done.includes(engine) ? 'new' : 'old', pool(done), 's', now).kind === 'load',
+    );
   assert.deepEqual([...kinds([], 1000)].sort(), [...first].sort());
-  assert.deepEqual([...kinds(first, 1000)].sort(), engines.filter((engine) => !first.includes(engine)));
+  assert.deepEqual(
+    [...kinds(first, 1000)].sort(),
+    engines.filter((engine) => !first.includes(engine)),
+  );
   assert.equal(kinds([], WeightsClocks.secondRoundMicroseconds).length, 5);
   const late = WeightsPlans.step('e1', since, 'old', pool([]), 's', WeightsClocks.drainUntilMicroseconds + 1);
   assert.deepEqual(late, { kind: 'load', drainMicroseconds: 0 });
-  assert.deepEqual(WeightsPlans.step('e1', { ...since, sinceMicroseconds: null }, 'old', pool([]), 's', 5), { kind: 'load', drainMicroseconds: 0 });
+  assert.deepEqual(WeightsPlans.step('e1', { ...since, sinceMicroseconds: null }, 'old', pool([]), 's', 5), {
+    kind: 'load',
+    drainMicroseconds: 0,
+  });
 });
 
-const scored = fc.record({ name: fc.string(), address: fc.constant(''), bootEpoch: fc.constant(''), weights: fc.constant(''), capacity: fc.integer({ min: 1, max: 8 }), inFlight: fc.nat(8), matched: fc.nat(16) });
+const scored = fc.record({
+  name: fc.string(),
+  address: fc.constant(''),
+  bootEpoch: fc.constant(''),
+  weights: fc.constant(''),
+  capacity: fc.integer({ min: 1, max: 8 }),
+  inFlight: fc.nat(8),
+  matched: fc.nat(16),
+});
 test('placement: an engine with room is taken before a full one; a crowd outweighs a prefix in the end', () => {
-  fc.assert(fc.property(fc.array(scored, { minLength: 1, maxLength: 8 }), fc.nat(16), (candidates, blocks) => {
-    for (const placement of [Placements.byLoad, Placements.byPrefix]) {
-      const chosen = placement.choose(candidates, blocks, seededRandom(1));
-      assert.ok(chosen !== undefined);
-      if (chosen !== undefined && candidates.some(({ inFlight, capacity }) => inFlight < capacity)) assert.ok(chosen.inFlight < chosen.capacity);
-    }
-  }), settings);
-  const engine = (name: string, matched: number, inFlight: number): Scored => ({ name, address: '', bootEpoch: '', weights: '', capacity: 8, inFlight, matched });
-  assert.equal(Placements.byPrefix.choose([engine('hot', 16, 1), engine('cold', 0, 0)], 16, seededRandom(1))?.name, 'hot');
-  assert.equal(Placements.byPrefix.choose([engine('hot', 8, 7), engine('cold', 0, 0)], 16, seededRandom(1))?.name, 'cold');
+  fc.assert(
+    fc.property(fc.array(scored, { minLength: 1, maxLength: 8 }), fc.nat(16), (candidates, blocks) => {
+      for (const placement of [Placements.byLoad, Placements.byPrefix]) {
+        const chosen = placement.choose(candidates, blocks, seededRandom(1));
+        assert.ok(chosen !== undefined);
+        if (chosen !== undefined && candidates.some(({ inFlight, capacity }) => inFlight < capacity))
+          assert.ok(chosen.inFlight < chosen.capacity);
+      }
+    }),
+    settings,
+  );
+  const engine = (name: string, matched: number, inFlight: number): Scored => ({
+    name,
+    address: '',
+    bootEpoch: '',
+    weights: '',
+    capacity: 8,
+    inFlight,
+    matched,
+  });
+  assert.equal(
+    Placements.byPrefix.choose([engine('hot', 16, 1), engine('cold', 0, 0)], 16, seededRandom(1))?.name,
+    'hot',
+  );
+  assert.equal(
+    Placements.byPrefix.choose([engine('hot', 8, 7), engine('cold', 0, 0)], 16, seededRandom(1))?.name,
+    'cold',
+  );
 });
 
 test('links: one slow import makes a pair dear at once, and it fades back', () => {
@@ -182,66 +276,138 @@
 });
 
 test('rendezvous: one daemon more moves only what becomes its own', () => {
-  fc.assert(fc.property(fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 2, maxLength: 10 }), fc.array(fc.string(), { maxLength: 20 }), (names, subjects) => {
-    const [added, ...before] = names;
-    for (const subject of subjects) {
-      const [old, now] = [Rendezvous.order(subject, before)[0], Rendezvous.order(subject, names)[0]];
-      assert.ok(now === old || now === added);
-    }
-  }), settings);
+  fc.assert(
+    fc.property(
+      fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 2, maxLength: 10 }),
+      fc.array(fc.string(), { maxLength: 20 }),
+      (names, subjects) => {
+        const [added, ...before] = names;
+        for (const subject of subjects) {
+          const [old, now] = [Rendezvous.order(subject, before)[0], Rendezvous.order(subject, names)[0]];
+          assert.ok(now === old || now === added);
+        }
+      },
+    ),
+    settings,
+  );
 });
 
 test('facts: two books that exchange what is newer end equal, whatever was put where', () => {
   const fact = fc.record({ key: fc.constantFrom('a', 'b', 'c', 'd'), version: fc.tuple(fc.nat(3), fc.nat(3)) });
-  fc.assert(fc.property(fc.array(fact), fc.array(fact), (left, right) => {
-    const [one, two] = [new FactBook(), new FactBook()];
-    for (const item of left) one.put({ ...item, value: `${item.key}${item.version.join()}` });
-    for (const item of right) two.put({ ...item, value: `${item.key}${item.version.join()}` });
-    for (const item of one.newerThan(two.digest())) two.put(item);
-    for (const item of two.newerThan(one.digest())) one.put(item);
-    assert.equal(one.sum(), two.sum());
-    assert.deepEqual(one.digest(), two.digest());
-  }), settings);
+  fc.assert(
+    fc.property(fc.array(fact), fc.array(fact), (left, right) => {
+      const [one, two] = [new FactBook(), new FactBook()];
+      for (const item of left) one.put({ ...item, value: `${item.key}${item.version.join()}` });
+      for (const item of right) two.put({ ...item, value: `${item.key}${item.version.join()}` });
+      for (const item of one.newerThan(two.digest())) two.put(item);
+      for (const item of two.newerThan(one.digest())) one.put(item);
+      assert.equal(one.sum(), two.sum());
+      assert.deepEqual(one.digest(), two.digest());
+    }),
+    settings,
+  );
 });
 
 const text = JSON.stringify(SimBlueprints.first());
-const statement = (revision: number, ageMicroseconds: number): Statement => ({ key: 'blueprint', revision, digest: Digests.of(`${text}${' '.repeat(revision)}`), ageMicroseconds, weights: {} });
+const statement = (revision: number, ageMicroseconds: number): Statement => ({
+  key: 'blueprint',
+  revision,
+  digest: Digests.of(`${text}${' '.repeat(revision)}`),
+  ageMicroseconds,
+  weights: {},
+});
 
 test('freshness: a daemon never goes back, and its age only falls by a later look at the same or a newer revision', () => {
-  fc.assert(fc.property(fc.array(fc.record({ revision: fc.integer({ min: 1, max: 4 }), age: fc.nat(3_000_000), wait: fc.nat(500_000), body: fc.boolean() }), { maxLength: 40 }), (steps) => {
-    let now = 10_000_000;
-    const freshness = new Freshness({ nowMicroseconds: () => now, after: () => () => undefined });
-    let applied = 0;
-    let newestLook = -Infinity;
-    for (const { revision, age, wait, body } of steps) {
-      now += wait;
-      freshness.hear(statement(revision, age), now);
-      if (body) freshness.give({ key: 'blueprint', revision, digest: Digests.of(`${text}${' '.repeat(revision)}`), text: `${text}${' '.repeat(revision)}` });
-      const present = freshness.revision('blueprint');
-      assert.ok(present >= applied);
-      if (present > applied) newestLook = -Infinity;
-      applied = present;
-      if (present === revision) newestLook = Math.max(newestLook, now - age);
-      if (present > 0 && newestLook > -Infinity) assert.ok(freshness.statements().find(({ key }) => key === 'blueprint')?.ageMicroseconds !== undefined);
-    }
-  }), settings);
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.record({
+          revision: fc.integer({ min: 1, max: 4 }),
+          age: fc.nat(3_000_000),
+          wait: fc.nat(500_000),
+          body: fc.boolean(),
+        }),
+        { maxLength: 40 },
+      ),
+      (steps) => {
+        let now = 10_000_000;
+        const freshness = new Freshness({ nowMicroseconds: () => now, after: () => () => undefined });
+        let applied = 0;
+        let newestLook = -Infinity;
+        for (const { revision, age, wait, body } of steps) {
+          now += wait;
+          freshness.hear(statement(revision, age), now);
+          if (body)
+            freshness.give({
+              key: 'blueprint',
+              revision,
+              digest: Digests.of(`${text}${' '.repeat(revision)}`),
+              text: `${text}${' '.repeat(revision)}`,
+            });
+          const present = freshness.revision('blueprint');
+          assert.ok(present >= applied);
+          if (present > applied) newestLook = -Infinity;
+          applied = present;
+          if (present === revision) newestLook = Math.max(newestLook, now - age);
+          if (present > 0 && newestLook > -Infinity)
+            assert.ok(freshness.statements().find(({ key }) => key === 'blueprint')?.ageMicroseconds !== undefined);
+        }
+      },
+    ),
+    settings,
+  );
 });
 
-const answer = (keeper: string, incarnation: number, known: Record<string, number>, epoch: number, revision: number, decided = 0): WordsAnswer => ({
-  kind: 'words', stamp: { fleet: 'f', keeper, incarnation, known }, membersRevision: 1,
+const answer = (
+  keeper: string,
+  incarnation: number,
+  known: Record<string, number>,
+  epoch: number,
+  revision: number,
+  decided = 0,
+): WordsAnswer => ({
+  kind: 'words',
+  stamp: { fleet: 'f', keeper, incarnation, known },
+  membersRevision: 1,
   view: { revision: 1, sets: [['a', 'b', 'c']], members: {} },
-  words: [{ key: 'blueprint', epoch: { number: epoch, keeper: 'a' }, revision, digest: `d${revision}`, decidedRevision: decided, decidedDigest: `d${decided}`, owner: 'a' }],
+  words: [
+    {
+      key: 'blueprint',
+      epoch: { number: epoch, keeper: 'a' },
+      revision,
+      digest: `d${revision}`,
+      decidedRevision: decided,
+      decidedDigest: `d${decided}`,
+      owner: 'a',
+    },
+  ],
 });
 
 test('a majority read names a revision only when it is known to stand', () => {
-  const judge = (answers: readonly WordsAnswer[], applied?: { revision: number; digest: string }): readonly number[] => MajorityReads.judge(answers, 'f', () => applied).statements.map(({ revision }) => revision);
+  const judge = (answers: readonly WordsAnswer[], applied?: { revision: number; digest: string }): readonly number[] =>
+    MajorityReads.judge(answers, 'f', () => applied).statements.map(({ revision }) => revision);
   assert.deepEqual(judge([answer('a', 0, {}, 1, 2)]), [], 'one keeper is no majority');
   assert.deepEqual(judge([answer('a', 0, {}, 1, 2), answer('b', 0, {}, 1, 2)]), [2]);
   assert.deepEqual(judge([answer('a', 0, {}, 1, 3), answer('b', 0, {}, 1, 2)]), [], 'the higher one may vanish');
   assert.deepEqual(judge([answer('a', 0, {}, 1, 3, 3), answer('b', 0, {}, 1, 2)]), [3], 'the owner said it stands');
-  assert.deepEqual(judge([answer('a', 0, {}, 2, 2), answer('b', 0, {}, 1, 2)], { revision: 2, digest: 'd2' }), [2], 'already applied');
+  assert.deepEqual(
+    judge([answer('a', 0, {}, 2, 2), answer('b', 0, {}, 1, 2)], { revision: 2, digest: 'd2' }),
+    [2],
+    'already applied',
+  );
   assert.deepEqual(judge([answer('a', 0, {}, 1, 2), answer('b', 0, { a: 1 }, 1, 2)]), [], 'a has lost its disk since');
-  assert.deepEqual(MajorityReads.judge([answer('a', 0, {}, 1, 2), { ...answer('b', 0, {}, 1, 2), stamp: { fleet: 'other', keeper: 'b', incarnation: 0, known: {} } }], 'f', () => undefined).statements, [], 'a stranger does not count');
+  assert.deepEqual(
+    MajorityReads.judge(
+      [
+        answer('a', 0, {}, 1, 2),
+        { ...answer('b', 0, {}, 1, 2), stamp: { fleet: 'other', keeper: 'b', incarnation: 0, known: {} } },
+      ],
+      'f',
+      () => undefined,
+    ).statements,
+    [],
+    'a stranger does not count',
+  );
 });
 
 test('duties: one holder while a lease runs, rising terms, and none from a keeper that has just come back', async () => {
@@ -258,7 +424,8 @@
   await settle(ledger.open());
   await settle(ledger.write([{ kind: 'forming', fleet: 'f', members: {} }, { kind: 'formed' }]));
   const voter = new DutyVoter(new KeeperCore('k', ledger, world.clock), world.clock);
-  const ask = async (candidate: string, term: number): Promise<boolean> => (await settle(voter.vote([{ duty: 'd', candidate, term, leaseMicroseconds: 1_000_000 }])))[0]?.granted ?? false;
+  const ask = async (candidate: string, term: number): Promise<boolean> =>
+    (await settle(voter.vote([{ duty: 'd', candidate, term, leaseMicroseconds: 1_000_000 }])))[0]?.granted ?? false;
   assert.equal(await ask('x', 1), true);
   assert.equal(await ask('y', 2), false);
   assert.equal(await ask('x', 1), true);
@@ -273,5 +440,8 @@
   const early = (await settle(again.vote([{ duty: 'd', candidate: 'z', term: 4, leaseMicroseconds: 1_000_000 }])))[0];
   assert.equal(early?.granted, false);
   await world.runFor(1_100_000);
-  assert.equal((await settle(again.vote([{ duty: 'd', candidate: 'z', term: 4, leaseMicroseconds: 1_000_000 }])))[0]?.granted, true);
+  assert.equal(
+    (await settle(again.vote([{ duty: 'd', candidate: 'z', term: 4, leaseMicroseconds: 1_000_000 }])))[0]?.granted,
+    true,
+  );
 });
--- a/tests/real-fleet.test.ts
+++ b/tests/real-fleet.test.ts
@@ -11,7 +11,10 @@
 import { Programs } from './support/programs';
 
 const folder = mkdtempSync(path.join(tmpdir(), 'postdrum-real-'));
-const blueprint = JSON.parse(readFileSync('examples/koro-sea.json', 'utf8')) as Record<string, Record<string, Record<string, unknown>>>;
+const blueprint = JSON.parse(readFileSync('examples/koro-sea.json', 'utf8')) as Record<
+  string,
+  Record<string, Record<string, unknown>>
+>;
 (blueprint['tenants'] ??= {})['brief'] = { walled: false, keys: ['koro-brief-key-1'] };
 const key = 'koro-wharf-north-key-1';
 const chat = '/v1/chat/completions';
@@ -24,9 +27,18 @@
 
 type Reply = Readonly<{ status: number; headers: Readonly<Record<string, unknown>>; text: string; whole: boolean }>;
 
-const call = async (edge: EdgeMachine, body: unknown, headers: Readonly<Record<string, string>> = { authorization: `Bearer ${key}` }, at = chat): Promise<Reply> => {
+const call = async (
+  edge: EdgeMachine,
+  body: unknown,
+  headers: Readonly<Record<string, string>> = { authorization: `Bearer ${key}` },
+  at = chat,
+): Promise<Reply> => {
   try {
-    const answer = await request(`http://${edge.proxyAddress}${at}`, { method: 'POST', body: typeof body === 'string' ? body : JSON.stringify(body), headers: { 'content-type': 'application/json', ...headers } });
+    const answer = await request(`http://${edge.proxyAddress}${at}`, {
+      method: 'POST',
+      body: typeof body === 'string' ? body : JSON.stringify(body),
+      headers: { 'content-type': 'application/json', ...headers },
+    });
     let text = '';
     try {
       for await (const chunk of answer.body as AsyncIterable<Buffer>) text += chunk.toString();
@@ -39,10 +51,26 @@
   }
 };
 
-const order = (nonce: string, model = 'slip-tag', parts = 3): unknown => ({ model, stream: true, max_tokens: parts, messages: [{ role: 'user', content: `nonce:${nonce} please` }] });
+const order = (nonce: string, model = 'slip-tag', parts = 3): unknown => ({
+  model,
+  stream: true,
+  max_tokens: parts,
+  messages: [{ role: 'user', content: `nonce:${nonce} please` }],
+});
 
 describe('a real fleet of processes', () => {
-  const fleet = new LocalFleet(folder, { engines: 3, pool: 'rulebook', app: 'slips', weights: '2026-11', capacity: 8, mostBlocks: 100, blockCharacters: 1024, edges: 3, proxyWords: [], distFolder: path.resolve('dist') });
+  const fleet = new LocalFleet(folder, {
+    engines: 3,
+    pool: 'rulebook',
+    app: 'slips',
+    weights: '2026-11',
+    capacity: 8,
+    mostBlocks: 100,
+    blockCharacters: 1024,
+    edges: 3,
+    proxyWords: [],
+    distFolder: path.resolve('dist'),
+  });
   let revision = 0;
   let changes = 0;
   const edge = (index: number): EdgeMachine => fleet.edges[index] as EdgeMachine;
@@ -52,7 +80,17 @@
     assert.equal(taken.status, 200, taken.body);
     revision += 1;
   };
-  const ranTimes = (nonce: string): number => fleet.backEnds.reduce((sum, { record }) => sum + (existsSync(record) ? readFileSync(record, 'utf8').split('\n').filter((line) => line.includes(`"nonce":"${nonce}"`)).length : 0), 0);
+  const ranTimes = (nonce: string): number =>
+    fleet.backEnds.reduce(
+      (sum, { record }) =>
+        sum +
+        (existsSync(record)
+          ? readFileSync(record, 'utf8')
+              .split('\n')
+              .filter((line) => line.includes(`"nonce":"${nonce}"`)).length
+          : 0),
+      0,
+    );
 
   before(async () => {
     await fleet.prepare();
@@ -97,7 +135,7 @@
     }
   });
 
-  test('garbage on the callers\' port closes that conn and nothing else', async () => {
+  test("garbage on the callers' port closes that conn and nothing else", async () => {
     const [host, port] = edge(0).proxyAddress.split(':');
     await new Promise<void>((resolve) => {
       const socket = net.connect(Number(port), host, () => socket.write('\u0000\u0001garbage\r\n\r\n'));
@@ -112,16 +150,19 @@
     const [host, port] = edge(1).proxyAddress.split(':');
     const body = JSON.stringify(order('slow-1', 'slip-tag', 400));
     const received = await new Promise<string>((resolve, reject) => {
-      const sent = http.request({ host, port, path: chat, method: 'POST', headers: { authorization: `Bearer ${key}` } }, (response) => {
-        let text = '';
-        response.on('data', (chunk: Buffer) => {
-          text += chunk.toString();
-          response.pause();
-          setImmediate(() => response.resume());
-        });
-        response.on('end', () => resolve(text));
-        response.on('error', reject);
-      });
+      const sent = http.request(
+        { host, port, path: chat, method: 'POST', headers: { authorization: `Bearer ${key}` } },
+        (response) => {
+          let text = '';
+          response.on('data', (chunk: Buffer) => {
+            text += chunk.toString();
+            response.pause();
+            setImmediate(() => response.resume());
+          });
+          response.on('end', () => resolve(text));
+          response.on('error', reject);
+        },
+      );
       sent.end(body);
     });
     assert.ok(received.endsWith('data: [DONE]\n\n'));
@@ -131,30 +172,47 @@
   test('a caller that leaves ends its send, and the engine has its place again', async () => {
     const [host, port] = edge(2).proxyAddress.split(':');
     await new Promise<void>((resolve) => {
-      const sent = http.request({ host, port, path: chat, method: 'POST', headers: { authorization: `Bearer ${key}` } }, (response) => {
-        response.once('data', () => {
-          sent.destroy();
-          resolve();
-        });
-        response.on('error', () => undefined);
-      });
+      const sent = http.request(
+        { host, port, path: chat, method: 'POST', headers: { authorization: `Bearer ${key}` } },
+        (response) => {
+          response.once('data', () => {
+            sent.destroy();
+            resolve();
+          });
+          response.on('error', () => undefined);
+        },
+      );
       sent.on('error', () => undefined);
       sent.end(JSON.stringify(order('left-1', 'slip-tag', 900)));
     });
-    await until('the engine to note the cut', () => Promise.resolve(fleet.backEnds.some(({ record }) => existsSync(record) && readFileSync(record, 'utf8').split('\n').some((line) => line.includes('"nonce":"left-1"') && line.includes('"ended":"cut"')))));
+    await until('the engine to note the cut', () =>
+      Promise.resolve(
+        fleet.backEnds.some(
+          ({ record }) =>
+            existsSync(record) &&
+            readFileSync(record, 'utf8')
+              .split('\n')
+              .some((line) => line.includes('"nonce":"left-1"') && line.includes('"ended":"cut"')),
+        ),
+      ),
+    );
   });
 
   test('a key removed on a live conn is refused within the clock, the other key goes on', async () => {
     const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
     const [host, port] = edge(0).proxyAddress.split(':');
-    const ask = (withKey: string): Promise<number> => new Promise((resolve, reject) => {
-      const sent = http.request({ host, port, path: chat, method: 'POST', agent, headers: { authorization: `Bearer ${withKey}` } }, (response) => {
-        response.resume();
-        response.on('end', () => resolve(response.statusCode ?? 0));
+    const ask = (withKey: string): Promise<number> =>
+      new Promise((resolve, reject) => {
+        const sent = http.request(
+          { host, port, path: chat, method: 'POST', agent, headers: { authorization: `Bearer ${withKey}` } },
+          (response) => {
+            response.resume();
+            response.on('end', () => resolve(response.statusCode ?? 0));
+          },
+        );
+        sent.on('error', reject);
+        sent.end(JSON.stringify(order('live', 'slip-tag', 1)));
       });
-      sent.on('error', reject);
-      sent.end(JSON.stringify(order('live', 'slip-tag', 1)));
-    });
     assert.equal(await ask('koro-brief-key-1'), 200);
     delete (blueprint['tenants'] ?? {})['brief'];
     await take();
@@ -177,27 +235,45 @@
     });
     await victim?.child.kill();
     const reply = await running;
-    assert.ok(!reply.whole || (reply.status === 502 && reply.headers['postdrum-verdict'] === 'mayHaveRun'), `${reply.status} ${reply.whole}`);
+    assert.ok(
+      !reply.whole || (reply.status === 502 && reply.headers['postdrum-verdict'] === 'mayHaveRun'),
+      `${reply.status} ${reply.whole}`,
+    );
     assert.ok(!reply.text.includes('[DONE]'));
     victim?.child.start();
-    await until('the engine to be ready again', async () => (await fleet.page(`http://${victim?.address}/ready`)) !== '');
+    await until(
+      'the engine to be ready again',
+      async () => (await fleet.page(`http://${victim?.address}/ready`)) !== '',
+    );
     assert.equal(ranTimes('cut-1'), 0, 'killed before it could write its record, and sent to no other');
   });
 
   test('proxies stopped with a warning one by one drop nothing they had read', async () => {
     const calls: Promise<Reply>[] = [];
     for (const machine of fleet.edges) {
-      const inFlight = Array.from({ length: 6 }, (_, number) => call(machine, order(`stop-${machine.name}-${number}`, 'slip-tag', 40)));
+      const inFlight = Array.from({ length: 6 }, (_, number) =>
+        call(machine, order(`stop-${machine.name}-${number}`, 'slip-tag', 40)),
+      );
       calls.push(...inFlight);
-      await until('the orders to run', async () => /postdrum_running_sends [1-9]/.test(await fleet.page(`http://${machine.proxyAddress}/-/metrics`)));
+      await until('the orders to run', async () =>
+        /postdrum_running_sends [1-9]/.test(await fleet.page(`http://${machine.proxyAddress}/-/metrics`)),
+      );
       const began = performance.now();
       const code = await machine.proxy.term();
       assert.equal(code, 0);
       assert.ok(performance.now() - began < 10_000, 'the stop waited for idle conns');
       machine.proxy.start();
-      await until('the proxy to be fresh again', async () => (await fleet.page(`http://${machine.proxyAddress}/-/health`)).includes('true'));
+      await until('the proxy to be fresh again', async () =>
+        (await fleet.page(`http://${machine.proxyAddress}/-/health`)).includes('true'),
+      );
     }
-    for (const reply of await Promise.all(calls)) assert.ok(reply.status === 200 ? reply.whole && reply.text.includes('[DONE]') : reply.status === 0 || reply.headers['postdrum-verdict'] === 'notRun', `${reply.status} ${reply.whole} ${reply.text}`);
+    for (const reply of await Promise.all(calls))
+      assert.ok(
+        reply.status === 200
+          ? reply.whole && reply.text.includes('[DONE]')
+          : reply.status === 0 || reply.headers['postdrum-verdict'] === 'notRun',
+        `${reply.status} ${reply.whole} ${reply.text}`,
+      );
     assert.ok((await Promise.all(calls)).filter(({ status }) => status === 200).length >= calls.length - 3);
   });
 
@@ -205,14 +281,23 @@
     const machine = edge(2);
     (blueprint['tenants'] ??= {})['frozen'] = { walled: false, keys: ['koro-frozen-key-1'] };
     await take();
-    await until('the key to be known', async () => (await call(machine, order('frozen-0'), { authorization: 'Bearer koro-frozen-key-1' })).status === 200);
+    await until(
+      'the key to be known',
+      async () =>
+        (await call(machine, order('frozen-0'), { authorization: 'Bearer koro-frozen-key-1' })).status === 200,
+    );
     machine.proxy.signal('SIGSTOP');
     machine.agent.signal('SIGSTOP');
     delete (blueprint['tenants'] ?? {})['frozen'];
     await take();
-    const asked = Array.from({ length: 5 }, (_, number) => call(machine, order(`frozen-${number + 1}`), { authorization: 'Bearer koro-frozen-key-1' }));
+    const asked = Array.from({ length: 5 }, (_, number) =>
+      call(machine, order(`frozen-${number + 1}`), { authorization: 'Bearer koro-frozen-key-1' }),
+    );
     const began = performance.now();
-    await until('two seconds to pass while other machines serve', async () => (await call(edge(0), order('meanwhile'))).status === 200 && performance.now() - began > 2100);
+    await until(
+      'two seconds to pass while other machines serve',
+      async () => (await call(edge(0), order('meanwhile'))).status === 200 && performance.now() - began > 2100,
+    );
     machine.proxy.signal('SIGCONT');
     machine.agent.signal('SIGCONT');
     for (const reply of await Promise.all(asked)) assert.notEqual(reply.status, 200);
@@ -228,8 +313,15 @@
     writeFileSync(torn, Buffer.concat([whole, Buffer.from([0, 0, 1, 7, 9, 9])]));
     for (const { child } of fleet.keepers) child.start();
     const started = performance.now();
-    await until('the setup to be read back', async () => (await fleet.page(`http://${fleet.keepers[0]?.operatorsAddress}/blueprint`)) === text);
-    await until('every machine to serve', async () => (await Promise.all(fleet.edges.map((machine) => call(machine, order('back'))))).every(({ status }) => status === 200));
+    await until(
+      'the setup to be read back',
+      async () => (await fleet.page(`http://${fleet.keepers[0]?.operatorsAddress}/blueprint`)) === text,
+    );
+    await until('every machine to serve', async () =>
+      (await Promise.all(fleet.edges.map((machine) => call(machine, order('back'))))).every(
+        ({ status }) => status === 200,
+      ),
+    );
     assert.ok(performance.now() - started < 12_000);
     await take();
   });
@@ -247,15 +339,23 @@
     assert.match(readFileSync(path.join(folder, `${keeper.name}.log`), 'utf8'), /damaged at byte/);
     truncateSync(file, 0);
     keeper.child.start();
-    await until('the keeper to vote', async () => (await fleet.page(`http://${keeper.operatorsAddress}/status`)).includes('"standing":"voting","fleet"'));
+    await until('the keeper to vote', async () =>
+      (await fleet.page(`http://${keeper.operatorsAddress}/status`)).includes('"standing":"voting","fleet"'),
+    );
     assert.match(await fleet.page(`http://${keeper.operatorsAddress}/status`), /"incarnation":1/);
   });
 
-  test('the operators\' door refuses plainly', async () => {
+  test("the operators' door refuses plainly", async () => {
     const at = `http://${fleet.keepers[0]?.operatorsAddress}/blueprint`;
-    const put = async (body: string, headers: Record<string, string>): Promise<Readonly<{ status: number; body: { outcome?: string; faults?: { path: string }[] } }>> => {
+    const put = async (
+      body: string,
+      headers: Record<string, string>,
+    ): Promise<Readonly<{ status: number; body: { outcome?: string; faults?: { path: string }[] } }>> => {
       const answer = await request(at, { method: 'PUT', body, headers });
-      return { status: answer.statusCode, body: (await answer.body.json()) as { outcome?: string; faults?: { path: string }[] } };
+      return {
+        status: answer.statusCode,
+        body: (await answer.body.json()) as { outcome?: string; faults?: { path: string }[] },
+      };
     };
     const now = { 'if-match': `"${revision}"` };
     assert.equal((await put('{}', { 'idempotency-key': 'x1' })).status, 428);
@@ -263,16 +363,26 @@
     assert.equal((await put('{', { ...now, 'idempotency-key': 'x2' })).status, 422);
     assert.equal((await put('x'.repeat(5_000_000), { ...now, 'idempotency-key': 'x3' })).status, 413);
     assert.equal((await put(JSON.stringify(blueprint), { 'if-match': '"1"', 'idempotency-key': 'x4' })).status, 412);
-    const faulty = await put(JSON.stringify({ ...blueprint, odd: 1, classes: { checks: { rank: 'first', sharePerMille: 5000 } } }), { ...now, 'idempotency-key': 'x5' });
+    const faulty = await put(
+      JSON.stringify({ ...blueprint, odd: 1, classes: { checks: { rank: 'first', sharePerMille: 5000 } } }),
+      { ...now, 'idempotency-key': 'x5' },
+    );
     assert.equal(faulty.status, 422);
-    assert.deepEqual(faulty.body.faults?.map((fault) => fault.path).sort(), ['/classes/checks/rank', '/classes/checks/sharePerMille', '/odd']);
+    assert.deepEqual(faulty.body.faults?.map((fault) => fault.path).sort(), [
+      '/classes/checks/rank',
+      '/classes/checks/sharePerMille',
+      '/odd',
+    ]);
     assert.equal(await fleet.page(at), JSON.stringify(blueprint));
   });
 
   test('the command line: status, check, take and patch with their exit codes', async () => {
     const core = fleet.keepers.map(({ operatorsAddress }) => operatorsAddress).join(',');
     const run = (...words: string[]): Readonly<{ code: number | null; out: string; error: string }> => {
-      const done = spawnSync(process.execPath, ['dist/postdrum.cjs', ...words], { encoding: 'utf8', env: { ...process.env, POSTDRUM_CORE: core } });
+      const done = spawnSync(process.execPath, ['dist/postdrum.cjs', ...words], {
+        encoding: 'utf8',
+        env: { ...process.env, POSTDRUM_CORE: core },
+      });
       return { code: done.status, out: done.stdout, error: done.stderr };
     };
     const file = path.join(folder, 'intended.json');
@@ -284,13 +394,19 @@
     assert.equal(status.code, 0);
     const seen = JSON.parse(status.out) as { keepers: unknown[]; agents: unknown[]; partial: boolean };
     assert.deepEqual([seen.keepers.length, seen.agents.length, seen.partial], [3, 3, false]);
-    writeFileSync(file, JSON.stringify({ ...blueprint, services: { ...blueprint['services'], lonely: { kind: 'app' } } }));
+    writeFileSync(
+      file,
+      JSON.stringify({ ...blueprint, services: { ...blueprint['services'], lonely: { kind: 'app' } } }),
+    );
     const checked = run('blueprint', 'check', file);
     assert.equal(checked.code, 1);
     assert.match(checked.out, /no engine is listed/);
     writeFileSync(file, '{"changes":[{"put":"/classes/office/rank","value":7}]}');
     assert.equal(run('blueprint', 'patch', file).code, 0);
-    assert.equal((JSON.parse(run('blueprint', 'show').out) as { classes: { office: { rank: number } } }).classes.office.rank, 7);
+    assert.equal(
+      (JSON.parse(run('blueprint', 'show').out) as { classes: { office: { rank: number } } }).classes.office.rank,
+      7,
+    );
     writeFileSync(file, '{"changes":[{"put":"/classes/office/rank","value":"high"}]}');
     const refused = run('blueprint', 'patch', file);
     assert.equal(refused.code, 1);
@@ -315,7 +431,14 @@
   const server = net.createServer().listen(0, '127.0.0.1');
   await new Promise((resolve) => server.once('listening', resolve));
   const { port } = server.address() as net.AddressInfo;
-  const used = await Programs.start('edge-proxy', ['--name', 'x', '--address', `127.0.0.1:${port}`, '--agent', '127.0.0.1:1']);
+  const used = await Programs.start('edge-proxy', [
+    '--name',
+    'x',
+    '--address',
+    `127.0.0.1:${port}`,
+    '--agent',
+    '127.0.0.1:1',
+  ]);
   assert.equal(used.code, 1);
   assert.match(used.error, /^edge-proxy: the address is in use .*\n$/);
   server.close();
@@ -326,14 +449,28 @@
   assert.equal(nobody.code, 2);
   assert.equal(nobody.error.split('\n').length, 2);
   const file = path.join(mkdtempSync(path.join(tmpdir(), 'postdrum-api-')), 'api.yaml');
-  writeFileSync(file, 'openapi: 3.0.0\ninfo: {title: t, version: "1"}\npaths:\n  /slips/print:\n    post: {responses: {"200": {description: ok}}}\n  /slips/list:\n    get: {responses: {"200": {description: ok}}}\n');
+  writeFileSync(
+    file,
+    'openapi: 3.0.0\ninfo: {title: t, version: "1"}\npaths:\n  /slips/print:\n    post: {responses: {"200": {description: ok}}}\n  /slips/list:\n    get: {responses: {"200": {description: ok}}}\n',
+  );
   const good = Programs.run('postdrum', ['mapping', 'import', file, '--service', 'slips', '--class', 'office']);
   assert.equal(good.code, 0, good.error);
-  assert.deepEqual(JSON.parse(good.out), { changes: [
-    { put: '/mappings/slips-print', value: { path: '/slips/print', model: '', service: 'slips', class: 'office', resumable: false } },
-    { put: '/mappings/slips-list', value: { path: '/slips/list', model: '', service: 'slips', class: 'office', resumable: true } },
-  ] });
-  writeFileSync(file, 'openapi: 3.0.0\ninfo: {title: t, version: "1"}\npaths:\n  /a:\n    $ref: "http://127.0.0.1:1/a.yaml"\n');
+  assert.deepEqual(JSON.parse(good.out), {
+    changes: [
+      {
+        put: '/mappings/slips-print',
+        value: { path: '/slips/print', model: '', service: 'slips', class: 'office', resumable: false },
+      },
+      {
+        put: '/mappings/slips-list',
+        value: { path: '/slips/list', model: '', service: 'slips', class: 'office', resumable: true },
+      },
+    ],
+  });
+  writeFileSync(
+    file,
+    'openapi: 3.0.0\ninfo: {title: t, version: "1"}\npaths:\n  /a:\n    $ref: "http://127.0.0.1:1/a.yaml"\n',
+  );
   const remote = Programs.run('postdrum', ['mapping', 'import', file, '--service', 's', '--class', 'c']);
   assert.equal(remote.code, 2);
   assert.match(remote.error, /not fetched/);
--- a/tests/simulated-fleet.test.ts
+++ b/tests/simulated-fleet.test.ts
@@ -9,7 +9,12 @@
   const fleet = new SimFleet(world);
   await fleet.startAll();
   for (let turn = 0; turn < 100; turn += 1) {
-    fleet.callers.call(fleet.handle(fleet.edge(turn % 4)), turn % 10 === 0 ? SimKinds.long() : SimKinds.short, 'open1', 'key-open1-a');
+    fleet.callers.call(
+      fleet.handle(fleet.edge(turn % 4)),
+      turn % 10 === 0 ? SimKinds.long() : SimKinds.short,
+      'open1',
+      'key-open1-a',
+    );
     await world.runFor(20_000);
   }
   await world.runFor(3_000_000);
--- a/tests/support/programs.ts
+++ b/tests/support/programs.ts
@@ -6,14 +6,21 @@
 
 export const Programs = {
   run: (program: string, words: readonly string[]): Ran => {
-    const done = spawnSync(process.execPath, [`dist/${program}.cjs`, ...words], { encoding: 'utf8', env: environment, timeout: 20_000 });
+    const done = spawnSync(process.execPath, [`dist/${program}.cjs`, ...words], {
+      encoding: 'utf8',
+      env: environment,
+      timeout: 20_000,
+    });
     return { code: done.status, out: done.stdout, error: done.stderr };
   },
 
   /** For programs that meet a listener of the test itself. */
   start: (program: string, words: readonly string[]): Promise<Ran> =>
     new Promise((resolve) => {
-      const child = spawn(process.execPath, [`dist/${program}.cjs`, ...words], { stdio: ['ignore', 'pipe', 'pipe'], env: environment });
+      const child = spawn(process.execPath, [`dist/${program}.cjs`, ...words], {
+        stdio: ['ignore', 'pipe', 'pipe'],
+        env: environment,
+      });
       let out = '';
       let error = '';
       child.stdout.on('data', (chunk: Buffer) => (out += chunk.toString()));
--- /dev/null
+++ b/tests/support/sabotages.ts
@@ -0,0 +1,332 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
+import { createRequire } from 'node:module';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { build } from 'esbuild';
+import { describe, test } from 'node:test';
+import type { FaultName } from '../../source/fleet-simulator/faults/faults';
+import type { ScenarioOrder, ScenarioOutcome } from '../../source/fleet-simulator/faults/scenario';
+
+/** A mechanism broken on purpose, and the judge that must see it. */
+type Sabotage = Readonly<{
+  point: string;
+  what: string;
+  cuts: readonly (readonly [file: string, from: string, to: string])[];
+  faults: readonly FaultName[];
+  seeds: number;
+  endOnFault?: boolean;
+}>;
+
+const sabotages: readonly Sabotage[] = [
+  {
+    point: 'doubled',
+    what: 'non-resumable orders are sent again after mayHaveRun',
+    faults: ['engineKilled'],
+    seeds: 10,
+    cuts: [
+      [
+        'edge-proxy/sends/sendPolicy.ts',
+        'else if (this.resolved.mapping.resumable) this.again(refusal);',
+        'else if (refusal.status > 0) this.again(refusal);',
+      ],
+    ],
+  },
+  {
+    point: 'saidNotRun',
+    what: 'a later notRun hides that an earlier send may have run',
+    faults: ['enginesReplaced', 'engineKilled', 'brownOut', 'edgeHalfFrozen'],
+    seeds: 30,
+    cuts: [
+      [
+        'edge-proxy/path/pipeline.ts',
+        "context.mayHaveRun && given.verdict === 'notRun'",
+        "context.sends < 0 && given.verdict === 'notRun'",
+      ],
+    ],
+  },
+  {
+    point: 'wrongAnswer',
+    what: 'a cut answer ends like a whole one',
+    faults: ['engineKilled'],
+    seeds: 10,
+    cuts: [
+      [
+        'edge-proxy/path/pipeline.ts',
+        'if (context.answer.begun()) context.answer.cut();',
+        'if (context.answer.begun()) context.answer.end();',
+      ],
+    ],
+  },
+  {
+    point: 'oldWeightsBlock',
+    what: 'identity leaves out the weights, and shards do not see them change',
+    faults: ['newWeights'],
+    seeds: 6,
+    cuts: [
+      [
+        'shared/directory/identity.ts',
+        'model: pool.model, weights, tokenizer',
+        "model: pool.model, weights: '', tokenizer",
+      ],
+      [
+        'shared/directory/shardDirectory.ts',
+        'if (head.bootEpoch === bootEpoch && head.weights === weights) return false;',
+        "if (head.bootEpoch === bootEpoch && head.weights !== '') { this.news.relabel(weights); return false; }",
+      ],
+      [
+        'shared/directory/shardNews.ts',
+        'public get size(): number {',
+        'public relabel(weights: string): void { this.head = { ...this.head, weights }; }\n\n  public get size(): number {',
+      ],
+      ['edge-agent/stewards/engineSteward.ts', '      this.shard.fence();\n', ''],
+    ],
+  },
+  {
+    point: 'otherTenantBlock',
+    what: 'walled tenants share the common trust domain',
+    faults: ['storeEmptied'],
+    seeds: 6,
+    cuts: [
+      [
+        'shared/directory/identity.ts',
+        "walled ? `walled/${tenant}` : 'shared'",
+        "walled && tenant === '' ? `walled/${tenant}` : 'shared'",
+      ],
+    ],
+  },
+  {
+    point: 'removed',
+    what: 'the fence never closes',
+    faults: ['edgeCutOff', 'keyRevoked', 'mappingRemoved'],
+    seeds: 12,
+    cuts: [['edge-proxy/edgeProxy.ts', 'freshMicroseconds: 1_500_000', 'freshMicroseconds: 900_000_000']],
+  },
+  {
+    point: 'slippedBack',
+    what: 'daemons believe the keeper that is furthest behind, and go back with it',
+    faults: ['keyRevoked', 'keeperKilled', 'keeperPowerLost'],
+    seeds: 40,
+    cuts: [
+      ['core-keeper/coreKeeper.ts', "void this.repair(word, String(message['owner']));", ''],
+      ['shared/news/newsExchange.ts', 'body.revision > (theirs[key] ?? 0)', 'body.revision !== (theirs[key] ?? 0)'],
+      [
+        'shared/freshness/freshness.ts',
+        'if (applied !== undefined && confirmed.revision < applied.revision) return;',
+        '',
+      ],
+      [
+        'shared/freshness/freshness.ts',
+        'confirmed.revision > wanted.revision ||',
+        'confirmed.revision !== wanted.revision ||',
+      ],
+      ['shared/freshness/freshness.ts', 'statement.revision < this.sinceRevision', 'statement.revision < 0'],
+      [
+        'edge-agent/core-link/majorityRead.ts',
+        'Epochs.compare(word.epoch, best.epoch) > 0 ||',
+        'Epochs.compare(word.epoch, best.epoch) < 0 ||',
+      ],
+      [
+        'edge-agent/core-link/majorityRead.ts',
+        'word.revision > best.revision) ? word',
+        'word.revision < best.revision) ? word',
+      ],
+      [
+        'edge-agent/core-link/majorityRead.ts',
+        '!Stamps.reached(view.sets, holders) && !said && !known',
+        'holders.length === 0 && !said && !known',
+      ],
+    ],
+  },
+  {
+    point: 'drained',
+    what: 'draining engines are still chosen and not told',
+    faults: ['engineDrained'],
+    seeds: 6,
+    cuts: [
+      [
+        'edge-proxy/placement/engineView.ts',
+        "engine.kind !== 'store' && engine.service === service && engine.state === 'ready'",
+        "engine.kind !== 'store' && engine.service === service",
+      ],
+      [
+        'edge-agent/stewards/engineSteward.ts',
+        "if (engine.state === 'draining' && status.accepting)",
+        "if (engine.state === 'draining' && !status.accepting)",
+      ],
+    ],
+  },
+  {
+    point: 'oldWeights',
+    what: 'old weights stay allowed and engines are not told',
+    faults: ['newWeights'],
+    seeds: 4,
+    cuts: [
+      [
+        'edge-proxy/fence/fence.ts',
+        "if (pool.weights === weights) return 'intended';",
+        "if (weights !== '') return 'intended';",
+      ],
+      [
+        'edge-agent/stewards/engineSteward.ts',
+        "if (step.kind === 'load')",
+        "if (step.kind === 'load' && step.drainMicroseconds < 0)",
+      ],
+    ],
+  },
+  {
+    point: 'lost',
+    what: 'taken is said before the disks have synced',
+    faults: ['corePowerLostAfterTaking'],
+    seeds: 12,
+    cuts: [
+      [
+        'core-keeper/ledger/ledger.ts',
+        '      await file.sync();\n    } catch (error) {\n      // Why end',
+        '      await Promise.resolve();\n    } catch (error) {\n      // Why end',
+      ],
+    ],
+  },
+  {
+    point: 'lost',
+    what: 'one keeper alone is a majority',
+    faults: ['coreSplit', 'operatorsRace'],
+    seeds: 12,
+    cuts: [['shared/register/types.ts', 'Math.floor(count / 2) + 1', 'Math.min(1, count)']],
+  },
+  {
+    point: 'lost',
+    what: 'a wiped keeper votes without catching up',
+    faults: ['keeperWiped', 'keeperCutOff', 'operatorsRace', 'keeperKilled', 'changeRepeated'],
+    seeds: 120,
+    cuts: [
+      [
+        'core-keeper/standing/standing.ts',
+        'if (sound.length !== others.length) return;',
+        'if (sound.length < 1) return;',
+      ],
+      ['core-keeper/standing/standing.ts', 'if (frames.length !== others.length) return;', 'frames.length = 0;'],
+    ],
+  },
+  {
+    point: 'refusedButTaken',
+    what: 'an outcome that is not known is called a refusal',
+    faults: ['coreSplit', 'keeperCutOff', 'operatorsRace', 'diskStalled'],
+    seeds: 80,
+    cuts: [
+      ['core-keeper/register/ownership.ts', "return mayStand ? { kind: 'unknown' } : undefined;", 'return undefined;'],
+      ['core-keeper/coreKeeper.ts', "return maySettle ? { kind: 'unknown' } : {", 'return {'],
+    ],
+  },
+  {
+    point: 'retries',
+    what: 'sends again know no budget',
+    faults: ['brownOut'],
+    seeds: 6,
+    cuts: [['edge-proxy/sends/retryBudget.ts', 'if (agains + 1 >', 'if (agains < 0 && agains + 1 >']],
+  },
+  {
+    point: 'stewards',
+    what: 'voters forget leases and terms',
+    faults: ['newWeights', 'edgeHalfFrozen', 'edgeCutOff'],
+    seeds: 30,
+    cuts: [
+      [
+        'core-keeper/duties/dutyVoter.ts',
+        'if (lease !== undefined && lease.holder !== ballot.candidate && lease.untilMicroseconds > now) return',
+        'if (lease !== undefined && lease.untilMicroseconds < 0) return',
+      ],
+      ['core-keeper/duties/dutyVoter.ts', 'if (ballot.term <= stored.term) return no(0);', ''],
+      [
+        'core-keeper/duties/dutyVoter.ts',
+        'if (after?.term !== ballot.term) return no(0);',
+        'if (after === undefined) return no(0);',
+      ],
+    ],
+  },
+  {
+    point: 'serviceBack',
+    what: 'a daemon that was stale for long never believes itself fresh again',
+    faults: ['coreCutFromEdges'],
+    seeds: 8,
+    cuts: [
+      [
+        'shared/freshness/freshness.ts',
+        'if (confirmed.asOfMicroseconds > applied.asOfMicroseconds) this.applied',
+        'if (confirmed.asOfMicroseconds > applied.asOfMicroseconds && confirmed.asOfMicroseconds < applied.asOfMicroseconds + 2_000_000) this.applied',
+      ],
+    ],
+  },
+];
+
+/** Finds the text whatever the line breaks of the formatter are; it must stand there exactly once. */
+const cutOut = (name: string, contents: string, from: string, to: string): string => {
+  const letters = [...from.replace(/\s+/g, '')].map((letter) => letter.replace(/[.*+?^${}()|[\]\\/]/g, '\\$&'));
+  const pattern = new RegExp(letters.join('\\s*'), 'g');
+  const found = contents.match(pattern)?.length ?? 0;
+  if (found !== 1) throw new Error(`${name} has this ${found} times: ${from}`);
+  return contents.replace(pattern, () => to);
+};
+
+const load = async (
+  sabotage: Sabotage,
+): Promise<Readonly<{ run: (order: ScenarioOrder) => Promise<ScenarioOutcome>; cut: number; end: () => void }>> => {
+  const folder = mkdtempSync(path.join(tmpdir(), 'postdrum-sabotage-'));
+  let cut = 0;
+  await build({
+    entryPoints: ['source/fleet-simulator/faults/scenario.ts'],
+    outfile: path.join(folder, 'scenario.cjs'),
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    external: ['msgpackr-extract'],
+    mainFields: ['module', 'main'],
+    logLevel: 'silent',
+    plugins: [
+      {
+        name: 'sabotage',
+        setup: (given) => {
+          given.onLoad({ filter: /source[\\/].*\.ts$/ }, async ({ path: file }) => {
+            let contents = await readFile(file, 'utf8');
+            for (const [name, from, to] of sabotage.cuts) {
+              if (!file.endsWith(path.join('source', name))) continue;
+              contents = cutOut(name, contents, from, to);
+              cut += 1;
+            }
+            return { contents, loader: 'ts' };
+          });
+        },
+      },
+    ],
+  });
+  const { runScenario } = createRequire(path.join(process.cwd(), 'package.json'))(
+    path.join(folder, 'scenario.cjs'),
+  ) as { runScenario: (order: ScenarioOrder) => Promise<ScenarioOutcome> };
+  return { run: runScenario, cut, end: () => rmSync(folder, { recursive: true }) };
+};
+
+/** Why in parts: node's test runner gives each file a process of its own, and these runs are long. */
+export const judgesSeeTheirPart = (part: number, parts: number): void => {
+  describe(`each judge sees its mechanism broken, part ${part + 1} of ${parts}`, () => {
+    for (const sabotage of sabotages.filter((_, index) => index % parts === part)) {
+      test(`${sabotage.point}: ${sabotage.what}`, async () => {
+        const { run, cut, end } = await load(sabotage);
+        assert.equal(cut, sabotage.cuts.length);
+        const seen: string[] = [];
+        for (let seed = 1; seed <= sabotage.seeds && !seen.includes(sabotage.point); seed += 1) {
+          const outcome = await run({ seed: seed * 6007, faults: sabotage.faults, endOnFault: false }).catch(
+            (error: unknown) => ({ broken: [{ point: `threw ${String(error)}`, text: '' }] }),
+          );
+          seen.push(...outcome.broken.map(({ point }) => point));
+        }
+        end();
+        assert.ok(
+          seen.includes(sabotage.point),
+          `never red in ${sabotage.seeds} seeds; seen: ${[...new Set(seen)].join(', ')}`,
+        );
+      });
+    }
+  });
+};
