Messages of another fleet are neither heard nor believed, whatever they say

Cause: only some messages carried the name of the fleet. An agent that had just started also chose the fleet of whichever seed came first in its list. Now each message and answer says its fleet, checked in one place (FleetTransport). An agent goes where two seeds agree and more than all others, or where its setting fleet says; an emptied keeper goes to the fleet that lists it at its address. Ruled out: a check at each message (one forgotten is the way in); believing most answers only (one voice against one). With two of three seeds in foreign hands an agent that starts needs the setting; said in its help.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -3,6 +3,7 @@
 import { Ticker } from '../shared/effects/clock/ticker';
 import type { Disk } from '../shared/effects/disk/disk';
 import type { Effects } from '../shared/effects/effects';
+import { FleetTransport } from '../shared/fleet/fleetTransport';
 import type { Listener, Message } from '../shared/effects/transport/transport';
 import { Logs, type Log } from '../shared/log/log';
 import { FactLimits, Facts, type Fact } from '../shared/news/facts';
@@ -52,6 +53,7 @@
   public readonly news = new Emittery<{ standing: Standing; broken: string }>();
   public readonly core: KeeperCore;
   public readonly duties: DutyVoter;
+  private readonly effects: Effects;
   private readonly ledger: Ledger;
   private readonly acceptor: Acceptor;
   private readonly standing: StandingKeeper;
@@ -68,11 +70,13 @@
   private readonly quietUntil = new Map<DocumentKey, number>();
 
   public constructor(
-    private readonly effects: Effects,
+    given: Effects,
     disk: Disk,
     private readonly settings: KeeperSettings,
   ) {
-    const { clock, random, transport } = effects;
+    const { clock, random } = given;
+    const transport = new FleetTransport(given.transport, () => this.core.state.fleet);
+    this.effects = { ...given, transport };
     this.log = Logs.part(`keeper:${settings.name}`);
     this.ledger = new Ledger(disk, clock, Logs.part(`keeper:${settings.name}:notice`), settings.rewriteBytes);
     this.core = new KeeperCore(settings.name, this.ledger, clock);
--- a/source/core-keeper/standing/standing.ts
+++ b/source/core-keeper/standing/standing.ts
@@ -1,6 +1,7 @@
 import type { CoreMember } from '../../shared/blueprint/types';
 import type { Random } from '../../shared/effects/random/random';
 import type { Message, Transport } from '../../shared/effects/transport/transport';
+import { FleetVotes } from '../../shared/fleet/fleetName';
 import type { Log } from '../../shared/log/log';
 import type { KeeperFrame, Standing } from '../ledger/keeperState';
 import { KeeperStates } from '../ledger/keeperState';
@@ -55,14 +56,7 @@
     const { standing } = this.core.state;
     if (standing === 'voting' || standing === 'replaced') return;
     const hellos = await this.helloAll(this.settings.seeds.filter((seed) => seed !== this.settings.member.address));
-    // Why the newest list: a replaced keeper that came back still shows the one it knew.
-    const voting = hellos
-      .filter((hello) => hello.standing === 'voting' && hello.view !== null && this.mayBeOurs(hello))
-      .reduce<Hello | undefined>(
-        (best, hello) =>
-          best === undefined || (hello.view?.revision ?? 0) > (best.view?.revision ?? 0) ? hello : best,
-        undefined,
-      );
+    const voting = this.voterToFollow(hellos);
     if (voting !== undefined) return this.followVoting(voting);
     if (standing !== 'joining') await this.found(hellos);
   }
@@ -92,10 +86,36 @@
     return { kind: 'frame', frame: { firstMembers, cells, duties, known } satisfies KeeperFrame };
   }
 
-  private mayBeOurs(hello: Hello): boolean {
-    const { standing, fleet } = this.core.state;
-    // Why: a seed address may by now belong to another fleet; only an empty keeper may take up with it.
-    return standing === 'empty' || hello.fleet === fleet;
+  /** The voting keeper with the newest list, of the fleet that this keeper belongs to as far as can be told. */
+  private voterToFollow(hellos: readonly Hello[]): Hello | undefined {
+    const voting = hellos.filter((hello) => hello.standing === 'voting' && hello.view !== null);
+    const fleet = this.core.state.standing === 'empty' ? this.fleetOf(voting) : this.core.state.fleet;
+    // Why the newest list: a replaced keeper that came back still shows the one it knew.
+    return voting
+      .filter((hello) => hello.fleet === fleet)
+      .reduce<Hello | undefined>(
+        (best, hello) =>
+          best === undefined || (hello.view?.revision ?? 0) > (best.view?.revision ?? 0) ? hello : best,
+        undefined,
+      );
+  }
+
+  /** For a keeper without a file. A seed address may by now belong to another fleet, and an empty disk does not know. */
+  private fleetOf(voting: readonly Hello[]): string {
+    const listing = voting.filter(
+      ({ view }) => view?.members[this.core.name]?.address === this.settings.member.address,
+    );
+    const fleets = new Set(listing.map(({ fleet }) => fleet));
+    // Why first: a fleet that lists this very keeper at this very address is its own.
+    if (fleets.size === 1) return listing[0]?.fleet ?? '';
+    // Why one less: its own seed says nothing.
+    const others = this.settings.seeds.filter((seed) => seed !== this.settings.member.address).length;
+    return fleets.size > 1
+      ? ''
+      : FleetVotes.judge(
+          voting.map(({ fleet }) => fleet),
+          others,
+        );
   }
 
   private async helloAll(addresses: readonly string[]): Promise<readonly Hello[]> {
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -2,18 +2,24 @@
 import type { Effects } from '../../shared/effects/effects';
 import type { Freshness } from '../../shared/freshness/freshness';
 import { Statements } from '../../shared/freshness/freshness';
-import type { Log } from '../../shared/log/log';
+import { FleetVotes, type FleetName } from '../../shared/fleet/fleetName';
+import { Logs, type Log } from '../../shared/log/log';
 import { MajorityReads, type WordsAnswer } from './majorityRead';
 
+/** What one address said: the fleet it leads to, and a keeper's words. */
+type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined }>;
+
 export type CoreLinkSettings = Readonly<{ seeds: readonly string[]; askMicroseconds: number }>;
 
 /** The agent's link to the core: a majority read several times a second, and the bodies it finds to be missing. */
 export class CoreLink {
-  private fleetName = '';
+  private toldApart = false;
+  private readonly notice = Logs.part('agent:notice');
   private view: WordsAnswer['view'] | undefined;
 
   public constructor(
     private readonly effects: Effects,
+    private readonly fleetName: FleetName,
     private readonly freshness: Freshness,
     private readonly settings: CoreLinkSettings,
     private readonly own: () => unknown,
@@ -21,7 +27,7 @@
   ) {}
 
   public get fleet(): string {
-    return this.fleetName;
+    return this.fleetName.name;
   }
 
   public keepers(): Readonly<Record<string, CoreMember>> {
@@ -34,28 +40,37 @@
 
   public async read(): Promise<void> {
     const asked = this.effects.clock.nowMicroseconds();
-    const answers = await Promise.all(this.addresses().map((address) => this.words(address)));
+    const addresses = this.addresses();
+    const said = await Promise.all(addresses.map((address) => this.words(address)));
+    if (this.fleetName.name === '') this.chooseFleet(said.filter((_, index) => this.isSeed(addresses[index] ?? '')));
     // Why one answer a keeper: a seed and a member entry may name the same one.
     const byKeeper = new Map(
-      answers.flatMap((answer) => (answer === undefined ? [] : [[answer.stamp.keeper, answer] as const])),
+      said.flatMap(({ words }) => (words === undefined ? [] : [[words.stamp.keeper, words] as const])),
     );
-    const read = MajorityReads.judge([...byKeeper.values()], this.fleetName, (key) => this.freshness.applied(key));
-    if (
-      read.view !== undefined &&
-      read.fleet !== '' &&
-      (this.view === undefined || read.view.revision >= this.view.revision)
-    ) {
-      if (this.fleetName === '' && read.statements.length > 0)
-        this.log(`This agent belongs to the fleet ${read.fleet}.`);
-      // Why only then: one stranger at a seed address must not choose the fleet.
-      if (read.statements.length > 0) this.fleetName = read.fleet;
+    const read = MajorityReads.judge([...byKeeper.values()], this.fleetName.name, (key) => this.freshness.applied(key));
+    if (read.view !== undefined && (this.view === undefined || read.view.revision >= this.view.revision))
       this.view = read.view;
-    }
     const now = this.effects.clock.nowMicroseconds();
     for (const statement of read.statements) this.freshness.hear({ ...statement, ageMicroseconds: now - asked }, now);
     await this.fetchBodies();
   }
 
+  private isSeed(address: string): boolean {
+    return this.settings.seeds.includes(address);
+  }
+
+  private chooseFleet(said: readonly Said[]): void {
+    const names = said.map(({ fleet }) => fleet);
+    const chosen = FleetVotes.judge(names, this.settings.seeds.length);
+    if (chosen !== '') {
+      this.fleetName.learn(chosen);
+      this.log(`This agent belongs to the fleet ${chosen}.`);
+    } else if (!this.toldApart && new Set(names.filter((name) => name !== '')).size > 1) {
+      this.toldApart = true;
+      this.notice('The seeds lead to different fleets. The setting fleet says which one is meant.');
+    }
+  }
+
   private addresses(): readonly string[] {
     const members = [
       ...Object.values(this.view?.members ?? {}),
@@ -64,15 +79,16 @@
     return [...new Set([...members, ...this.settings.seeds])];
   }
 
-  private async words(address: string): Promise<WordsAnswer | undefined> {
+  private async words(address: string): Promise<Said> {
     const answer = await this.effects.transport.ask(
       address,
-      { kind: 'words', fleet: this.fleetName, own: this.own() },
+      { kind: 'words', own: this.own() },
       this.settings.askMicroseconds,
     );
-    return answer.kind === 'answered' && answer.message.kind === 'words'
-      ? (answer.message as unknown as WordsAnswer)
-      : undefined;
+    if (answer.kind !== 'answered') return { fleet: '', words: undefined };
+    const { message } = answer;
+    const words = message.kind === 'words' ? (message as unknown as WordsAnswer) : undefined;
+    return { fleet: words?.stamp.fleet ?? String(message['fleet'] ?? ''), words };
   }
 
   private async fetchBodies(): Promise<void> {
--- a/source/edge-agent/core-link/majorityRead.ts
+++ b/source/edge-agent/core-link/majorityRead.ts
@@ -18,7 +18,6 @@
 export type MajorityRead = Readonly<{
   statements: readonly Omit<Statement, 'ageMicroseconds'>[];
   view: WordsAnswer['view'] | undefined;
-  fleet: string;
   unsettled: readonly DocumentKey[];
 }>;
 
@@ -49,8 +48,7 @@
     fleet: string,
     appliedDigest: (key: DocumentKey) => Readonly<{ revision: number; digest: string }> | undefined,
   ): MajorityRead => {
-    const ours = fleet === '' ? (answers[0]?.stamp.fleet ?? '') : fleet;
-    const sound = Stamps.sound(answers.filter(({ stamp }) => stamp.fleet === ours));
+    const sound = Stamps.sound(answers.filter(({ stamp }) => fleet !== '' && stamp.fleet === fleet));
     const view = sound.reduce<WordsAnswer['view'] | undefined>(
       (best, answer) => (best === undefined || answer.view.revision > best.revision ? answer.view : best),
       undefined,
@@ -62,7 +60,7 @@
         sound.map(({ stamp }) => stamp.keeper),
       )
     )
-      return { statements: [], view, fleet: ours, unsettled: [] };
+      return { statements: [], view, unsettled: [] };
     const statements: Omit<Statement, 'ageMicroseconds'>[] = [];
     const unsettled: DocumentKey[] = [];
     for (const key of DocumentKeys) {
@@ -99,6 +97,6 @@
             : {},
       });
     }
-    return { statements, view, fleet: ours, unsettled };
+    return { statements, view, unsettled };
   },
 } as const;
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -4,6 +4,8 @@
 import type { DirectoryNote, GrantAnswer } from '../shared/directory/shardDirectory';
 import { Ticker } from '../shared/effects/clock/ticker';
 import type { Effects } from '../shared/effects/effects';
+import { FleetName } from '../shared/fleet/fleetName';
+import { FleetTransport } from '../shared/fleet/fleetTransport';
 import type { Listener, Message } from '../shared/effects/transport/transport';
 import { Freshness } from '../shared/freshness/freshness';
 import { Logs, type Log } from '../shared/log/log';
@@ -23,6 +25,8 @@
   proxyAddress: string;
   pagesAddress: string;
   seeds: readonly string[];
+  /** The fleet it must belong to; empty: the one that its seeds agree on. */
+  fleet: string;
   readMicroseconds: number;
   readAskMicroseconds: number;
   newsMicroseconds: number;
@@ -42,6 +46,7 @@
 }>;
 
 export const AgentDefaults = {
+  fleet: '',
   readMicroseconds: 200_000,
   readAskMicroseconds: 300_000,
   newsMicroseconds: 120_000,
@@ -76,22 +81,28 @@
   private readonly duties: DutyHolder;
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
+  private readonly effects: Effects;
+  private readonly fleet: FleetName;
   private listener: Listener | undefined;
   private turn = 0;
   private loadSequence = 0;
   private heardProxyMicroseconds = -Infinity;
 
   public constructor(
-    private readonly effects: Effects,
+    given: Effects,
     door: BackEndDoor,
     private readonly settings: AgentSettings,
   ) {
-    const { clock, random } = effects;
+    const { clock, random } = given;
+    this.fleet = new FleetName(settings.fleet);
+    const effects = { ...given, transport: new FleetTransport(given.transport, () => this.fleet.name) };
+    this.effects = effects;
     this.log = Logs.part(`agent:${settings.name}`);
     this.freshness = new Freshness(clock);
     this.pulses = new Pulses(clock);
     this.link = new CoreLink(
       effects,
+      this.fleet,
       this.freshness,
       { seeds: settings.seeds, askMicroseconds: settings.readAskMicroseconds },
       () => this.facts.get(FactKeys.member(settings.name)) ?? null,
@@ -107,7 +118,13 @@
     };
     this.membership = new Membership(self, this.facts, clock, settings, this.log);
     this.exchange = new NewsExchange(
-      { facts: this.facts, shards: this.shards, freshness: this.freshness, pulses: this.pulses },
+      {
+        fleet: this.fleet,
+        facts: this.facts,
+        shards: this.shards,
+        freshness: this.freshness,
+        pulses: this.pulses,
+      },
       effects,
       FactKeys.member(settings.name),
     );
@@ -209,6 +226,9 @@
         return this.exchange.answer(message);
       case 'newsMore':
         return this.exchange.more(message);
+      case 'words':
+        // Why answered: an agent as a seed says which fleet it leads to, and knows no keeper's words.
+        return { kind: 'noVote' };
       case 'ping':
         return { kind: 'pong' };
       case 'probe': {
--- a/source/edge-agent/main.ts
+++ b/source/edge-agent/main.ts
@@ -33,6 +33,12 @@
     default: null,
     kind: 'list',
   },
+  fleet: {
+    doc: 'name of the fleet it must belong to; without it, the one that its seeds agree on',
+    format: SettingFormats.text,
+    default: '',
+    kind: 'text',
+  },
   stopLimitMicroseconds: {
     doc: 'how long a stop may take',
     format: SettingFormats.whole,
@@ -60,6 +66,7 @@
     proxyAddress: text('proxy'),
     pagesAddress: text('pages'),
     seeds: settings['seeds'] as readonly string[],
+    fleet: text('fleet'),
   });
   const address = await agent.start();
   const metrics = new Metrics();
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -4,6 +4,9 @@
 import type { DirectoryNote, GrantAnswer } from '../shared/directory/shardDirectory';
 import { Ticker } from '../shared/effects/clock/ticker';
 import type { Effects } from '../shared/effects/effects';
+import type { Message } from '../shared/effects/transport/transport';
+import { FleetName } from '../shared/fleet/fleetName';
+import { FleetTransport } from '../shared/fleet/fleetTransport';
 import { Freshness } from '../shared/freshness/freshness';
 import { Logs, type Log } from '../shared/log/log';
 import { Metrics } from '../shared/metrics/metrics';
@@ -77,6 +80,8 @@
   public readonly freshness: Freshness;
   public readonly metrics = new Metrics();
   public readonly identifier: Identifier;
+  private readonly effects: Effects;
+  private readonly fleet = new FleetName();
   private readonly facts = new FactBook();
   private readonly shards = new ShardBook();
   private readonly fence: Fence;
@@ -94,11 +99,12 @@
   private notes: Readonly<{ note: DirectoryNote; tries: number }>[] = [];
 
   public constructor(
-    private readonly effects: Effects,
+    effects: Effects,
     sender: BackEndSender,
     private readonly settings: ProxySettings,
   ) {
     const { clock, random } = effects;
+    this.effects = { ...effects, transport: new FleetTransport(effects.transport, () => this.fleet.name) };
     this.log = Logs.part(`proxy:${settings.name}`);
     this.freshness = new Freshness(clock);
     this.pulses = new Pulses(clock);
@@ -107,8 +113,14 @@
     this.view = new EngineView(settings.name, this.freshness, this.facts, this.fence, clock);
     this.speeds = new LinkSpeeds(settings.importMicrosecondsPerBlock, 4096);
     this.exchange = new NewsExchange(
-      { facts: this.facts, shards: this.shards, freshness: this.freshness, pulses: this.pulses },
-      effects,
+      {
+        fleet: this.fleet,
+        facts: this.facts,
+        shards: this.shards,
+        freshness: this.freshness,
+        pulses: this.pulses,
+      },
+      this.effects,
       '',
     );
     this.feeders = new Feeders(settings.name, settings.agentAddress, () => this.view.agents());
@@ -251,7 +263,11 @@
   }
 
   private async feedFrom(address: string, extra: Readonly<Record<string, unknown>>): Promise<void> {
-    if (await this.exchange.ask(address, this.settings.feedAskMicroseconds, extra)) this.feeders.heard(address);
+    // Why from the own agent only: it stands on this machine, whatever became of other addresses.
+    const learn = (message: Message): void => {
+      if (address === this.settings.agentAddress) this.fleet.learn(String(message['fleet'] ?? ''));
+    };
+    if (await this.exchange.ask(address, this.settings.feedAskMicroseconds, extra, learn)) this.feeders.heard(address);
     else this.feeders.unheard(address);
   }
 
--- a/source/fleet-simulator/machines/simFleet.ts
+++ b/source/fleet-simulator/machines/simFleet.ts
@@ -202,20 +202,27 @@
   /** Engines of the first pool; most faults are for these. */
   public readonly engineNames: readonly string[];
   public readonly spareNames: readonly string[];
-  public readonly appName = '10.3.2.1';
-  public readonly storeName = '10.4.0.1';
+  public readonly appName: string;
+  public readonly storeName: string;
   public wiped: SimKeeper | undefined;
+  /** What operators wrote into the settings of the agents. */
+  public statedFleet = '';
   private changeCount = 0;
 
   public constructor(
     public readonly world: World,
     public readonly shape: SimShape = usualShape,
+    /** Two fleets of one world share a network and have addresses of their own. */
+    private readonly net = '10',
+    network?: SimNetwork,
   ) {
-    this.network = new SimNetwork(world);
+    this.network = network ?? new SimNetwork(world);
+    this.storeName = `${net}.4.0.1`;
+    this.appName = `${net}.3.2.1`;
     this.backEnds = new SimBackEnds(world, this.network);
     this.callers = new SimCallers(world);
-    this.engineNames = Array.from({ length: shape.engines }, (_, index) => `10.3.0.${index + 1}`);
-    this.spareNames = Array.from({ length: shape.spares }, (_, index) => `10.3.1.${index + 1}`);
+    this.engineNames = Array.from({ length: shape.engines }, (_, index) => `${this.net}.3.0.${index + 1}`);
+    this.spareNames = Array.from({ length: shape.spares }, (_, index) => `${this.net}.3.1.${index + 1}`);
     for (const name of [...this.engineNames, ...this.spareNames, this.appName])
       this.backEnds.addEngine(name, {
         name,
@@ -236,11 +243,11 @@
   }
 
   public get seeds(): readonly string[] {
-    return [1, 2, 3].map((number) => `10.1.0.${number}:1`);
+    return [1, 2, 3].map((number) => `${this.net}.1.0.${number}:1`);
   }
 
   public addKeeper(number: number, replaces = ''): SimKeeper {
-    const machine = `10.1.0.${number}`;
+    const machine = `${this.net}.1.0.${number}`;
     const made: SimKeeper = {
       name: `keeper-${number}`,
       member: { address: `${machine}:1`, operatorsAddress: `${machine}:2`, zone: '' },
@@ -483,7 +490,7 @@
 
   private makeEdge(number: number): SimEdge {
     const name = `edge-${number}`;
-    const machine = `10.2.0.${number}`;
+    const machine = `${this.net}.2.0.${number}`;
     const { process: agentProcess, agent } = this.makeAgent(name, machine);
     const { process: proxyProcess, proxy } = this.makeProxy(name, machine);
     agentProcess.alive = false;
@@ -502,6 +509,7 @@
       proxyAddress: `${machine}:2`,
       pagesAddress: `${machine}:3`,
       seeds: this.seeds,
+      fleet: this.statedFleet,
     });
     return { process, agent };
   }
--- a/source/fleet-simulator/world/simNetwork.ts
+++ b/source/fleet-simulator/world/simNetwork.ts
@@ -1,7 +1,7 @@
 import { pack, unpack } from 'msgpackr';
 import type { Answer, Handler, Listener, Message, Transport } from '../../shared/effects/transport/transport';
 import { Messages } from '../../shared/effects/transport/transport';
-import type { SimProcess } from './simProcess';
+import { SimProcess } from './simProcess';
 import type { World } from './world';
 
 type Listening = Readonly<{ process: SimProcess; handler: Handler }>;
@@ -57,6 +57,17 @@
     this.world.plan(this.latency(from, to), () => (this.open(from, to) ? arrive() : lost()));
   }
 
+  /** From now on an address belongs to whoever listens at another one, as when a machine is handed to somebody else. */
+  public handOver(address: string, to: string): void {
+    const found = this.listenerAt(to);
+    if (found !== undefined) this.listening.set(address, found);
+  }
+
+  /** Something that is none of ours listens there. */
+  public squat(address: string, handler: Handler): void {
+    this.listening.set(address, { process: new SimProcess(this.world, address, address), handler });
+  }
+
   public listenerAt(address: string): Listening | undefined {
     const found = this.listening.get(address);
     return found?.process.alive === true ? found : undefined;
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -7,7 +7,15 @@
 import type { ShardBook, ShardMarkBook } from '../directory/shardBook';
 import type { ShardChange } from '../directory/shardNews';
 
-export type NewsParts = Readonly<{ facts: FactBook; shards: ShardBook; freshness: Freshness; pulses: Pulses }>;
+import type { FleetName } from '../fleet/fleetName';
+
+export type NewsParts = Readonly<{
+  fleet: FleetName;
+  facts: FactBook;
+  shards: ShardBook;
+  freshness: Freshness;
+  pulses: Pulses;
+}>;
 type Revisions = Readonly<Partial<Record<DocumentKey, number>>>;
 
 const mostShardEntries = 5000;
@@ -51,8 +59,10 @@
     const answer = await this.effects.transport.ask(address, { ...this.digest(), ...extra }, limitMicroseconds);
     if (answer.kind !== 'answered' || answer.message.kind !== 'newsBack') return false;
     const message = answer.message;
-    this.take(message, asked);
     onAnswer(message);
+    // Why deaf until then: who does not know its own fleet cannot tell whose news this is.
+    if (!this.isOurs(message)) return true;
+    this.take(message, asked);
     const lacks = this.lacking(message);
     if (lacks !== undefined)
       await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore' }, limitMicroseconds);
@@ -75,10 +85,15 @@
 
   /** News pushed on after an exchange. It brings bodies and facts, but no statements: those must be asked for. */
   public more(message: Message): Message {
-    this.take({ ...message, statements: [], pulses: [] }, this.effects.clock.nowMicroseconds());
+    if (this.isOurs(message))
+      this.take({ ...message, statements: [], pulses: [] }, this.effects.clock.nowMicroseconds());
     return { kind: 'heard' };
   }
 
+  private isOurs(message: Message): boolean {
+    return this.parts.fleet.name !== '' && message['fleet'] === this.parts.fleet.name;
+  }
+
   private lacking(
     message: Message,
   ): Readonly<{ facts: readonly Fact[]; bodies: readonly Body[]; shards: readonly ShardChange[] }> | undefined {
