Waiting for the rights of others goes by a clock that is never ahead

Cause: elapsed time may run ahead where a boot clock leaps, which is safe for what must end in time and unsafe for what waits until others have ended. Ruled out: bounding leaps (a real sleep looks the same), waiting longer (no bound on a leap). Clock now has two times: now, never behind, for own rights and ages; steady, never ahead, for voters' leases, the quiet time before new weights, and the time before a drain.

--- a/source/core-keeper/duties/dutyVoter.ts
+++ b/source/core-keeper/duties/dutyVoter.ts
@@ -15,7 +15,10 @@
 const mostLeaseMicroseconds = 10_000_000;
 const mostDuties = 4096;
 
-/** One keeper's vote on duties: at most one holder a duty while a lease it gave runs. */
+/**
+ * One keeper's vote on duties: at most one holder a duty while a lease it gave runs. Why by the steady time: a boot clock
+ * that leaps forward must not let a lease go while its holder still has it.
+ */
 export class DutyVoter {
   private readonly leases = new Map<string, Lease>();
   private votesFromMicroseconds: number;
@@ -24,16 +27,16 @@
     private readonly core: KeeperCore,
     private readonly clock: Clock,
   ) {
-    this.votesFromMicroseconds = clock.nowMicroseconds();
+    this.votesFromMicroseconds = clock.steadyMicroseconds();
   }
 
   /** Why wait: a keeper that restarted, or joined anew, has forgotten which leases it gave. */
   public waitOneLease(leaseMicroseconds: number): void {
-    this.votesFromMicroseconds = this.clock.nowMicroseconds() + leaseMicroseconds;
+    this.votesFromMicroseconds = this.clock.steadyMicroseconds() + leaseMicroseconds;
   }
 
   public holders(): Readonly<Record<string, Readonly<{ holder: string; term: number; leftMicroseconds: number }>>> {
-    const now = this.clock.nowMicroseconds();
+    const now = this.clock.steadyMicroseconds();
     return Object.fromEntries(
       [...this.leases].map(([duty, lease]) => [
         duty,
@@ -55,7 +58,7 @@
   }
 
   private async voteOne(ballot: Ballot): Promise<BallotAnswer> {
-    const now = this.clock.nowMicroseconds();
+    const now = this.clock.steadyMicroseconds();
     const stored = this.core.ledger.pending.duties[ballot.duty] ?? { term: 0, holder: '' };
     const no = (waitMicroseconds: number): BallotAnswer => ({
       duty: ballot.duty,
@@ -85,7 +88,7 @@
     this.leases.set(ballot.duty, {
       holder: ballot.candidate,
       term: ballot.term,
-      untilMicroseconds: this.clock.nowMicroseconds() + leaseMicroseconds,
+      untilMicroseconds: this.clock.steadyMicroseconds() + leaseMicroseconds,
     });
     return { duty: ballot.duty, granted: true, term: ballot.term, holder: ballot.candidate, waitMicroseconds: 0 };
   }
--- a/source/edge-agent/stewards/engineSteward.ts
+++ b/source/edge-agent/stewards/engineSteward.ts
@@ -26,6 +26,7 @@
   private sequence = 0;
   private missed = 0;
   private changing = false;
+  /** By the steady time: what is waited for is that the looks of others have grown too old. */
   private fencedMicroseconds: number;
   private directed = '';
   private look: Promise<void> = Promise.resolve();
@@ -50,7 +51,7 @@
     this.shard = new ShardDirectory(name, term, ShardLimits.usual, kind === 'engine', () => clock.nowMicroseconds());
     shards.set(name, this.shard.news);
     // Why from now: the steward before may have let the old names be used up to its last moment.
-    this.fencedMicroseconds = clock.nowMicroseconds();
+    this.fencedMicroseconds = clock.steadyMicroseconds();
   }
 
   public grant(fill: string, epoch: number, keys: readonly NamedKey[]): GrantAnswer {
@@ -92,7 +93,7 @@
     }
     this.missed = 0;
     if (this.shard.observe(status.bootEpoch, status.weights)) {
-      this.fencedMicroseconds = this.clock.nowMicroseconds();
+      this.fencedMicroseconds = this.clock.steadyMicroseconds();
       this.log(`The shard of ${this.name} is at epoch ${this.shard.epoch}.`);
     }
     const drained = await this.direct(engine, status);
@@ -120,13 +121,14 @@
     if (changes && !this.changing) {
       // Why fence first: the engine keeps its blocks when it changes, and an order on its way could meet them on new weights.
       this.shard.fence();
-      this.fencedMicroseconds = this.clock.nowMicroseconds();
+      this.fencedMicroseconds = this.clock.steadyMicroseconds();
     }
     this.changing = changes;
     if (wanted === undefined) return false;
     // Why say it first: proxies stop choosing the engine while it finishes what it has.
     this.say(engine, wanted.kind === 'drain' ? { ...status, accepting: false } : status);
-    if (changes && this.clock.nowMicroseconds() - this.fencedMicroseconds < PulseLimits.quietMicroseconds) return false;
+    if (changes && this.clock.steadyMicroseconds() - this.fencedMicroseconds < PulseLimits.quietMicroseconds)
+      return false;
     // Why again and again: a deaf or rebooted engine has forgotten it, and a directive given twice does no more than once.
     const outcome = await this.door.directive(engine.address, wanted, this.settings.askMicroseconds);
     const label = `${wanted.kind} ${wanted.kind === 'loadWeights' ? wanted.weights : ''}`;
@@ -152,9 +154,9 @@
         return { kind: 'loadWeights', ...base, weights: intended.weights, drainMicroseconds: step.drainMicroseconds };
     }
     if (engine.state === 'ready') this.drainingSince = undefined;
-    else this.drainingSince ??= this.clock.nowMicroseconds();
+    else this.drainingSince ??= this.clock.steadyMicroseconds();
     // Why not at once: by then every proxy knows the list or takes nothing, so no order meets an engine that says no.
-    const allKnow = this.clock.nowMicroseconds() - (this.drainingSince ?? Infinity) >= drainAfterMicroseconds;
+    const allKnow = this.clock.steadyMicroseconds() - (this.drainingSince ?? Infinity) >= drainAfterMicroseconds;
     if (engine.state === 'draining' && status.accepting && allKnow) return { kind: 'drain', ...base };
     if (engine.state === 'ready' && !status.accepting) return { kind: 'resume', ...base };
     return undefined;
--- a/source/fleet-simulator/machines/simBackEnds.ts
+++ b/source/fleet-simulator/machines/simBackEnds.ts
@@ -307,6 +307,7 @@
   private clockOf(name: string): SimProcess['clock'] {
     return {
       nowMicroseconds: () => this.world.nowMicroseconds,
+      steadyMicroseconds: () => this.world.nowMicroseconds,
       after: (delay, act) => {
         const process = this.standing.get(name)?.process;
         return this.world.plan(delay, () => (process === undefined ? act() : process.enter(act)));
--- a/source/fleet-simulator/world/simProcess.ts
+++ b/source/fleet-simulator/world/simProcess.ts
@@ -37,6 +37,7 @@
 
   public readonly clock: Clock = {
     nowMicroseconds: this.elapsed.nowMicroseconds,
+    steadyMicroseconds: () => this.monotonic(),
     after: (delayMicroseconds, act) => this.timer(this.monotonic() + delayMicroseconds, act),
   };
 
--- a/source/fleet-simulator/world/world.ts
+++ b/source/fleet-simulator/world/world.ts
@@ -88,7 +88,11 @@
     this.history.push(`${(this.now / 1_000_000).toFixed(3)} s: ${sentence}`);
   }
 
-  public readonly clock: Clock = { nowMicroseconds: () => this.now, after: (delay, act) => this.plan(delay, act) };
+  public readonly clock: Clock = {
+    nowMicroseconds: () => this.now,
+    steadyMicroseconds: () => this.now,
+    after: (delay, act) => this.plan(delay, act),
+  };
 
   /** Runs everything planned up to then; promises are let settle between two acts. */
   public async runFor(microseconds: number): Promise<void> {
--- a/source/shared/effects/clock/clock.ts
+++ b/source/shared/effects/clock/clock.ts
@@ -1,6 +1,9 @@
 /** Time that only goes forward, in whole microseconds since an arbitrary start. */
 export interface Clock {
+  /** Never behind real time, not even after a sleep: for what must end in time, such as own rights and ages. */
   readonly nowMicroseconds: () => number;
+  /** Never ahead of real time: for waiting until the rights of others have ended. It stands still in a sleep. */
+  readonly steadyMicroseconds: () => number;
   readonly after: (delayMicroseconds: number, act: () => void) => Cancel;
 }
 
--- a/source/shared/effects/clock/realClock.ts
+++ b/source/shared/effects/clock/realClock.ts
@@ -17,13 +17,12 @@
 };
 
 // Why these two: wall clocks jump, and no decision here may follow a jump; the monotonic clock alone sleeps with the machine.
-const elapsed = new ElapsedTime({
-  monotonicMicroseconds: () => Number(process.hrtime.bigint() / 1000n),
-  bootMicroseconds,
-});
+const steadyMicroseconds = (): number => Number(process.hrtime.bigint() / 1000n);
+const elapsed = new ElapsedTime({ monotonicMicroseconds: steadyMicroseconds, bootMicroseconds });
 
 export const realClock: Clock = {
   nowMicroseconds: elapsed.nowMicroseconds,
+  steadyMicroseconds,
   after: (delayMicroseconds, act) => {
     const timer = setTimeout(act, Math.max(0, Math.ceil(delayMicroseconds / 1000)));
     return () => clearTimeout(timer);
--- a/tests/clocks.test.ts
+++ b/tests/clocks.test.ts
@@ -100,7 +100,7 @@
 });
 
 /** Whether the voter gives the duty to another while the holder still thinks that it has it. */
-const overlaps = async (holderDrift: number, voterDrift: number): Promise<boolean> => {
+const overlaps = async (holderDrift: number, voterDrift: number, voterLeaps = 0): Promise<boolean> => {
   const world = new World(8);
   const network = new SimNetwork(world);
   const keeperProcess = new SimProcess(world, 'k', '10.1.0.1', voterDrift);
@@ -125,6 +125,8 @@
   const first = holderOf('a', holderDrift);
   await Promise.all([first.ballot(['d']), world.runFor(20_000)]);
   assert.equal(first.term('d'), 1);
+  await world.runFor(400_000);
+  keeperProcess.clockFaults.bootLeapMicroseconds += voterLeaps;
   for (;;) {
     const asked = voter.vote([{ duty: 'd', candidate: 'b', term: 2, leaseMicroseconds: 2_500_000 }]);
     await world.runFor(500);
@@ -141,3 +143,8 @@
   ] as const)
     assert.equal(await overlaps(holder, voter), false, `${holder} and ${voter} parts per million`);
 });
+
+test('a voter whose boot clock leaps forward does not let a lease go early', async () => {
+  assert.equal(await overlaps(0, 0, 3_000_000), false);
+  assert.equal(await overlaps(-5000, 5000, 60_000_000), false);
+});
--- a/tests/must-never-once-broken.test.ts
+++ b/tests/must-never-once-broken.test.ts
@@ -15,6 +15,7 @@
     [3134, ['mappingRemoved', 'engineFrozen', 'keeperWiped']],
     [3628, ['keyRevoked', 'engineFrozen', 'keeperCutOff', 'keeperWipedOtherDown']],
     [1007, ['storeEmptied']],
+    [1016, ['clocksLeap', 'stewardSuspended']],
     [50119, ['keeperReplaced', 'diskFull', 'syncFails']],
     [22109, ['storeEmptied', 'keeperKilled', 'engineFrozen', 'engineDrained']],
     [23144, ['engineDrained', 'engineKilled', 'storeEmptied', 'diskStalled', 'engineFrozen']],
--- a/tests/policies.test.ts
+++ b/tests/policies.test.ts
@@ -452,7 +452,11 @@
       ),
       (steps) => {
         let now = 10_000_000;
-        const freshness = new Freshness({ nowMicroseconds: () => now, after: () => () => undefined });
+        const freshness = new Freshness({
+          nowMicroseconds: () => now,
+          steadyMicroseconds: () => now,
+          after: () => () => undefined,
+        });
         let applied = 0;
         let newestLook = -Infinity;
         for (const { revision, age, wait, body } of steps) {
