Real processes under cut, slowed and stalled links, and replaced one by one

Cause: cut links and releases were only simulated. Relays (fleet-runner) stand before each keeper and engine of a real fleet; keepers and agents learn by the setting listen where to listen when others reach them by another address.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -22,6 +22,8 @@
 export type KeeperSettings = Readonly<{
   name: string;
   member: CoreMember;
+  /** Where it listens, if others reach it by another address. */
+  listenAddress: string;
   seeds: readonly string[];
   replaces: string;
   founders: number;
@@ -34,6 +36,7 @@
 }>;
 
 export const KeeperDefaults = {
+  listenAddress: '',
   founders: 3,
   askMicroseconds: 700_000,
   changeMicroseconds: 4_000_000,
@@ -144,8 +147,9 @@
     const blueprint = KeeperStates.cell(this.core.state, 'blueprint').accepted;
     if (blueprint !== null) this.ages.restored(blueprint.entry);
     if (!opened.fresh) this.duties.waitOneLease(this.settings.leaseMicroseconds);
-    this.listener = await this.effects.transport.listen(this.settings.member.address, (message) =>
-      this.handle(message),
+    this.listener = await this.effects.transport.listen(
+      this.settings.listenAddress || this.settings.member.address,
+      (message) => this.handle(message),
     );
     for (const ticker of this.tickers) ticker.start();
     return { kind: 'started', address: this.listener.address };
--- a/source/core-keeper/main.ts
+++ b/source/core-keeper/main.ts
@@ -18,6 +18,12 @@
     default: null,
     kind: 'text',
   },
+  listen: {
+    doc: 'where it listens, if others reach it by another address than this',
+    format: SettingFormats.addressOrNone,
+    default: '',
+    kind: 'text',
+  },
   operators: { doc: 'where operators reach it over HTTP', format: SettingFormats.address, default: null, kind: 'text' },
   seeds: {
     doc: 'addresses of the three keepers, its own included',
@@ -51,6 +57,7 @@
     ...KeeperDefaults,
     name: text('name'),
     member,
+    listenAddress: text('listen'),
     seeds: settings['seeds'] as readonly string[],
     replaces: text('replaces'),
   });
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -27,6 +27,8 @@
   seeds: readonly string[];
   /** The fleet it must belong to; empty: the one that its seeds agree on. */
   fleet: string;
+  /** Where it listens, if others reach it by another address. */
+  listenAddress: string;
   readMicroseconds: number;
   readAskMicroseconds: number;
   newsMicroseconds: number;
@@ -47,6 +49,7 @@
 
 export const AgentDefaults = {
   fleet: '',
+  listenAddress: '',
   readMicroseconds: 200_000,
   readAskMicroseconds: 300_000,
   newsMicroseconds: 120_000,
@@ -157,7 +160,10 @@
   }
 
   public async start(): Promise<string> {
-    this.listener = await this.effects.transport.listen(this.settings.address, (message) => this.handle(message));
+    this.listener = await this.effects.transport.listen(
+      this.settings.listenAddress || this.settings.address,
+      (message) => this.handle(message),
+    );
     for (const ticker of this.tickers) ticker.start(Math.floor(this.effects.random.fraction() * 50_000));
     return this.listener.address;
   }
--- a/source/edge-agent/main.ts
+++ b/source/edge-agent/main.ts
@@ -20,6 +20,12 @@
     default: null,
     kind: 'text',
   },
+  listen: {
+    doc: 'where it listens, if others reach it by another address than this',
+    format: SettingFormats.addressOrNone,
+    default: '',
+    kind: 'text',
+  },
   proxy: {
     doc: 'where callers reach the proxy beside it',
     format: SettingFormats.address,
@@ -67,6 +73,7 @@
     pagesAddress: text('pages'),
     seeds: settings['seeds'] as readonly string[],
     fleet: text('fleet'),
+    listenAddress: text('listen'),
   });
   const address = await agent.start();
   const metrics = new Metrics();
--- a/source/fleet-runner/machines/fleet.ts
+++ b/source/fleet-runner/machines/fleet.ts
@@ -2,6 +2,7 @@
 import path from 'node:path';
 import { request } from 'undici';
 import { Child, Ports } from './child';
+import { Relay } from './relay';
 
 export type FleetShape = Readonly<{
   engines: number;
@@ -14,6 +15,8 @@
   edges: number;
   proxyWords: readonly string[];
   distFolder: string;
+  /** Puts a relay before each keeper and each engine, so that its links can be cut, slowed and stalled. */
+  relays?: boolean;
 }>;
 
 export type EngineMachine = Readonly<{
@@ -42,6 +45,8 @@
   public keepers: readonly KeeperMachine[] = [];
   public edges: readonly EdgeMachine[] = [];
   public backEnds: readonly EngineMachine[] = [];
+  /** By the name of the process that they lead to. */
+  public readonly relays = new Map<string, Relay>();
 
   public constructor(
     private readonly folder: string,
@@ -53,11 +58,18 @@
     const { shape, folder } = this;
     const ports = [...(await Ports.free('127.0.0.1', 6 + shape.edges * 3 + shape.engines + 2))];
     const address = (): string => `127.0.0.1:${ports.pop() ?? 0}`;
-    const keeperPlaces = [1, 2, 3].map((number) => ({
-      name: `keeper-${number}`,
-      address: address(),
-      operatorsAddress: address(),
-    }));
+    const reachedBy = async (name: string, listens: string): Promise<string> => {
+      if (shape.relays !== true) return listens;
+      const relay = await Relay.open(listens);
+      this.relays.set(name, relay);
+      return relay.address;
+    };
+    const keeperPlaces = await Promise.all(
+      [1, 2, 3].map(async (number) => {
+        const [name, listens] = [`keeper-${number}`, address()];
+        return { name, listens, address: await reachedBy(name, listens), operatorsAddress: address() };
+      }),
+    );
     const seeds = keeperPlaces.map((keeper) => keeper.address).join(',');
     this.keepers = keeperPlaces.map((place, index) => ({
       ...place,
@@ -68,6 +80,8 @@
         zoneOf(index),
         '--address',
         place.address,
+        '--listen',
+        place.listens,
         '--operators',
         place.operatorsAddress,
         '--seeds',
@@ -110,34 +124,36 @@
       };
     });
     const record = (name: string): string => path.join(folder, `${name}.record.jsonl`);
-    const engines: readonly EngineMachine[] = Array.from({ length: shape.engines }, (_, index) => {
-      const name = `engine-${index + 1}`;
-      const at = address();
-      const words = [
-        '--name',
-        name,
-        '--address',
-        at,
-        '--weights',
-        shape.weights,
-        '--record',
-        record(name),
-        '--capacity',
-        String(shape.capacity),
-        '--mostBlocks',
-        String(shape.mostBlocks),
-        '--blockCharacters',
-        String(shape.blockCharacters),
-      ];
-      return {
-        name,
-        address: at,
-        kind: 'engine' as const,
-        zone: zoneOf(index),
-        record: record(name),
-        child: this.child(name, folder, 'stand-in-engine', words),
-      };
-    });
+    const engines: readonly EngineMachine[] = await Promise.all(
+      Array.from({ length: shape.engines }, async (_, index) => {
+        const name = `engine-${index + 1}`;
+        const at = address();
+        const words = [
+          '--name',
+          name,
+          '--address',
+          at,
+          '--weights',
+          shape.weights,
+          '--record',
+          record(name),
+          '--capacity',
+          String(shape.capacity),
+          '--mostBlocks',
+          String(shape.mostBlocks),
+          '--blockCharacters',
+          String(shape.blockCharacters),
+        ];
+        return {
+          name,
+          address: await reachedBy(name, at),
+          kind: 'engine' as const,
+          zone: zoneOf(index),
+          record: record(name),
+          child: this.child(name, folder, 'stand-in-engine', words),
+        };
+      }),
+    );
     const appAddress = address();
     const storeAddress = address();
     this.backEnds = [
@@ -181,6 +197,7 @@
   }
 
   public async stopAll(): Promise<void> {
+    await Promise.all([...this.relays.values()].map((relay) => relay.close()));
     await Promise.all([...this.keepers, ...this.backEnds].map(({ child }) => child.kill()));
     await Promise.all(this.edges.flatMap(({ agent, proxy }) => [agent.kill(), proxy.kill()]));
   }
--- a/source/fleet-simulator/faults/scenario.ts
+++ b/source/fleet-simulator/faults/scenario.ts
@@ -139,25 +139,35 @@
       };
       again();
     });
+  /** What a fault meant to do next belongs to a day that is over. */
+  const today = <Result>(work: Promise<Result>): Promise<Result> =>
+    new Promise((resolve) => {
+      void work.then((result) => {
+        if (!dayOver) resolve(result);
+      });
+    });
   const trouble: Trouble = {
     fleet,
     intend: (alter) =>
-      inTurn(async () => {
-        intended = alter(intended);
-        return askUntilTaken('blueprint', intended);
-      }),
+      today(
+        inTurn(async () => {
+          intended = alter(intended);
+          return askUntilTaken('blueprint', intended);
+        }),
+      ),
     list: (alter) =>
-      inTurn(async () => {
-        drained = alter(drained);
-        return askUntilTaken('engines', fleet.engineList(drained));
-      }),
+      today(
+        inTurn(async () => {
+          drained = alter(drained);
+          return askUntilTaken('engines', fleet.engineList(drained));
+        }),
+      ),
     pause: (microseconds) =>
-      new Promise((resolve) => {
-        world.plan(microseconds, () => {
-          // Why never: what a fault meant to do next belongs to a day that is over.
-          if (!dayOver) resolve();
-        });
-      }),
+      today(
+        new Promise((resolve) => {
+          world.plan(microseconds, () => resolve());
+        }),
+      ),
   };
   await world.runFor(fleet.shape.warmMicroseconds);
   let open = order.faults.length;
--- a/source/shared/settings/settings.ts
+++ b/source/shared/settings/settings.ts
@@ -10,6 +10,9 @@
     if (typeof value !== 'string' || !addressPattern.test(value))
       throw new Error('must be an IP number and a port, such as 127.0.0.1:7000');
   },
+  addressOrNone: (value: unknown): void => {
+    if (value !== '') SettingFormats.address(value);
+  },
   seeds: (value: unknown): void => {
     if (
       !Array.isArray(value) ||
--- a/tests/real-fleet.test.ts
+++ b/tests/real-fleet.test.ts
@@ -9,6 +9,7 @@
 import { request } from 'undici';
 import { LocalFleet, type EdgeMachine } from '../source/fleet-runner/machines/fleet';
 import { Programs } from './support/programs';
+import { call, chat, key, order, ranTimes as recordedRuns, until, type Reply } from './support/realFleet';
 
 const folder = mkdtempSync(path.join(tmpdir(), 'postdrum-real-'));
 const blueprint = JSON.parse(readFileSync('examples/koro-sea.json', 'utf8')) as Record<
@@ -16,47 +17,6 @@
   Record<string, Record<string, unknown>>
 >;
 (blueprint['tenants'] ??= {})['brief'] = { walled: false, keys: ['koro-brief-key-1'] };
-const key = 'koro-wharf-north-key-1';
-const chat = '/v1/chat/completions';
-
-/** Waits, bounded, for something that a process does; every look is an answer of a process. */
-const until = async (what: string, look: () => Promise<boolean>, limitMilliseconds = 15_000): Promise<void> => {
-  const end = performance.now() + limitMilliseconds;
-  while (!(await look())) if (performance.now() > end) assert.fail(`not in time: ${what}`);
-};
-
-type Reply = Readonly<{ status: number; headers: Readonly<Record<string, unknown>>; text: string; whole: boolean }>;
-
-const call = async (
-  edge: EdgeMachine,
-  body: unknown,
-  headers: Readonly<Record<string, string>> = { authorization: `Bearer ${key}` },
-  at = chat,
-): Promise<Reply> => {
-  try {
-    const answer = await request(`http://${edge.proxyAddress}${at}`, {
-      method: 'POST',
-      body: typeof body === 'string' ? body : JSON.stringify(body),
-      headers: { 'content-type': 'application/json', ...headers },
-    });
-    let text = '';
-    try {
-      for await (const chunk of answer.body as AsyncIterable<Buffer>) text += chunk.toString();
-      return { status: answer.statusCode, headers: answer.headers, text, whole: true };
-    } catch {
-      return { status: answer.statusCode, headers: answer.headers, text, whole: false };
-    }
-  } catch {
-    return { status: 0, headers: {}, text: '', whole: false };
-  }
-};
-
-const order = (nonce: string, model = 'slip-tag', parts = 3): unknown => ({
-  model,
-  stream: true,
-  max_tokens: parts,
-  messages: [{ role: 'user', content: `nonce:${nonce} please` }],
-});
 
 describe('a real fleet of processes', () => {
   const fleet = new LocalFleet(folder, {
@@ -80,17 +40,7 @@
     assert.equal(taken.status, 200, taken.body);
     revision += 1;
   };
-  const ranTimes = (nonce: string): number =>
-    fleet.backEnds.reduce(
-      (sum, { record }) =>
-        sum +
-        (existsSync(record)
-          ? readFileSync(record, 'utf8')
-              .split('\n')
-              .filter((line) => line.includes(`"nonce":"${nonce}"`)).length
-          : 0),
-      0,
-    );
+  const ranTimes = (nonce: string): number => recordedRuns(fleet, nonce);
 
   before(async () => {
     await fleet.prepare();
