check tells of room that new weights need, and of orders under what would go

Now it counts what runs and waits, by service and class, each proxy's load once, and says when a weights change needs more than half of the pool's places, and when a class or service would go with orders in it. Ruled out: refusing the change (whether some orders may be refused is the operators' to weigh). Not done: capacity that drains would not leave.

--- a/source/postdrum/checking/blueprintCheck.ts
+++ b/source/postdrum/checking/blueprintCheck.ts
@@ -34,6 +34,24 @@
     )
     .join(', ');
 
+const demandOf = (demand: ReadonlyMap<string, number>, service: string): number =>
+  [...demand].reduce((sum, [place, count]) => sum + (place.startsWith(`${service}/`) ? count : 0), 0);
+
+/** Services and classes that would go while orders run or wait in them. */
+const goingUnder = (before: Blueprint, intended: Blueprint, demand: ReadonlyMap<string, number>): readonly Finding[] =>
+  [...demand].flatMap(([place, count]) => {
+    if (count === 0) return [];
+    const [service = '', className = ''] = place.split('/', 2);
+    const says = (path: string): readonly Finding[] => [
+      { path, finding: `is removed with ${count} orders running or waiting in ${place}` },
+    ];
+    if (before.services[service] !== undefined && intended.services[service] === undefined)
+      return says(`/services/${service}`);
+    if (before.classes[className] !== undefined && intended.classes[className] === undefined)
+      return says(`/classes/${className}`);
+    return [];
+  });
+
 /** Checks an intended blueprint against the fleet as it is. Pure; it changes nothing. */
 export const BlueprintChecks = {
   run: (
@@ -49,13 +67,18 @@
     const facts = new Map<string, EngineFact>();
     for (const fact of agents.flatMap((agent) => agent.engines)) facts.set(fact.engine, fact);
     const inFlight = new Map<string, number>();
+    /** Orders that run or wait, by service and class. */
+    const demand = new Map<string, number>();
     const seenLoads = new Set<string>();
     for (const load of agents.flatMap(({ loads }) => loads)) {
       if (seenLoads.has(load.agent)) continue;
       seenLoads.add(load.agent);
       for (const [tenant, count] of Object.entries(load.tenants))
         inFlight.set(tenant, (inFlight.get(tenant) ?? 0) + count);
+      for (const counts of [load.classes, load.waiting])
+        for (const [place, count] of Object.entries(counts)) demand.set(place, (demand.get(place) ?? 0) + count);
     }
+    findings.push(...goingUnder(before, intended, demand));
     const changes = [
       ...compare('class', before.classes, intended.classes, (_name, old, now) => fieldsSay(old, now)),
       // Why counts: keys are never shown.
@@ -106,6 +129,7 @@
           intended,
           concerned,
           findings,
+          demandOf(demand, name),
         );
       else for (const [engine] of ready) concerned.push(`app engine ${engine} serves ${name}`);
     }
@@ -139,6 +163,7 @@
   intended: Blueprint,
   concerned: string[],
   findings: Finding[],
+  wanted: number,
 ): void => {
   const known = ready.flatMap((engine) => facts.get(engine) ?? []);
   for (const engine of ready)
@@ -147,7 +172,14 @@
         path: `/services/${name}`,
         finding: `engine ${engine} is listed as ready and no steward reaches it`,
       });
+  const capacity = known.reduce((sum, fact) => sum + fact.capacity, 0);
   const old = before.services[name];
+  // Why half: engines change in two rounds, and the first of them takes half of the pool away for some seconds.
+  if (old?.kind === 'pool' && old.weights !== pool.weights && known.length > 1 && wanted > capacity / 2)
+    findings.push({
+      path: `/services/${name}/weights`,
+      finding: `${wanted} orders run or wait, and half of its ${capacity} places are away while engines load; some may be refused`,
+    });
   if (old?.kind === 'pool' && old.weights !== pool.weights) {
     const loading = known.filter(({ weights }) => weights !== pool.weights);
     concerned.push(
@@ -156,7 +188,6 @@
     if (ready.length === 1)
       findings.push({ path: `/services/${name}/weights`, finding: 'its only engine serves nobody while it loads' });
   }
-  const capacity = known.reduce((sum, fact) => sum + fact.capacity, 0);
   for (const [className, settings] of Object.entries(intended.classes)) {
     const used = Object.values(intended.mappings).some(
       (mapping) => mapping.class === className && mapping.service === name,
