An answer cut after every one of its bytes, on real conns

Cause: cuts were tried at a few places only. Now each answer (in chunks, counted, unframed, and the word that it did not run) is cut after each of its bytes: never whole before its end, never a word of notRun from half a head, else mayHaveRun. Conclusion: kept as a test.

--- a/tests/back-ends.test.ts
+++ b/tests/back-ends.test.ts
@@ -146,6 +146,37 @@
   });
 });
 
+describe('an answer cut after every one of its bytes', () => {
+  const event = 'data: {"choices":[{"delta":{"content":"a"}}]}\n\n';
+  const done = 'data: [DONE]\n\n';
+  const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+  const head = 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n';
+  const answers = {
+    chunked: `${head}transfer-encoding: chunked\r\n\r\n${chunk(event)}${chunk(done)}0\r\n\r\n`,
+    counted: `${head}content-length: ${event.length + done.length}\r\n\r\n${event}${done}`,
+    unframed: `${head}\r\n${event}${done}`,
+    busy: 'HTTP/1.1 503 Service Unavailable\r\npostdrum-not-run: busy\r\ncontent-length: 2\r\n\r\n{}',
+  };
+
+  /** As the proxy judges it: an unframed answer is whole only with its own final event. */
+  const looksWhole = ({ end, head: seen, text }: Ended): boolean =>
+    end === 'whole' && (seen?.framed === true || text.trimEnd().endsWith('data: [DONE]'));
+
+  for (const [name, answer] of Object.entries(answers))
+    test(name, async () => {
+      for (let bytes = 0; bytes <= answer.length; bytes += 1) {
+        const ended = await against((socket) => socket.end(answer.slice(0, bytes)));
+        const entire =
+          name === 'unframed' ? answer.slice(0, bytes).trimEnd().endsWith('[DONE]') : bytes === answer.length;
+        assert.equal(looksWhole(ended), entire, `${bytes} of ${answer.length} bytes: ${ended.end} ${ended.text}`);
+        if (!entire && ended.end !== 'whole') assert.equal(ended.end, 'mayHaveRun', `${bytes} bytes`);
+        // Why: half a word must never be taken for the word that nothing ran.
+        const headIsWhole = bytes >= answer.indexOf('\r\n\r\n') + 4;
+        assert.equal(ended.head !== undefined, headIsWhole, `${bytes} bytes`);
+      }
+    });
+});
+
 test('the control side takes a sound answer or none', async () => {
   const door = new HttpBackEndDoor();
   const pages: Record<string, string> = {
