--- a/source/core-keeper/main.ts
+++ b/source/core-keeper/main.ts
@@ -5,7 +5,7 @@
 import { Logs } from '../shared/log/log';
 import { Metrics } from '../shared/metrics/metrics';
 import { Programs } from '../shared/settings/program';
-import { SettingFormats, Settings, type SettingSchema } from '../shared/settings/settings';
+import { SettingFormats, Settings, SharedSettings, type SettingSchema } from '../shared/settings/settings';
 import { CoreKeeper, KeeperDefaults } from './coreKeeper';
 import { OperatorsDoor } from './operators/operatorsDoor';
 
@@ -18,12 +18,7 @@
     default: null,
     kind: 'text',
   },
-  listen: {
-    doc: 'where it listens, if others reach it by another address than this',
-    format: SettingFormats.addressOrNone,
-    default: '',
-    kind: 'text',
-  },
+  listen: SharedSettings.listen,
   operators: { doc: 'where operators reach it over HTTP', format: SettingFormats.address, default: null, kind: 'text' },
   seeds: {
     doc: 'addresses of the three keepers, its own included',
--- a/source/edge-agent/main.ts
+++ b/source/edge-agent/main.ts
@@ -6,7 +6,7 @@
 import { Logs } from '../shared/log/log';
 import { Metrics } from '../shared/metrics/metrics';
 import { Programs } from '../shared/settings/program';
-import { SettingFormats, Settings, type SettingSchema } from '../shared/settings/settings';
+import { SettingFormats, Settings, SharedSettings, type SettingSchema } from '../shared/settings/settings';
 import type { ServerResponse } from 'node:http';
 import { AgentDefaults, EdgeAgent } from './edgeAgent';
 import { AgentPages } from './pages/agentPages';
@@ -20,12 +20,7 @@
     default: null,
     kind: 'text',
   },
-  listen: {
-    doc: 'where it listens, if others reach it by another address than this',
-    format: SettingFormats.addressOrNone,
-    default: '',
-    kind: 'text',
-  },
+  listen: SharedSettings.listen,
   proxy: {
     doc: 'where callers reach the proxy beside it',
     format: SettingFormats.address,
--- a/source/shared/settings/settings.ts
+++ b/source/shared/settings/settings.ts
@@ -48,6 +48,16 @@
 }>;
 export type SettingSchema = Readonly<Record<string, Setting>>;
 
+/** Settings that several programs have. */
+export const SharedSettings = {
+  listen: {
+    doc: 'where it listens, if others reach it by another address than this',
+    format: SettingFormats.addressOrNone,
+    default: '',
+    kind: 'text',
+  },
+} as const satisfies SettingSchema;
+
 const fromFlag = (setting: Setting, flag: string): unknown =>
   setting.kind === 'list' ? flag.split(',') : setting.kind === 'whole' ? Number(flag) : flag;
 
--- a/tests/real-fleet.test.ts
+++ b/tests/real-fleet.test.ts
@@ -9,7 +9,7 @@
 import { request } from 'undici';
 import { LocalFleet, type EdgeMachine } from '../source/fleet-runner/machines/fleet';
 import { Programs } from './support/programs';
-import { call, chat, key, order, ranTimes as recordedRuns, until, type Reply } from './support/realFleet';
+import { call, chat, key, order, ranTimes as recordedRuns, smallShape, until, type Reply } from './support/realFleet';
 
 const folder = mkdtempSync(path.join(tmpdir(), 'postdrum-real-'));
 const blueprint = JSON.parse(readFileSync('examples/koro-sea.json', 'utf8')) as Record<
@@ -19,18 +19,7 @@
 (blueprint['tenants'] ??= {})['brief'] = { walled: false, keys: ['koro-brief-key-1'] };
 
 describe('a real fleet of processes', () => {
-  const fleet = new LocalFleet(folder, {
-    engines: 3,
-    pool: 'rulebook',
-    app: 'slips',
-    weights: '2026-11',
-    capacity: 8,
-    mostBlocks: 100,
-    blockCharacters: 1024,
-    edges: 3,
-    proxyWords: [],
-    distFolder: path.resolve('dist'),
-  });
+  const fleet = new LocalFleet(folder, smallShape);
   let revision = 0;
   let changes = 0;
   const edge = (index: number): EdgeMachine => fleet.edges[index] as EdgeMachine;
--- a/tests/real-links.test.ts
+++ b/tests/real-links.test.ts
@@ -5,24 +5,12 @@
 import { after, before, describe, test } from 'node:test';
 import { LocalFleet, type EdgeMachine } from '../source/fleet-runner/machines/fleet';
 import type { Relay } from '../source/fleet-runner/machines/relay';
-import { call, order, ranTimes, until, type Reply } from './support/realFleet';
+import { call, order, ranTimes, smallShape, until, type Reply } from './support/realFleet';
 
 const folder = mkdtempSync(path.join(tmpdir(), 'postdrum-links-'));
 
 describe('real processes with links that are cut, slowed and stalled', () => {
-  const fleet = new LocalFleet(folder, {
-    engines: 3,
-    pool: 'rulebook',
-    app: 'slips',
-    weights: '2026-11',
-    capacity: 8,
-    mostBlocks: 100,
-    blockCharacters: 1024,
-    edges: 3,
-    proxyWords: [],
-    distFolder: path.resolve('dist'),
-    relays: true,
-  });
+  const fleet = new LocalFleet(folder, { ...smallShape, relays: true });
   const blueprint = JSON.parse(readFileSync('examples/koro-sea.json', 'utf8')) as Record<string, unknown>;
   let revision = 0;
   let listRevision = 0;
--- a/tests/support/realFleet.ts
+++ b/tests/support/realFleet.ts
@@ -1,11 +1,26 @@
 import assert from 'node:assert/strict';
 import { existsSync, readFileSync } from 'node:fs';
 import { request } from 'undici';
-import type { EdgeMachine, LocalFleet } from '../../source/fleet-runner/machines/fleet';
+import path from 'node:path';
+import type { EdgeMachine, FleetShape, LocalFleet } from '../../source/fleet-runner/machines/fleet';
 
 export const key = 'koro-wharf-north-key-1';
 export const chat = '/v1/chat/completions';
 
+/** A small fleet of real processes for the first of the example blueprints. */
+export const smallShape: FleetShape = {
+  engines: 3,
+  pool: 'rulebook',
+  app: 'slips',
+  weights: '2026-11',
+  capacity: 8,
+  mostBlocks: 100,
+  blockCharacters: 1024,
+  edges: 3,
+  proxyWords: [],
+  distFolder: path.resolve('dist'),
+};
+
 /** Waits, bounded, for something that a process does; every look is an answer of a process. */
 export const until = async (what: string, look: () => Promise<boolean>, limitMilliseconds = 15_000): Promise<void> => {
   const end = performance.now() + limitMilliseconds;
