One check for a present member; a field and an ask that nobody used are gone

Whether a member is present was written out in three places; the list of unsettled keys was gathered and read by nobody; the ask fillNotice was answered by agents and sent by none (the shard's own notice stays, with its tests); a child's process id was read by nobody. Behaviour is unchanged.

--- a/source/edge-agent/core-link/majorityRead.ts
+++ b/source/edge-agent/core-link/majorityRead.ts
@@ -18,7 +18,6 @@
 export type MajorityRead = Readonly<{
   statements: readonly Omit<Statement, 'ageMicroseconds'>[];
   view: WordsAnswer['view'] | undefined;
-  unsettled: readonly DocumentKey[];
 }>;
 
 const weightsOf = (words: readonly KeyWord[]): Statement['weights'] => {
@@ -60,9 +59,8 @@
         sound.map(({ stamp }) => stamp.keeper),
       )
     )
-      return { statements: [], view, unsettled: [] };
+      return { statements: [], view };
     const statements: Omit<Statement, 'ageMicroseconds'>[] = [];
-    const unsettled: DocumentKey[] = [];
     for (const key of DocumentKeys) {
       const words = sound.flatMap((answer) =>
         answer.words.filter((word) => word.key === key).map((word) => ({ keeper: answer.stamp.keeper, word })),
@@ -83,10 +81,7 @@
       const said = words.some(({ word }) => word.decidedRevision === top.revision && word.decidedDigest === top.digest);
       const applied = appliedDigest(key);
       const known = applied?.revision === top.revision && applied.digest === top.digest;
-      if (!Stamps.reached(view.sets, holders) && !said && !known) {
-        unsettled.push(key);
-        continue;
-      }
+      if (!Stamps.reached(view.sets, holders) && !said && !known) continue;
       statements.push({
         key,
         revision: top.revision,
@@ -97,6 +92,6 @@
             : {},
       });
     }
-    return { statements, view, unsettled };
+    return { statements, view };
   },
 } as const;
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -247,10 +247,6 @@
       }
       case 'grant':
         return { kind: 'grantAnswer', answer: await this.grant(message) };
-      case 'fillNotice': {
-        const steward = this.stewardship.steward(String(message['engine']));
-        return { kind: 'fillNotice', notice: steward?.fillNotice(String(message['fill'])) ?? 'fenced' };
-      }
       case 'notes': {
         const missed = await this.passNotes(message['notes'] as readonly DirectoryNote[], message['passed'] === true);
         return { kind: 'heard', missed };
--- a/source/edge-agent/membership/membership.ts
+++ b/source/edge-agent/membership/membership.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Log } from '../../shared/log/log';
 import type { FactBook } from '../../shared/news/facts';
-import { FactKeys, MemberVersions, type MemberFact, type MemberState } from '../../shared/news/factTypes';
+import { FactKeys, MemberStates, MemberVersions, type MemberFact, type MemberState } from '../../shared/news/factTypes';
 import { Rendezvous } from '../../shared/rendezvous/rendezvous';
 
 export type MembershipSettings = Readonly<{
@@ -46,14 +46,13 @@
     return this.book.withPrefix('member/').map(({ value }) => value as MemberFact);
   }
 
-  /** Suspects still count: one watcher's doubt must not move work. */
   public present(): readonly MemberFact[] {
-    return this.all().filter(({ state }) => state === 'alive' || state === 'suspect');
+    return this.all().filter(MemberStates.isPresent);
   }
 
   public alive(name: string): boolean {
-    const state = this.member(name)?.state;
-    return state === 'alive' || state === 'suspect';
+    const member = this.member(name);
+    return member !== undefined && MemberStates.isPresent(member);
   }
 
   public member(name: string): MemberFact | undefined {
--- a/source/edge-agent/stewards/engineSteward.ts
+++ b/source/edge-agent/stewards/engineSteward.ts
@@ -58,10 +58,6 @@
     return this.holds() ? this.shard.grant(fill, epoch, keys) : { kind: 'refused', reason: 'notSteward' };
   }
 
-  public fillNotice(fill: string): ReturnType<ShardDirectory['fillNotice']> {
-    return this.shard.fillNotice(fill);
-  }
-
   public note(note: DirectoryNote): void {
     if (this.holds()) this.shard.note(note);
   }
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { FactBook } from '../../shared/news/facts';
-import { FactKeys, type EngineFact, type LoadFact, type MemberFact } from '../../shared/news/factTypes';
+import { FactKeys, MemberStates, type EngineFact, type LoadFact, type MemberFact } from '../../shared/news/factTypes';
 import type { Fence } from '../fence/fence';
 
 export type Candidate = Readonly<{
@@ -93,7 +93,7 @@
   public agents(): readonly MemberFact[] {
     return this.facts.withPrefix('member/').flatMap(({ value }) => {
       const member = value as MemberFact;
-      return member.state === 'alive' || member.state === 'suspect' ? [member] : [];
+      return MemberStates.isPresent(member) ? [member] : [];
     });
   }
 
--- a/source/fleet-runner/machines/child.ts
+++ b/source/fleet-runner/machines/child.ts
@@ -30,10 +30,6 @@
     this.process?.kill(signal);
   }
 
-  public get processId(): number | undefined {
-    return this.process?.pid;
-  }
-
   public async stopped(): Promise<number> {
     return this.exited;
   }
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -42,6 +42,11 @@
 
 const ranks: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, gone: 2, left: 3 };
 
+export const MemberStates = {
+  /** Suspects still count: one watcher's doubt must not move work. */
+  isPresent: ({ state }: Pick<MemberFact, 'state'>): boolean => state === 'alive' || state === 'suspect',
+} as const;
+
 export const MemberVersions = {
   /** Within one incarnation worse news stands; a higher incarnation refutes it. */
   of: (incarnation: number, state: MemberState): FactVersion => [incarnation, ranks[state]],
