--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,7 @@
   { ignores: ['dist/**', 'node_modules/**'] },
   ...tseslint.configs.recommended,
   {
-    files: ['source/**/*.ts', 'tests/**/*.ts'],
+    files: ['source/**/*.ts', 'platform/**/*.ts', 'tests/**/*.ts'],
     languageOptions: { parserOptions: { project: './tsconfig.json' } },
     rules: {
       '@typescript-eslint/no-floating-promises': [
