The list of engines as a duty, and an agent that speaks the platform's control side (thin)

The users' platform keeps the list of engines itself, late, paged and rationed. One agent reads it under a ballot duty and authors the key engines under revisions that rise with its term. Ruled out: each agent reading for itself (calls are rationed and priced).

--- /dev/null
+++ b/source/edge-agent/agentProgram.ts
@@ -0,0 +1,43 @@
+import type { BackEndDoor } from '../shared/back-end/protocol';
+import { realClock } from '../shared/effects/clock/realClock';
+import { realRandom } from '../shared/effects/random/random';
+import { TcpTransport } from '../shared/effects/transport/tcpTransport';
+import { Logs } from '../shared/log/log';
+import { Programs } from '../shared/settings/program';
+import { EdgeAgent, type AgentSettings } from './edgeAgent';
+import type { EngineLister } from './engine-list/engineLister';
+
+type Closable = Readonly<{ close: () => Promise<void> | void }>;
+
+export type AgentParts = Readonly<{
+  settings: AgentSettings;
+  door: BackEndDoor & Closable;
+  lister?: EngineLister & Closable;
+  /** Pages for operators, where there are any. */
+  openPages?: (agent: EdgeAgent) => Promise<Closable>;
+  stopLimitMicroseconds: number;
+  /** How long a stopping agent goes on feeding a proxy that still asks. */
+  lingerMicroseconds: number;
+}>;
+
+export const AgentProgram = {
+  /** One agent on a real machine, from its start to its planned stop; the protocols it speaks are given to it. */
+  start: async (parts: AgentParts): Promise<void> => {
+    const { settings, door, lister } = parts;
+    const transport = new TcpTransport(realClock);
+    const agent = new EdgeAgent({ clock: realClock, random: realRandom, transport }, door, settings, lister);
+    const address = await agent.start();
+    const pages = await parts.openPages?.(agent);
+    Logs.part('agent:notice')(`Agent ${settings.name} listens on ${address}.`);
+    Programs.onTerm(parts.stopLimitMicroseconds, async () => {
+      await agent.resign();
+      // Why not at once: orders that were read are still answered, and their proxy needs a fresh setup for that.
+      await agent.linger(parts.lingerMicroseconds);
+      await agent.leave();
+      await pages?.close();
+      await door.close();
+      await lister?.close();
+      await transport.close();
+    });
+  },
+} as const;
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -1,4 +1,4 @@
-import type { CoreMember } from '../../shared/blueprint/types';
+import type { CoreMember, DocumentKey } from '../../shared/blueprint/types';
 import type { Effects } from '../../shared/effects/effects';
 import type { Freshness } from '../../shared/freshness/freshness';
 import { Statements } from '../../shared/freshness/freshness';
@@ -9,7 +9,12 @@
 /** What one address said: the fleet it leads to, and a keeper's words. */
 type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined }>;
 
-export type CoreLinkSettings = Readonly<{ seeds: readonly string[]; askMicroseconds: number }>;
+export type CoreLinkSettings = Readonly<{
+  seeds: readonly string[];
+  askMicroseconds: number;
+  /** Whether the keepers are where the list of engines comes from. */
+  readsEngines: boolean;
+}>;
 
 /** The agent's link to the core: a majority read several times a second, and the bodies it finds to be missing. */
 export class CoreLink {
@@ -51,10 +56,15 @@
     if (read.view !== undefined && (this.view === undefined || read.view.revision >= this.view.revision))
       this.view = read.view;
     const now = this.effects.clock.nowMicroseconds();
-    for (const statement of read.statements) this.freshness.hear({ ...statement, ageMicroseconds: now - asked }, now);
+    for (const statement of read.statements.filter(({ key }) => this.reads(key)))
+      this.freshness.hear({ ...statement, ageMicroseconds: now - asked }, now);
     await this.fetchBodies();
   }
 
+  private reads(key: DocumentKey): boolean {
+    return key !== 'engines' || this.settings.readsEngines;
+  }
+
   private isSeed(address: string): boolean {
     return this.settings.seeds.includes(address);
   }
@@ -92,7 +102,7 @@
   }
 
   private async fetchBodies(): Promise<void> {
-    for (const wanted of this.freshness.wanted()) {
+    for (const wanted of this.freshness.wanted().filter(({ key }) => this.reads(key))) {
       for (const address of this.addresses()) {
         const answer = await this.effects.transport.ask(
           address,
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -2,6 +2,7 @@
 import type { NamedKey } from '../shared/directory/hashChain';
 import { ShardBook } from '../shared/directory/shardBook';
 import type { DirectoryNote, GrantAnswer } from '../shared/directory/shardDirectory';
+import { Clocks } from '../shared/effects/clock/clock';
 import { Ticker } from '../shared/effects/clock/ticker';
 import type { Effects } from '../shared/effects/effects';
 import { FleetName } from '../shared/fleet/fleetName';
@@ -14,6 +15,8 @@
 import { NewsExchange } from '../shared/news/newsExchange';
 import { Pulses } from '../shared/news/pulses';
 import { CoreLink } from './core-link/coreLink';
+import { EngineListDefaults, EngineListKeeper } from './engine-list/engineListKeeper';
+import type { EngineLister } from './engine-list/engineLister';
 import { Membership } from './membership/membership';
 import { DutyHolder } from './stewards/dutyHolder';
 import { Stewardship } from './stewards/stewardship';
@@ -45,6 +48,10 @@
   rankMicroseconds: number;
   settleMicroseconds: number;
   giveBackMicroseconds: number;
+  /** `kept`: the operators keep the list of engines at the keepers. `listed`: something outside keeps it, and it is read. */
+  engineList: 'kept' | 'listed';
+  listMicroseconds: number;
+  listAskMicroseconds: number;
 }>;
 
 export const AgentDefaults = {
@@ -66,11 +73,17 @@
   rankMicroseconds: 250_000,
   settleMicroseconds: 1_200_000,
   giveBackMicroseconds: 10_000_000,
+  engineList: 'kept',
+  listMicroseconds: 500_000,
+  listAskMicroseconds: EngineListDefaults.askMicroseconds,
 } as const;
 
 /** Starting value, ours: after so long without a word from its proxy an agent no longer says what that one runs. */
 const proxySilentMicroseconds = 1_500_000;
 
+/** Starting value, ours: a proxy that did not ask for so long has stopped too. */
+const lingerMicroseconds = 400_000;
+
 /** Beside each proxy: the link to the core, news among daemons, duties; it feeds the proxy over loopback. */
 export class EdgeAgent {
   public readonly facts = new FactBook();
@@ -95,6 +108,7 @@
     given: Effects,
     door: BackEndDoor,
     private readonly settings: AgentSettings,
+    lister?: EngineLister,
   ) {
     const { clock, random } = given;
     this.fleet = new FleetName(settings.fleet);
@@ -107,7 +121,11 @@
       effects,
       this.fleet,
       this.freshness,
-      { seeds: settings.seeds, askMicroseconds: settings.readAskMicroseconds },
+      {
+        seeds: settings.seeds,
+        askMicroseconds: settings.readAskMicroseconds,
+        readsEngines: settings.engineList === 'kept',
+      },
       () => this.facts.get(FactKeys.member(settings.name)) ?? null,
       this.log,
     );
@@ -145,9 +163,20 @@
       this.pulses,
       door,
       effects,
-      { ...settings, askMicroseconds: settings.tendAskMicroseconds },
+      { ...settings, askMicroseconds: settings.tendAskMicroseconds, readsList: settings.engineList === 'listed' },
       this.log,
     );
+    const engineList =
+      lister === undefined || settings.engineList === 'kept'
+        ? undefined
+        : new EngineListKeeper(
+            lister,
+            this.freshness,
+            () => this.stewardship.listTerm(),
+            clock,
+            { ...EngineListDefaults, askMicroseconds: settings.listAskMicroseconds },
+            this.log,
+          );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     const tickers: readonly (readonly [number, () => Promise<void>])[] = [
       [settings.readMicroseconds, () => this.link.read()],
@@ -155,6 +184,7 @@
       [settings.newsMicroseconds * 2, () => this.watch()],
       [settings.ballotMicroseconds, () => this.stewardship.ballot()],
       [settings.tendMicroseconds, () => this.stewardship.tend()],
+      ...(engineList === undefined ? [] : [[settings.listMicroseconds, () => engineList.read()] as const]),
     ];
     this.tickers = tickers.map(([pause, work]) => new Ticker(clock, () => pause, work, failed));
   }
@@ -168,6 +198,22 @@
     return this.listener.address;
   }
 
+  /** The first half of a planned stop: what it holds goes to others, while it goes on feeding its proxy. */
+  public resign(): Promise<void> {
+    return this.stewardship.resign();
+  }
+
+  /** Resolves when its proxy has stopped asking, at the latest after the limit. */
+  public async linger(limitMicroseconds: number): Promise<void> {
+    const { clock } = this.effects;
+    const until = clock.nowMicroseconds() + limitMicroseconds;
+    while (
+      clock.nowMicroseconds() < until &&
+      clock.nowMicroseconds() - this.heardProxyMicroseconds < lingerMicroseconds
+    )
+      await Clocks.wait(clock, lingerMicroseconds / 4);
+  }
+
   /** A planned stop: says that it leaves, so that nobody has to find out. */
   public async leave(): Promise<void> {
     await this.stewardship.resign();
@@ -271,6 +317,7 @@
       classes: load.classes,
       waiting: load.waiting,
       tenants: load.tenants,
+      ...(load.work === undefined ? {} : { work: load.work }),
     };
     this.sayLoad(value);
   }
--- /dev/null
+++ b/source/edge-agent/engine-list/engineListKeeper.ts
@@ -0,0 +1,138 @@
+import { createHash } from 'node:crypto';
+import { Blueprints } from '../../shared/blueprint/check';
+import type { Engine, EngineList } from '../../shared/blueprint/types';
+import type { Clock } from '../../shared/effects/clock/clock';
+import type { Freshness } from '../../shared/freshness/freshness';
+import type { Log } from '../../shared/log/log';
+import type { EngineLister, ListedEngine } from './engineLister';
+
+export type EngineListSettings = Readonly<{ askMicroseconds: number; mostPages: number; emptyReads: number }>;
+
+/** Starting values, ours: pages of one list, and reads in a row that must say that there are no engines at all. */
+export const EngineListDefaults = { askMicroseconds: 1_000_000, mostPages: 64, emptyReads: 3 } as const;
+
+/** Revisions of one term; a later term's are all higher, so no daemon goes back when the duty changes hands. */
+const revisionsPerTerm = 2 ** 20;
+
+/** The duty of reading the list of engines: its holder is the author of the key `engines`, in the fleet's own form. */
+export class EngineListKeeper {
+  private term = 0;
+  private sequence = 0;
+  private text = '';
+  private empty = 0;
+  /** In which read an engine came up first. */
+  private firstSeen = new Map<string, number>();
+  /** Engines that the last read did not bring. */
+  private missed = new Set<string>();
+  private reads = 0;
+
+  public constructor(
+    private readonly lister: EngineLister,
+    private readonly freshness: Freshness,
+    /** The term under which the duty is held at this very moment. */
+    private readonly held: () => number | undefined,
+    private readonly clock: Clock,
+    private readonly settings: EngineListSettings,
+    private readonly log: Log,
+  ) {}
+
+  /** One read of the whole list. What is no sound answer says nothing: the list before goes on, and gets older. */
+  public async read(): Promise<void> {
+    const term = this.held();
+    if (term === undefined) return;
+    const asked = this.clock.nowMicroseconds();
+    const pages = await this.pages();
+    // Why look again: another may hold the duty by now, and one author speaks at a time.
+    if (pages === undefined || this.held() !== term) return;
+    const listed = pages.flatMap(({ engines }) => engines);
+    if (!this.believes(listed)) return;
+    this.reads += 1;
+    const text = this.textOf(listed, pages.length > 1);
+    if (Blueprints.checkText('engines', text).kind === 'faulty') {
+      this.log('The list of engines makes no sense and is let be.');
+      return;
+    }
+    this.say(term, text, asked);
+  }
+
+  private async pages(): Promise<readonly Readonly<{ engines: readonly ListedEngine[] }>[] | undefined> {
+    const pages: Readonly<{ engines: readonly ListedEngine[] }>[] = [];
+    let from: string | undefined;
+    for (;;) {
+      const page = await this.lister.page(from, this.settings.askMicroseconds);
+      // Why nothing from a part: engines on the pages that did not come would look as if they were gone.
+      if (page === undefined || this.held() === undefined) return undefined;
+      pages.push(page);
+      if (page.next === undefined) return pages;
+      if (page.next === from || pages.length >= this.settings.mostPages) return undefined;
+      from = page.next;
+    }
+  }
+
+  /** Why not at once: a list that has nothing on it is rather a list that has lost something. */
+  private believes(listed: readonly ListedEngine[]): boolean {
+    this.empty = listed.length === 0 ? this.empty + 1 : 0;
+    const known = Object.keys(this.freshness.engines?.engines ?? {}).length;
+    return listed.length > 0 || known === 0 || this.empty >= this.settings.emptyReads;
+  }
+
+  private textOf(listed: readonly ListedEngine[], inPages: boolean): string {
+    const firstSeen = new Map(listed.map(({ name }) => [name, this.firstSeen.get(name) ?? this.reads]));
+    this.firstSeen = firstSeen;
+    const byAddress = new Map<string, ListedEngine>();
+    for (const engine of listed) {
+      const other = byAddress.get(engine.address);
+      // Why the later one: an engine that has ended stays listed for a while, and its address is given on.
+      if (other === undefined || (firstSeen.get(engine.name) ?? 0) >= (firstSeen.get(other.name) ?? 0))
+        byAddress.set(engine.address, engine);
+    }
+    const engines: Record<string, Engine> = {};
+    for (const { name, ...engine } of byAddress.values()) engines[name] = EngineLists.entry(engine);
+    if (inPages) this.keepOnce(engines, new Set(byAddress.keys()));
+    const sorted = Object.entries(engines).sort(([left], [right]) => (left < right ? -1 : 1));
+    return JSON.stringify({ engines: Object.fromEntries(sorted) } satisfies EngineList);
+  }
+
+  /** Why once more: between two pages an engine may move from the later one to the earlier one. */
+  private keepOnce(engines: Record<string, Engine>, addresses: ReadonlySet<string>): void {
+    const missed = new Set<string>();
+    for (const [name, engine] of Object.entries(this.freshness.engines?.engines ?? {})) {
+      if (engines[name] !== undefined || addresses.has(engine.address)) continue;
+      missed.add(name);
+      if (!this.missed.has(name)) engines[name] = engine;
+    }
+    this.missed = missed;
+  }
+
+  private say(term: number, text: string, asked: number): void {
+    const now = this.clock.nowMicroseconds();
+    // Why anew under each term: a holder before may have said something that did not get here.
+    if (term !== this.term) [this.term, this.sequence, this.text] = [term, 0, ''];
+    if (text !== this.text) {
+      this.sequence += 1;
+      this.text = text;
+    }
+    const revision = term * revisionsPerTerm + this.sequence;
+    const digest = createHash('sha256').update(text).digest('hex').slice(0, 32);
+    this.freshness.hear({ key: 'engines', revision, digest, ageMicroseconds: now - asked, weights: {} }, now);
+    if (this.freshness.revision('engines') === revision) return;
+    if (this.freshness.give({ key: 'engines', revision, digest, text }))
+      this.log(`The list of engines is at revision ${revision}.`);
+  }
+}
+
+export const EngineLists = {
+  entry: ({ service, address, zone, state, capacity, weights }: Omit<ListedEngine, 'name'>): Engine => {
+    const models = Object.entries(weights).sort(([left], [right]) => (left < right ? -1 : 1));
+    return {
+      // Why by its models: what runs none keeps no parts, gets no weights and needs no steward.
+      kind: models.length > 0 ? 'engine' : 'app',
+      service,
+      address,
+      zone,
+      state,
+      ...(capacity > 0 ? { capacity } : {}),
+      ...(models.length > 0 ? { weights: Object.fromEntries(models) } : {}),
+    };
+  },
+} as const;
--- /dev/null
+++ b/source/edge-agent/engine-list/engineLister.ts
@@ -0,0 +1,23 @@
+/** One entry of a list of engines that something outside the fleet keeps. */
+export type ListedEngine = Readonly<{
+  /** A new life is a new name. */
+  name: string;
+  service: string;
+  address: string;
+  zone: string;
+  state: 'ready' | 'draining';
+  capacity: number;
+  /** The weights of each model on it; none: no engine that has models. */
+  weights: Readonly<Record<string, string>>;
+}>;
+
+/** `next` names the page that follows; undefined: this is the last one. */
+export type ListPage = Readonly<{ engines: readonly ListedEngine[]; next: string | undefined }>;
+
+/**
+ * Where the engines are listed by something outside the fleet. One call, one page. Undefined: no sound answer within the
+ * limit, which says nothing about engines.
+ */
+export interface EngineLister {
+  readonly page: (from: string | undefined, limitMicroseconds: number) => Promise<ListPage | undefined>;
+}
--- a/source/edge-agent/main.ts
+++ b/source/edge-agent/main.ts
@@ -1,14 +1,11 @@
 import { HttpBackEndDoor } from '../shared/back-end/httpBackEnds';
-import { realClock } from '../shared/effects/clock/realClock';
-import { realRandom } from '../shared/effects/random/random';
-import { TcpTransport } from '../shared/effects/transport/tcpTransport';
-import { HttpDoors, HttpLimits, Replies } from '../shared/http/httpDoor';
-import { Logs } from '../shared/log/log';
+import { HttpDoors, HttpLimits, Replies, type HttpDoor } from '../shared/http/httpDoor';
 import { Metrics } from '../shared/metrics/metrics';
 import { Programs } from '../shared/settings/program';
 import { SettingFormats, Settings, SharedSettings, type SettingSchema } from '../shared/settings/settings';
 import type { ServerResponse } from 'node:http';
-import { AgentDefaults, EdgeAgent } from './edgeAgent';
+import { AgentProgram } from './agentProgram';
+import { AgentDefaults, type EdgeAgent } from './edgeAgent';
 import { AgentPages } from './pages/agentPages';
 
 const schema: SettingSchema = {
@@ -56,41 +53,39 @@
     process.argv.slice(2),
   );
   const text = (name: string): string => String(settings[name]);
-  const notice = Logs.part('agent:notice');
-  const transport = new TcpTransport(realClock);
-  const door = new HttpBackEndDoor();
-  const agent = new EdgeAgent({ clock: realClock, random: realRandom, transport }, door, {
-    ...AgentDefaults,
-    name: text('name'),
-    zone: text('zone'),
-    address: text('address'),
-    proxyAddress: text('proxy'),
-    pagesAddress: text('pages'),
-    seeds: settings['seeds'] as readonly string[],
-    fleet: text('fleet'),
-    listenAddress: text('listen'),
-  });
-  const address = await agent.start();
-  const metrics = new Metrics();
-  metrics.watch(() => AgentPages.gauges(agent));
-  const pages = await HttpDoors.open(text('pages'), HttpLimits.usual, (service) => {
-    service.get('/status', (_order, response) =>
-      Replies.json(response as unknown as ServerResponse, 200, AgentPages.status(text('name'), agent)),
-    );
-    service.get('/health', (_order, response) =>
-      Replies.json(response as unknown as ServerResponse, AgentPages.fresh(agent) ? 200 : 503, {
-        fresh: AgentPages.fresh(agent),
-      }),
-    );
-    service.get('/metrics', (_order, response) =>
-      Replies.text(response as unknown as ServerResponse, 200, metrics.page()),
-    );
-  });
-  notice(`Agent ${text('name')} listens on ${address}.`);
-  Programs.onTerm(Number(settings['stopLimitMicroseconds']), async () => {
-    await agent.leave();
-    await pages.close();
-    await door.close();
-    await transport.close();
+  const openPages = async (agent: EdgeAgent): Promise<HttpDoor> => {
+    const metrics = new Metrics();
+    metrics.watch(() => AgentPages.gauges(agent));
+    return HttpDoors.open(text('pages'), HttpLimits.usual, (service) => {
+      service.get('/status', (_order, response) =>
+        Replies.json(response as unknown as ServerResponse, 200, AgentPages.status(text('name'), agent)),
+      );
+      service.get('/health', (_order, response) =>
+        Replies.json(response as unknown as ServerResponse, AgentPages.fresh(agent) ? 200 : 503, {
+          fresh: AgentPages.fresh(agent),
+        }),
+      );
+      service.get('/metrics', (_order, response) =>
+        Replies.text(response as unknown as ServerResponse, 200, metrics.page()),
+      );
+    });
+  };
+  await AgentProgram.start({
+    settings: {
+      ...AgentDefaults,
+      name: text('name'),
+      zone: text('zone'),
+      address: text('address'),
+      proxyAddress: text('proxy'),
+      pagesAddress: text('pages'),
+      seeds: settings['seeds'] as readonly string[],
+      fleet: text('fleet'),
+      listenAddress: text('listen'),
+    },
+    door: new HttpBackEndDoor(),
+    openPages,
+    stopLimitMicroseconds: Number(settings['stopLimitMicroseconds']),
+    // Why not at all: a proxy that outlives its agent is fed by another one.
+    lingerMicroseconds: 0,
   });
 });
--- /dev/null
+++ b/source/edge-agent/stewards/dutyLine.ts
@@ -0,0 +1,94 @@
+import type { Clock } from '../../shared/effects/clock/clock';
+import type { FactBook } from '../../shared/news/facts';
+import { FactKeys, type StewardFact } from '../../shared/news/factTypes';
+import { Rendezvous } from '../../shared/rendezvous/rendezvous';
+import type { Membership } from '../membership/membership';
+import type { DutyHolder } from './dutyHolder';
+
+/** A duty and the news that tells who has it. */
+export type DutySubject = Readonly<{ duty: string; factKey: string; name: string }>;
+
+export const DutySubjects = {
+  engine: (name: string): DutySubject => ({ duty: `engine/${name}`, factKey: FactKeys.steward(name), name }),
+  /** Reading the list of engines, where something outside the fleet keeps it. */
+  list: { duty: 'list', factKey: 'duty/list', name: 'list' } satisfies DutySubject,
+} as const;
+
+export type DutyLineSettings = Readonly<{
+  vacantAfterMicroseconds: number;
+  rankMicroseconds: number;
+  settleMicroseconds: number;
+  giveBackMicroseconds: number;
+}>;
+
+/** Who is next in line for a duty: when to stand for one that seems vacant, when to hand one over. */
+export class DutyLine {
+  private readonly vacantSince = new Map<string, number>();
+  private readonly misplacedSince = new Map<string, number>();
+  private readonly heartbeats = new Map<string, Readonly<{ mark: string; atMicroseconds: number }>>();
+  private readonly startedMicroseconds: number;
+  private minor = 0;
+
+  public constructor(
+    private readonly self: string,
+    private readonly duties: DutyHolder,
+    private readonly membership: Membership,
+    private readonly facts: FactBook,
+    private readonly clock: Clock,
+    private readonly settings: DutyLineSettings,
+  ) {
+    this.startedMicroseconds = clock.nowMicroseconds();
+  }
+
+  public holderOf(subject: DutySubject): StewardFact | undefined {
+    return this.facts.value<StewardFact>(subject.factKey);
+  }
+
+  public say(subject: DutySubject, term: number, holder: string): void {
+    this.minor += 1;
+    const value: StewardFact = { engine: subject.name, holder, term };
+    this.facts.put({ key: subject.factKey, version: [term, this.minor], value });
+  }
+
+  /** Whether a duty should be asked for: vacant for as long as this agent's place in line demands. */
+  public standsFor(subject: DutySubject, names: readonly string[]): boolean {
+    const { duty } = subject;
+    const now = this.clock.nowMicroseconds();
+    const fact = this.facts.get(subject.factKey);
+    const value = fact?.value as StewardFact | undefined;
+    if (fact !== undefined && value !== undefined) {
+      this.duties.sawTerm(duty, value.term);
+      const mark = fact.version.join('.');
+      const beat = this.heartbeats.get(duty);
+      if (beat?.mark !== mark) this.heartbeats.set(duty, { mark, atMicroseconds: now });
+      const fresh = now - (this.heartbeats.get(duty)?.atMicroseconds ?? 0) < this.settings.vacantAfterMicroseconds;
+      if (fresh && value.holder !== this.self && this.membership.alive(value.holder)) {
+        this.vacantSince.delete(duty);
+        return false;
+      }
+    }
+    // Why wait at the start: an agent that knows only itself would win every duty.
+    if (now - this.startedMicroseconds < this.settings.settleMicroseconds) return false;
+    const since = this.vacantSince.get(duty) ?? now;
+    this.vacantSince.set(duty, since);
+    const rank = Rendezvous.order(`steward/${subject.name}`, names).indexOf(this.self);
+    return now - since >= Math.max(0, rank) * this.settings.rankMicroseconds;
+  }
+
+  /** The one to hand the duty over to, once this agent has not been first in line for long enough. */
+  public handsOver(subject: DutySubject, names: readonly string[]): string | undefined {
+    const { duty } = subject;
+    const now = this.clock.nowMicroseconds();
+    const first = Rendezvous.order(`steward/${subject.name}`, names)[0];
+    if (first === this.self || first === undefined) {
+      this.misplacedSince.delete(duty);
+      return undefined;
+    }
+    const since = this.misplacedSince.get(duty) ?? now;
+    this.misplacedSince.set(duty, since);
+    if (now - since < this.settings.giveBackMicroseconds) return undefined;
+    this.misplacedSince.delete(duty);
+    this.vacantSince.set(duty, now + this.settings.giveBackMicroseconds);
+    return first;
+  }
+}
--- a/source/edge-agent/stewards/stewardship.ts
+++ b/source/edge-agent/stewards/stewardship.ts
@@ -1,35 +1,32 @@
 import type { BackEndDoor } from '../../shared/back-end/protocol';
 import type { Engine } from '../../shared/blueprint/types';
+import { Holders } from '../../shared/directory/holders';
 import type { ShardBook } from '../../shared/directory/shardBook';
 import type { Effects } from '../../shared/effects/effects';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { Log } from '../../shared/log/log';
 import type { FactBook } from '../../shared/news/facts';
 import type { Pulses } from '../../shared/news/pulses';
-import { FactKeys, type StewardFact } from '../../shared/news/factTypes';
-import { Rendezvous } from '../../shared/rendezvous/rendezvous';
+import type { StewardFact } from '../../shared/news/factTypes';
 import type { Membership } from '../membership/membership';
 import type { DutyHolder } from './dutyHolder';
+import { DutyLine, DutySubjects, type DutyLineSettings } from './dutyLine';
 import { EngineSteward } from './engineSteward';
 
-export type StewardshipSettings = Readonly<{
-  askMicroseconds: number;
-  vacantAfterMicroseconds: number;
-  rankMicroseconds: number;
-  settleMicroseconds: number;
-  giveBackMicroseconds: number;
-}>;
+export type StewardshipSettings = DutyLineSettings &
+  Readonly<{
+    askMicroseconds: number;
+    /** Whether this fleet reads a list of engines that something outside keeps. */
+    readsList: boolean;
+  }>;
 
 /** All duties of one agent: renews what it holds, stands for what is vacant, hands over what another is first in line for. */
 export class Stewardship {
   private readonly stewards = new Map<string, EngineSteward>();
-  private readonly vacantSince = new Map<string, number>();
-  private readonly misplacedSince = new Map<string, number>();
-  private readonly heartbeats = new Map<string, Readonly<{ mark: string; atMicroseconds: number }>>();
-  private readonly startedMicroseconds: number;
+  private readonly line: DutyLine;
   /** Duties on their way to others: neither renewed nor taken up again. */
   private readonly leaving = new Set<string>();
-  private minor = 0;
+  private resigned = false;
 
   public constructor(
     private readonly self: string,
@@ -44,7 +41,7 @@
     private readonly settings: StewardshipSettings,
     private readonly log: Log,
   ) {
-    this.startedMicroseconds = effects.clock.nowMicroseconds();
+    this.line = new DutyLine(self, duties, membership, facts, effects.clock, settings);
   }
 
   public steward(engine: string): EngineSteward | undefined {
@@ -56,27 +53,44 @@
   }
 
   public holderOf(engine: string): StewardFact | undefined {
-    return this.facts.value<StewardFact>(FactKeys.steward(engine));
+    return this.line.holderOf(DutySubjects.engine(engine));
+  }
+
+  /** The term under which this agent reads the list of engines at this very moment. */
+  public listTerm(): number | undefined {
+    return this.resigned ? undefined : this.duties.term(DutySubjects.list.duty);
   }
 
   public async ballot(): Promise<void> {
+    if (this.resigned) return;
     const engines = this.tended();
-    const now = this.effects.clock.nowMicroseconds();
     for (const name of [...this.stewards.keys()]) if (!engines.some(([engine]) => engine === name)) this.drop(name);
     this.shards.keepOnly(engines.map(([name]) => name));
     const names = this.membership.present().map(({ name }) => name);
-    const wanted: string[] = [];
+    const wanted = this.settings.readsList && this.wantsList(names) ? [DutySubjects.list.duty] : [];
     for (const [engine] of engines) {
-      const duty = `engine/${engine}`;
+      const subject = DutySubjects.engine(engine);
       if (this.leaving.has(engine)) continue;
-      if (this.duties.term(duty) !== undefined) {
-        if (!this.handsOver(engine, names, now)) wanted.push(duty);
-      } else if (this.standsFor(engine, names, now)) wanted.push(duty);
+      if (this.duties.term(subject.duty) !== undefined) {
+        const first = this.line.handsOver(subject, names);
+        if (first === undefined) wanted.push(subject.duty);
+        else {
+          this.log(`Hands the duty for ${engine} over to ${first}.`);
+          void this.giveUp([engine]);
+        }
+      } else if (this.line.standsFor(subject, names)) wanted.push(subject.duty);
     }
     await this.duties.ballot(wanted);
+    const listTerm = this.listTerm();
+    if (listTerm !== undefined) this.line.say(DutySubjects.list, listTerm, this.self);
     for (const [engine, { kind }] of engines) if (!this.leaving.has(engine)) this.settle(engine, kind);
   }
 
+  /** Why never handed over: one call a moment costs nobody much, and each change of hands is a pause. */
+  private wantsList(names: readonly string[]): boolean {
+    return this.listTerm() !== undefined || this.line.standsFor(DutySubjects.list, names);
+  }
+
   public async tend(): Promise<void> {
     await Promise.all(
       this.tended().map(async ([name, engine]) => {
@@ -88,7 +102,10 @@
 
   /** On a planned stop: what is held goes to others at once. */
   public async resign(): Promise<void> {
-    await this.giveUp([...this.stewards.keys()]);
+    const listTerm = this.listTerm();
+    this.resigned = true;
+    if (listTerm !== undefined) this.line.say(DutySubjects.list, listTerm, '');
+    await Promise.all([this.giveUp([...this.stewards.keys()]), this.duties.giveBack([DutySubjects.list.duty])]);
   }
 
   /**
@@ -105,18 +122,12 @@
     await this.duties.giveBack(held.map(({ name }) => `engine/${name}`));
     for (const { name, term } of held) {
       this.leaving.delete(name);
-      this.sayHolder(name, term, '');
+      this.line.say(DutySubjects.engine(name), term, '');
     }
   }
 
-  private sayHolder(engine: string, term: number, holder: string): void {
-    this.minor += 1;
-    const value: StewardFact = { engine, holder, term };
-    this.facts.put({ key: FactKeys.steward(engine), version: [term, this.minor], value });
-  }
-
   private tended(): readonly (readonly [string, Engine])[] {
-    return Object.entries(this.freshness.engines?.engines ?? {}).filter(([, { kind }]) => kind !== 'app');
+    return Object.entries(Holders.of(this.freshness.engines, this.freshness.blueprint));
   }
 
   private drop(name: string): void {
@@ -153,45 +164,6 @@
       );
       this.log(`Steward of ${engine} under term ${term}.`);
     }
-    this.sayHolder(engine, term, this.self);
-  }
-
-  /** Whether a duty should be asked for: vacant for as long as this agent's place in line demands. */
-  private standsFor(engine: string, names: readonly string[], now: number): boolean {
-    const fact = this.facts.get(FactKeys.steward(engine));
-    const value = fact?.value as StewardFact | undefined;
-    if (fact !== undefined && value !== undefined) {
-      this.duties.sawTerm(`engine/${engine}`, value.term);
-      const mark = fact.version.join('.');
-      const beat = this.heartbeats.get(engine);
-      if (beat?.mark !== mark) this.heartbeats.set(engine, { mark, atMicroseconds: now });
-      const fresh = now - (this.heartbeats.get(engine)?.atMicroseconds ?? 0) < this.settings.vacantAfterMicroseconds;
-      if (fresh && value.holder !== this.self && this.membership.alive(value.holder)) {
-        this.vacantSince.delete(engine);
-        return false;
-      }
-    }
-    // Why wait at the start: an agent that knows only itself would win every duty.
-    if (now - this.startedMicroseconds < this.settings.settleMicroseconds) return false;
-    const since = this.vacantSince.get(engine) ?? now;
-    this.vacantSince.set(engine, since);
-    const rank = Rendezvous.order(`steward/${engine}`, names).indexOf(this.self);
-    return now - since >= Math.max(0, rank) * this.settings.rankMicroseconds;
-  }
-
-  private handsOver(engine: string, names: readonly string[], now: number): boolean {
-    const first = Rendezvous.order(`steward/${engine}`, names)[0];
-    if (first === this.self || first === undefined) {
-      this.misplacedSince.delete(engine);
-      return false;
-    }
-    const since = this.misplacedSince.get(engine) ?? now;
-    this.misplacedSince.set(engine, since);
-    if (now - since < this.settings.giveBackMicroseconds) return false;
-    this.misplacedSince.delete(engine);
-    this.vacantSince.set(engine, now + this.settings.giveBackMicroseconds);
-    this.log(`Hands the duty for ${engine} over to ${first}.`);
-    void this.giveUp([engine]);
-    return true;
+    this.line.say(DutySubjects.engine(engine), term, this.self);
   }
 }
--- a/source/shared/back-end/protocol.ts
+++ b/source/shared/back-end/protocol.ts
@@ -14,18 +14,70 @@
 /** The source's names for the blocks from place `at` of the target's list on. */
 export type CacheSource = Readonly<{ address: string; bootEpoch: string; at: number; keys: readonly string[] }>;
 export type EngineStatus = Readonly<{
+  /** Empty: only its events say it. */
   bootEpoch: string;
   weights: string;
+  /** 0: not said. */
   capacity: number;
   inFlight: number;
   accepting: boolean;
+  /** The weights of each model, where an engine says so. */
+  models?: Readonly<Record<string, string>>;
+  /** A directive is under way. */
+  busy?: boolean;
+}>;
+export type KvEvent = Readonly<{
+  sequence: number;
+  kind: 'stored' | 'evicted';
+  key: string;
+  /** How much of the part is kept now; said where names are derived from the identity. */
+  size?: number;
+}>;
+export type KvEvents = Readonly<{
+  bootEpoch: string;
+  events: readonly KvEvent[];
+  last: number;
+  /** Some events between are no longer there to be read. */
+  lost?: boolean;
+}>;
+export type KvList = Readonly<{
+  bootEpoch: string;
+  sequence: number;
+  keys: readonly string[];
+  /** How much of each is kept, in the order of `keys`; said where names are derived from the identity. */
+  sizes?: readonly number[];
 }>;
-export type KvEvent = Readonly<{ sequence: number; kind: 'stored' | 'evicted'; key: string }>;
-export type KvEvents = Readonly<{ bootEpoch: string; events: readonly KvEvent[]; last: number }>;
-export type KvList = Readonly<{ bootEpoch: string; sequence: number; keys: readonly string[] }>;
 export type Directive =
-  | Readonly<{ kind: 'loadWeights'; term: number; steward: string; weights: string; drainMicroseconds: number }>
+  | Readonly<{
+      kind: 'loadWeights';
+      term: number;
+      steward: string;
+      weights: string;
+      drainMicroseconds: number;
+      /** The model whose weights are meant; missing: the only one. */
+      model?: string;
+      /** The engine that is meant, and no other at that address. */
+      engine?: string;
+    }>
   | Readonly<{ kind: 'drain' | 'resume'; term: number; steward: string }>;
+/**
+ * `done`: it holds. `begun`: it is being done. `otherUnderWay`: another one is. `failed`: nothing is known, and it may
+ * have been taken.
+ */
+export type DirectiveOutcome = 'done' | 'begun' | 'otherUnderWay' | 'oldTerm' | 'failed';
+
+/** What a protocol lets a steward do. */
+export type DoorTraits = Readonly<{
+  /** Engines can be told to take nothing more; else whoever keeps the list of engines sees to it. */
+  drains: boolean;
+  /** An events call may be held until there are some; then one follows the other, and each is also a sign of life. */
+  holdsEvents: boolean;
+  /** Holders that are no engines have a status too. */
+  storesHaveStatus: boolean;
+}>;
+export const DoorTraits = {
+  usual: { drains: true, holdsEvents: false, storesHaveStatus: true } satisfies DoorTraits,
+} as const;
 
 export const Paths = {
   status: '/ready',
@@ -130,19 +182,19 @@
 
 /** The control side of a back end, as a steward uses it. Undefined means: no sound answer within the limit. */
 export interface BackEndDoor {
+  /** Missing: the usual ones. */
+  readonly traits?: DoorTraits;
   readonly status: (address: string, limitMicroseconds: number) => Promise<EngineStatus | undefined>;
   readonly events: (
     address: string,
     after: number,
     bootEpoch: string,
     limitMicroseconds: number,
+    /** How long the call may be held until there are events; missing: it is answered at once. */
+    holdMicroseconds?: number,
   ) => Promise<KvEvents | undefined>;
   readonly list: (address: string, limitMicroseconds: number) => Promise<KvList | undefined>;
-  readonly directive: (
-    address: string,
-    directive: Directive,
-    limitMicroseconds: number,
-  ) => Promise<'done' | 'oldTerm' | 'failed'>;
+  readonly directive: (address: string, directive: Directive, limitMicroseconds: number) => Promise<DirectiveOutcome>;
 }
 
 export type SendOrder = Readonly<{
@@ -150,7 +202,9 @@
   method: string;
   path: string;
   headers: Readonly<Record<string, string>>;
-  body: string;
+  body: string | Uint8Array;
+  /** It may run at most once: it goes on no conn that may have been closed unseen. */
+  runsOnce?: boolean;
 }>;
 
 export type SendHead = Readonly<{ status: number; headers: Readonly<Record<string, string>>; framed: boolean }>;
@@ -168,7 +222,10 @@
   readonly failed: (failure: SendFailure) => void;
 }
 
+/** `cut` resets the conn. `leave` lets a sound answer that nobody wants run out, so that its conn can be kept. */
+export type SendHandle = Readonly<{ cut: () => void; leave?: () => void }>;
+
 export interface BackEndSender {
-  /** Returns the way to cut the send. Exactly one of end and failed is called, at most once. */
-  readonly send: (order: SendOrder, sink: SendSink) => Readonly<{ cut: () => void }>;
+  /** Returns the way to cut the send. Exactly one of end and failed is called, at most once; none after cut or leave. */
+  readonly send: (order: SendOrder, sink: SendSink) => SendHandle;
 }
--- a/source/shared/blueprint/check.ts
+++ b/source/shared/blueprint/check.ts
@@ -50,6 +50,40 @@
 // Why a marker: a field without a default is one the operator must write.
 const needed = undefined;
 
+const number = (value: unknown): void =>
+  must(typeof value === 'number' && Number.isFinite(value) && value >= 0, 'must be a number of at least 0');
+const time = whole(0, 86_400_000_000);
+const orNone =
+  (format: (value: unknown) => void) =>
+  (value: unknown): void => {
+    if (value !== null) format(value);
+  };
+/** A piece inside a piece: each of its fields must be there and hold. */
+const partsHold = (value: unknown, fields: Fields): void => {
+  must(isObject(value), 'must be an object');
+  const parts = value as Readonly<Record<string, unknown>>;
+  for (const field of Object.keys(parts)) must(fields[field] !== undefined, `has an unknown field ${field}`);
+  for (const [field, { format }] of Object.entries(fields)) format(parts[field]);
+};
+const shapeFields: Fields = {
+  keptTokens: { format: number, default: 0 },
+  tokenBytes: { format: number, default: 0 },
+  linkBytesPerSecond: { format: number, default: 0 },
+  conns: { format: whole(0, 1_000_000), default: 0 },
+  calls: { format: whole(0, 1_000_000), default: 0 },
+  healthPath: { format: text(512), default: '' },
+};
+const shareFields: Fields = {
+  service: { format: name, default: needed },
+  weight: { format: number, default: needed },
+};
+const shares = (value: unknown): void => {
+  must(Array.isArray(value) && value.length <= 64, 'must be a list of at most 64 shares');
+  const list = value as readonly Readonly<{ weight: number }>[];
+  for (const share of list) partsHold(share, shareFields);
+  must(list.length === 0 || list.some(({ weight }) => weight > 0), 'the weights add up to 0');
+};
+
 const classFields: Fields = {
   rank: { format: whole(0, 1000), default: needed },
   sharePerMille: { format: whole(0, 1000), default: needed },
@@ -57,7 +91,11 @@
   holdingMost: { format: whole(0, 100_000), default: 256 },
   holdingLimitMicroseconds: { format: whole(0, 600_000_000), default: 3_000_000 },
 };
-const tenantFields: Fields = { walled: { format: yesOrNo, default: false }, keys: { format: keys, default: needed } };
+const tenantFields: Fields = {
+  walled: { format: yesOrNo, default: false },
+  keys: { format: keys, default: needed },
+  class: { format: text(128), default: '' },
+};
 const serviceKind: Field = { format: oneOf('pool', 'app'), default: needed };
 const answerLimit: Field = { format: whole(1000, 3_600_000_000), default: 120_000_000 };
 const poolFields: Fields = {
@@ -73,8 +111,26 @@
   rope: { format: name, default: 'default' },
   blockCharacters: { format: whole(64, 65_536), default: 1024 },
   answerLimitMicroseconds: answerLimit,
+  shape: { format: orNone((value) => partsHold(value, shapeFields)), default: null },
+};
+const appFields: Fields = {
+  kind: serviceKind,
+  answerLimitMicroseconds: answerLimit,
+  shape: { format: orNone((value) => partsHold(value, shapeFields)), default: null },
+};
+const storeFields: Fields = {
+  address: { format: address, default: needed },
+  zone: { format: text(64), default: '' },
+  keptTokens: { format: number, default: 0 },
+  linkBytesPerSecond: { format: number, default: 0 },
+  calls: { format: whole(0, 1_000_000), default: 0 },
+};
+const limitFields: Fields = {
+  headBytes: { format: whole(0, 1_073_741_824), default: 0 },
+  bodyBytes: { format: whole(0, 1_073_741_824), default: 0 },
+  headMicroseconds: { format: time, default: 0 },
+  idleMicroseconds: { format: time, default: 0 },
 };
-const appFields: Fields = { kind: serviceKind, answerLimitMicroseconds: answerLimit };
 const mappingFields: Fields = {
   path: {
     format: (value) =>
@@ -85,6 +141,15 @@
   service: { format: name, default: needed },
   class: { format: name, default: needed },
   resumable: { format: yesOrNo, default: false },
+  host: { format: text(255), default: '' },
+  prefix: { format: yesOrNo, default: false },
+  open: { format: yesOrNo, default: false },
+  repeatable: { format: yesOrNo, default: null },
+  shares: { format: shares, default: [] },
+  mostSends: { format: whole(0, 1000), default: 0 },
+  limitMicroseconds: { format: time, default: 0 },
+  aimMicroseconds: { format: time, default: 0 },
+  gapMicroseconds: { format: time, default: 0 },
 };
 const engineFields: Fields = {
   kind: { format: oneOf('engine', 'app', 'store'), default: needed },
@@ -93,6 +158,26 @@
   zone: { format: text(64), default: '' },
   state: { format: oneOf('ready', 'draining'), default: needed },
 };
+const weightsByModel = (value: unknown): void =>
+  must(
+    isObject(value) &&
+      Object.keys(value).length <= 64 &&
+      Object.values(value).every((weights) => typeof weights === 'string' && weights.length <= 128),
+    'must name the weights of each model',
+  );
+const capacityField: Field = { format: whole(0, 100_000), default: 0 };
+const weightsField: Field = { format: weightsByModel, default: {} };
+/** Why only where given: what a list does not say stays unsaid. */
+const engineFieldsSaid: readonly Fields[] = [
+  engineFields,
+  { ...engineFields, capacity: capacityField },
+  { ...engineFields, weights: weightsField },
+  { ...engineFields, capacity: capacityField, weights: weightsField },
+];
+const engineFieldsOf = (item: unknown): Fields =>
+  engineFieldsSaid[
+    isObject(item) ? (Object.hasOwn(item, 'capacity') ? 1 : 0) + (Object.hasOwn(item, 'weights') ? 2 : 0) : 0
+  ] ?? engineFields;
 const memberFields: Fields = {
   address: { format: address, default: needed },
   operatorsAddress: { format: address, default: needed },
@@ -144,7 +229,10 @@
       ),
     );
     checker.validate({ allowed: 'strict' });
-    return Object.fromEntries(Object.entries(checker.getProperties()).map(([field, [item]]) => [field, item]));
+    // Why without null: a field that may be left out is then not there at all.
+    return Object.fromEntries(
+      Object.entries(checker.getProperties()).flatMap(([field, [item]]) => (item === null ? [] : [[field, item]])),
+    );
   } catch {
     return undefined;
   }
@@ -204,15 +292,20 @@
   return taken;
 };
 
-const only = (value: unknown, allowed: readonly string[], faults: Fault[]): Readonly<Record<string, unknown>> => {
+const only = (
+  value: unknown,
+  needed: readonly string[],
+  faults: Fault[],
+  optional: readonly string[] = [],
+): Readonly<Record<string, unknown>> => {
   if (!isObject(value)) {
     faults.push({ path: '', fault: 'must be an object' });
     return {};
   }
   for (const field of Object.keys(value))
-    if (!allowed.includes(field)) faults.push({ path: `/${Documents.escape(field)}`, fault: 'unknown field' });
-  for (const field of allowed)
-    if (!Object.hasOwn(value, field)) faults.push({ path: `/${field}`, fault: 'is missing' });
+    if (!needed.includes(field) && !optional.includes(field))
+      faults.push({ path: `/${Documents.escape(field)}`, fault: 'unknown field' });
+  for (const field of needed) if (!Object.hasOwn(value, field)) faults.push({ path: `/${field}`, fault: 'is missing' });
   return value;
 };
 
@@ -230,47 +323,108 @@
       faults.push({ path: `${path}/service`, fault: 'names no service' });
     if (!Object.hasOwn(blueprint.classes, mapping.class))
       faults.push({ path: `${path}/class`, fault: 'names no class' });
-    const place = `${mapping.path}\u0000${mapping.model}`;
+    for (const [index, { service }] of (mapping.shares ?? []).entries())
+      if (!Object.hasOwn(blueprint.services, service))
+        faults.push({ path: `${path}/shares/${index}/service`, fault: 'names no service' });
+    const place = `${(mapping.host ?? '').toLowerCase()}\u0000${mapping.prefix === true}\u0000${mapping.path}\u0000${mapping.model}`;
     const other = seenMappings.get(place);
-    if (other !== undefined) faults.push({ path, fault: `has the path and model of ${other}` });
+    if (other !== undefined) faults.push({ path, fault: `has the host, path and model of ${other}` });
     seenMappings.set(place, mappingName);
   }
   const shares = Object.values(blueprint.classes).reduce((sum, item) => sum + item.sharePerMille, 0);
   if (shares > 1000) faults.push({ path: '/classes', fault: `shares add up to ${shares} per mille, more than 1000` });
   const owners = new Map<string, string>();
   for (const [tenantName, tenant] of Object.entries(blueprint.tenants)) {
+    const path = `/tenants/${Documents.escape(tenantName)}`;
+    if ((tenant.class ?? '') !== '' && !Object.hasOwn(blueprint.classes, tenant.class ?? ''))
+      faults.push({ path: `${path}/class`, fault: 'names no class' });
     for (const [index, key] of tenant.keys.entries()) {
       // Why never name the key: faults are printed and logged.
-      if (owners.has(key))
-        faults.push({
-          path: `/tenants/${Documents.escape(tenantName)}/keys/${index}`,
-          fault: 'this key is given twice',
-        });
+      if (owners.has(key)) faults.push({ path: `${path}/keys/${index}`, fault: 'this key is given twice' });
       owners.set(key, tenantName);
     }
   }
 };
 
+/** Each field by its format alone; for values that a translation has made, with no default left open. */
+const formatFaults = (value: unknown, fields: Fields, path: string, faults: Fault[]): void => {
+  if (!isObject(value)) {
+    faults.push({ path, fault: 'must be an object' });
+    return;
+  }
+  for (const [field, { format, default: fallback }] of Object.entries(fields)) {
+    const given = value[field];
+    if (given === undefined && fallback !== needed) continue;
+    try {
+      format(given);
+    } catch (error) {
+      faults.push({ path: `${path}/${field}`, fault: messageOf(error) });
+    }
+  }
+};
+
+/** Why another bound than for a document of our own: names and keys are the operators', whatever their manner. */
+const translatedTenantFields: Fields = {
+  ...tenantFields,
+  keys: {
+    format: (value) =>
+      must(
+        Array.isArray(value) && value.length <= 4096 && value.every((key) => typeof key === 'string' && key !== ''),
+        'must be a list of keys',
+      ),
+    default: needed,
+  },
+};
+
+const serviceFields = (item: unknown): Fields => (isObject(item) && item['kind'] === 'app' ? appFields : poolFields);
+
 export const Blueprints = {
   check: (value: unknown): Checked<Blueprint> => {
     const faults: Fault[] = [];
-    const top = only(value, ['classes', 'tenants', 'services', 'mappings'], faults);
+    const top = only(value, ['classes', 'tenants', 'services', 'mappings'], faults, ['stores', 'limits', 'keyed']);
+    const has = (field: string): boolean => Object.hasOwn(top, field);
+    if (has('keyed') && typeof top['keyed'] !== 'boolean')
+      faults.push({ path: '/keyed', fault: 'must be true or false' });
     const taken = {
       classes: checkNamed(top['classes'], '/classes', faults, () => classFields),
       tenants: checkNamed(top['tenants'], '/tenants', faults, () => tenantFields),
-      services: checkNamed(top['services'], '/services', faults, (item) =>
-        isObject(item) && item['kind'] === 'app' ? appFields : poolFields,
-      ),
+      services: checkNamed(top['services'], '/services', faults, serviceFields),
       mappings: checkNamed(top['mappings'], '/mappings', faults, () => mappingFields),
+      ...(has('stores') ? { stores: checkNamed(top['stores'], '/stores', faults, () => storeFields) } : {}),
+      ...(has('limits') ? { limits: checkFields(top['limits'], limitFields, '/limits', faults) } : {}),
+      ...(has('keyed') ? { keyed: top['keyed'] } : {}),
     };
     // Why only when sound: links between faulty pieces would name faults that are not there.
     if (faults.length === 0) linkFaults(taken as unknown as Blueprint, faults);
     return outcome(faults, taken);
   },
+  /** A blueprint that a dialect has made from the operators' own document: formats and links, with no copy. */
+  checkTranslated: (blueprint: Blueprint): Checked<Blueprint> => {
+    const faults: Fault[] = [];
+    const each = (
+      pieces: Readonly<Record<string, unknown>>,
+      path: string,
+      fieldsOf: (item: unknown) => Fields,
+    ): void => {
+      const entries = Object.entries(pieces);
+      if (entries.length > BlueprintLimits.named)
+        faults.push({ path, fault: `at most ${BlueprintLimits.named} pieces` });
+      for (const [pieceName, piece] of entries)
+        formatFaults(piece, fieldsOf(piece), `${path}/${Documents.escape(pieceName)}`, faults);
+    };
+    each(blueprint.classes, '/classes', () => classFields);
+    each(blueprint.tenants, '/tenants', () => translatedTenantFields);
+    each(blueprint.services, '/services', serviceFields);
+    each(blueprint.mappings, '/mappings', () => mappingFields);
+    each(blueprint.stores ?? {}, '/stores', () => storeFields);
+    if (blueprint.limits !== undefined) formatFaults(blueprint.limits, limitFields, '/limits', faults);
+    if (faults.length === 0) linkFaults(blueprint, faults);
+    return outcome(faults, blueprint);
+  },
   checkEngines: (value: unknown): Checked<EngineList> => {
     const faults: Fault[] = [];
     const top = only(value, ['engines'], faults);
-    const engines = checkNamed(top['engines'], '/engines', faults, () => engineFields);
+    const engines = checkNamed(top['engines'], '/engines', faults, engineFieldsOf);
     const seen = new Map<string, string>();
     for (const [engineName, engine] of Object.entries(engines)) {
       const at = (engine as { address?: string }).address ?? '';
--- /dev/null
+++ b/source/shared/directory/holders.ts
@@ -0,0 +1,17 @@
+import type { Blueprint, Engine, EngineList } from '../blueprint/types';
+
+export const Holders = {
+  /**
+   * All that keep parts of prompts: the listed engines and stores, and the stores that the operators name. Apps keep
+   * none. A listed holder goes before a store of the same name.
+   */
+  of: (engines: EngineList | undefined, blueprint: Blueprint | undefined): Readonly<Record<string, Engine>> => ({
+    ...Object.fromEntries(
+      Object.entries(blueprint?.stores ?? {}).map(([name, { address, zone }]): [string, Engine] => [
+        name,
+        { kind: 'store', service: name, address, zone, state: 'ready' },
+      ]),
+    ),
+    ...Object.fromEntries(Object.entries(engines?.engines ?? {}).filter(([, { kind }]) => kind !== 'app')),
+  }),
+} as const;
