--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -1,4 +1,5 @@
 import Emittery from 'emittery';
+import { ownDialect, rememberingDialect, type Dialect } from '../shared/blueprint/dialect';
 import { DocumentKeys, isDocumentKey, type CoreMember, type DocumentKey } from '../shared/blueprint/types';
 import { Ticker } from '../shared/effects/clock/ticker';
 import type { Disk } from '../shared/effects/disk/disk';
@@ -76,7 +77,9 @@
     given: Effects,
     disk: Disk,
     private readonly settings: KeeperSettings,
+    givenDialect: Dialect = ownDialect,
   ) {
+    const dialect = rememberingDialect(givenDialect);
     const { clock, random } = given;
     const transport = new FleetTransport(given.transport, () => this.core.state.fleet);
     this.effects = { ...given, transport };
@@ -85,7 +88,7 @@
     this.core = new KeeperCore(settings.name, this.ledger, clock);
     this.acceptor = new Acceptor(this.core);
     this.duties = new DutyVoter(this.core, clock);
-    this.ages = new WeightsAges(clock);
+    this.ages = new WeightsAges(clock, dialect);
     this.standing = new StandingKeeper(
       this.core,
       transport,
@@ -104,6 +107,7 @@
       askMicroseconds: settings.askMicroseconds,
       changeMicroseconds: settings.changeMicroseconds,
       firstMembersText: () => this.firstMembersText(),
+      dialect,
     };
     this.ownerships = new Map(
       DocumentKeys.map((key) => [
--- a/source/core-keeper/register/changes.ts
+++ b/source/core-keeper/register/changes.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
-import { Blueprints, BlueprintLimits } from '../../shared/blueprint/check';
-import { Pieces, type Fault } from '../../shared/blueprint/document';
+import { Blueprints } from '../../shared/blueprint/check';
+import { Dialects, ownDialect, type Dialect, type DialectApplied } from '../../shared/blueprint/dialect';
+import type { Fault } from '../../shared/blueprint/document';
 import type { CoreMembers } from '../../shared/blueprint/types';
 import type { Entry } from '../../shared/register/types';
 import type { ChangeOrder, ChangeOutcome } from './messages';
@@ -34,9 +35,20 @@
   return gone.length > 1 || come.length > 1 ? [{ path: '/members', fault: 'members change one at a time' }] : [];
 };
 
+/** Only the operators' document has dialects; lists of engines and members are the product's own everywhere. */
+const applied = (entry: Entry, order: ChangeOrder, dialect: Dialect): DialectApplied =>
+  order.key === 'blueprint'
+    ? dialect.apply(entry, order)
+    : Dialects.applyOwn(
+        entry,
+        order,
+        (text) => Blueprints.checkText(order.key, text),
+        (text) => (order.key === 'core-members' ? oneAtATime(entry, text) : []),
+      );
+
 export const Changes = {
   /** What an operator's order makes of the present value: the next entry, or an answer at once. A pure function. */
-  plan: (entry: Entry, order: ChangeOrder): Planned => {
+  plan: (entry: Entry, order: ChangeOrder, dialect: Dialect = ownDialect): Planned => {
     const orderDigest = Digests.of(`${order.form}\u0000${order.ifMatch}\u0000${order.text}`);
     const earlier = entry.changes.find(({ id }) => id === order.id);
     if (earlier !== undefined) {
@@ -44,32 +56,16 @@
         return refused('idUsed', [{ path: '', fault: 'this change id was used for another change' }], entry.revision);
       return { kind: 'answer', outcome: { kind: 'taken', revision: earlier.revision } };
     }
-    if (order.ifMatch !== entry.revision)
-      return refused('revision', [{ path: '', fault: `the present revision is ${entry.revision}` }], entry.revision);
-    let text = order.text;
-    if (order.form === 'pieces') {
-      if (Buffer.byteLength(order.text) > BlueprintLimits.textBytes)
-        return refused('faults', [{ path: '', fault: 'too long' }], entry.revision);
-      const pieces = Pieces.read(order.text);
-      if (pieces.kind === 'faulty') return refused('faults', pieces.faults, entry.revision);
-      text = entry.text;
-      for (const piece of pieces.changes) {
-        const changed = Pieces.change(text, piece);
-        if (changed.kind === 'faulty') return refused('faults', changed.faults, entry.revision);
-        text = changed.text;
-      }
-    }
-    const checked = Blueprints.checkText(order.key, text);
-    if (checked.kind === 'faulty') return refused('faults', checked.faults, entry.revision);
-    const faults = order.key === 'core-members' ? oneAtATime(entry, text) : [];
-    if (faults.length > 0) return refused('faults', faults, entry.revision);
+    const next = applied(entry, order, dialect);
+    if (next.kind === 'refused') return refused(next.reason, next.faults, entry.revision);
+    if (next.kind === 'same') return { kind: 'answer', outcome: { kind: 'taken', revision: entry.revision } };
     const revision = entry.revision + 1;
     return {
       kind: 'write',
       entry: {
         revision,
-        digest: Digests.of(text),
-        text,
+        digest: Digests.of(next.text),
+        text: next.text,
         changes: [...entry.changes, { id: order.id, orderDigest, revision }].slice(-keptChanges),
         ...(order.key === 'core-members' ? { base: entry.text } : {}),
       },
--- a/source/core-keeper/register/messages.ts
+++ b/source/core-keeper/register/messages.ts
@@ -1,4 +1,5 @@
 import type { DocumentKey } from '../../shared/blueprint/types';
+import type { OrderForm } from '../../shared/blueprint/dialect';
 import type { Fault } from '../../shared/blueprint/document';
 import type { Accepted, Entry, Epoch, Stamp } from '../../shared/register/types';
 
@@ -31,7 +32,7 @@
 
 export type ChangeOrder = Readonly<{
   key: DocumentKey;
-  form: 'whole' | 'pieces';
+  form: OrderForm;
   text: string;
   ifMatch: number;
   id: string;
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -1,4 +1,5 @@
 import Emittery from 'emittery';
+import type { Dialect } from '../../shared/blueprint/dialect';
 import type { DocumentKey } from '../../shared/blueprint/types';
 import type { Clock } from '../../shared/effects/clock/clock';
 import { Clocks } from '../../shared/effects/clock/clock';
@@ -44,6 +45,7 @@
   askMicroseconds: number;
   changeMicroseconds: number;
   firstMembersText: () => string;
+  dialect: Dialect;
 }>;
 
 type Gathered =
@@ -279,7 +281,7 @@
     let mayStand = false;
     for (;;) {
       if (this.present.kind === 'owning') {
-        const planned = Changes.plan(this.present.entry, order);
+        const planned = Changes.plan(this.present.entry, order, this.settings.dialect);
         if (planned.kind === 'answer') {
           // Why read through: a refusal or an earlier outcome from an owner long outranked would be a lie.
           if ((await this.acceptNow(this.present.entry)) === 'reached') return planned.outcome;
--- a/source/core-keeper/register/weightsAges.ts
+++ b/source/core-keeper/register/weightsAges.ts
@@ -1,5 +1,4 @@
-import { Blueprints } from '../../shared/blueprint/check';
-import type { Blueprint } from '../../shared/blueprint/types';
+import type { Dialect } from '../../shared/blueprint/dialect';
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Entry, WeightsAge } from '../../shared/register/types';
 
@@ -13,7 +12,10 @@
   private seen: Readonly<Record<string, Seen>> = {};
   private last: Entry | undefined;
 
-  public constructor(private readonly clock: Clock) {}
+  public constructor(
+    private readonly clock: Clock,
+    private readonly dialect: Dialect,
+  ) {}
 
   public restored(entry: Entry): void {
     this.take(entry, null);
@@ -36,10 +38,11 @@
   private take(entry: Entry, sinceMicroseconds: number | null): void {
     if (this.last !== undefined && this.last.digest === entry.digest) return;
     this.last = entry;
-    const checked = Blueprints.checkText('blueprint', entry.text);
+    // Why trusted: a keeper holds only what some keeper has checked.
+    const checked = this.dialect.trusted(entry.text);
     if (checked.kind !== 'good') return;
     const next: Record<string, Seen> = {};
-    for (const [name, service] of Object.entries((checked.value as Blueprint).services)) {
+    for (const [name, service] of Object.entries(checked.value.services)) {
       if (service.kind !== 'pool') continue;
       const before = this.seen[name];
       next[name] =
--- a/source/shared/blueprint/check.ts
+++ b/source/shared/blueprint/check.ts
@@ -144,7 +144,7 @@
   host: { format: text(255), default: '' },
   prefix: { format: yesOrNo, default: false },
   open: { format: yesOrNo, default: false },
-  repeatable: { format: yesOrNo, default: null },
+  repeatable: { format: orNone(yesOrNo), default: null },
   shares: { format: shares, default: [] },
   mostSends: { format: whole(0, 1000), default: 0 },
   limitMicroseconds: { format: time, default: 0 },
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 import { Blueprints, type Checked } from '../blueprint/check';
+import { ownDialect, type Dialect } from '../blueprint/dialect';
 import type { Blueprint, CoreMembers, DocumentKey, EngineList } from '../blueprint/types';
 import { isDocumentKey } from '../blueprint/types';
 import type { Clock } from '../effects/clock/clock';
@@ -68,6 +69,7 @@
   public constructor(
     private readonly key: DocumentKey,
     private readonly clock: Clock,
+    private readonly dialect: Dialect,
   ) {}
 
   public confirm(confirmed: Confirmed): void {
@@ -92,7 +94,9 @@
     const wanted = this.wanted;
     if (wanted === undefined || body.revision !== wanted.revision || body.digest !== wanted.digest) return false;
     if (createHash('sha256').update(body.text).digest('hex').slice(0, 32) !== wanted.digest) return false;
-    const checked: Checked<DocumentValue> = Blueprints.checkText(this.key, body.text);
+    // Why trusted: the digest is that of a text which keepers have checked and taken.
+    const checked: Checked<DocumentValue> =
+      this.key === 'blueprint' ? this.dialect.trusted(body.text) : Blueprints.checkText(this.key, body.text);
     if (checked.kind === 'faulty') return false;
     this.applied = {
       revision: wanted.revision,
@@ -115,11 +119,14 @@
   private since: Readonly<Record<string, WeightsSince>> = {};
   private sinceRevision = -1;
 
-  public constructor(private readonly clock: Clock) {
+  public constructor(
+    private readonly clock: Clock,
+    dialect: Dialect = ownDialect,
+  ) {
     this.keys = {
-      blueprint: new KeyFreshness('blueprint', clock),
-      engines: new KeyFreshness('engines', clock),
-      'core-members': new KeyFreshness('core-members', clock),
+      blueprint: new KeyFreshness('blueprint', clock, dialect),
+      engines: new KeyFreshness('engines', clock, dialect),
+      'core-members': new KeyFreshness('core-members', clock, dialect),
     };
   }
 
