Kept conns to back ends, callers' words as a port, the users' platform as its other speaker

A fresh conn for each send is priced and bounded on the users' platform, and its callers speak other heads. Conns are kept and used again, the last used first; the door reads heads through CallerWords and keeps listening while those who send callers notice a stop.

--- a/source/edge-proxy/main.ts
+++ b/source/edge-proxy/main.ts
@@ -1,13 +1,9 @@
 import { HttpBackEndSender } from '../shared/back-end/httpBackEnds';
-import { realClock } from '../shared/effects/clock/realClock';
-import { realRandom } from '../shared/effects/random/random';
-import { TcpTransport } from '../shared/effects/transport/tcpTransport';
-import { HttpLimits } from '../shared/http/httpDoor';
-import { Logs } from '../shared/log/log';
+import { HttpLimits } from '../shared/http/httpLimits';
 import { Programs } from '../shared/settings/program';
 import { SettingFormats, Settings, type SettingSchema } from '../shared/settings/settings';
-import { CallersDoor } from './door/callersDoor';
-import { EdgeProxy, ProxyDefaults } from './edgeProxy';
+import { ProxyDefaults } from './edgeProxy';
+import { ProxyProgram } from './proxyProgram';
 
 const schema: SettingSchema = {
   name: {
@@ -25,7 +21,12 @@
     default: 'yes',
     kind: 'text',
   },
-  bodyBytes: { doc: 'most bytes of a body', format: SettingFormats.whole, default: 4_194_304, kind: 'whole' },
+  bodyBytes: {
+    doc: 'most bytes of a body',
+    format: SettingFormats.whole,
+    default: HttpLimits.usualBodyBytes,
+    kind: 'whole',
+  },
   conns: { doc: 'most conns of callers', format: SettingFormats.whole, default: 2048, kind: 'whole' },
   connectMicroseconds: {
     doc: 'how long a conn to a back end may take',
@@ -49,32 +50,18 @@
     process.argv.slice(2),
   );
   const text = (name: string): string => String(settings[name]);
-  const notice = Logs.part('proxy:notice');
-  const transport = new TcpTransport(realClock);
-  const sender = new HttpBackEndSender(Number(settings['connectMicroseconds']));
-  const placement = text('placement') === 'load' ? 'load' : 'prefix';
-  const proxy = new EdgeProxy({ clock: realClock, random: realRandom, transport }, sender, {
-    ...ProxyDefaults,
-    placement,
-    imports: text('imports') !== 'no',
-    name: text('name'),
-    agentAddress: text('agent'),
-  });
-  const limits = { ...HttpLimits.usual, conns: Number(settings['conns']) };
-  const door = await CallersDoor.open(
-    proxy,
-    text('address'),
-    limits,
-    Number(settings['bodyBytes']),
-    realClock,
-    realRandom,
-  );
-  proxy.start();
-  notice(`Proxy ${text('name')} listens on ${door.address}.`);
-  Programs.onTerm(Number(settings['stopLimitMicroseconds']), async () => {
-    // Why the door first: what was read is finished with news still coming in.
-    await door.drain();
-    proxy.stop();
-    await transport.close();
+  await ProxyProgram.start({
+    settings: {
+      ...ProxyDefaults,
+      placement: text('placement') === 'load' ? 'load' : 'prefix',
+      imports: text('imports') !== 'no',
+      name: text('name'),
+      agentAddress: text('agent'),
+    },
+    address: text('address'),
+    limits: { ...HttpLimits.usual, conns: Number(settings['conns']) },
+    bodyBytes: Number(settings['bodyBytes']),
+    makeSender: () => new HttpBackEndSender(Number(settings['connectMicroseconds'])),
+    stopLimitMicroseconds: Number(settings['stopLimitMicroseconds']),
   });
 });
--- /dev/null
+++ b/source/shared/back-end/keptConns/keptConnSender.ts
@@ -0,0 +1,172 @@
+import type { Clock } from '../../effects/clock/clock';
+import type { BackEndSender, SendHandle, SendOrder, SendSink } from '../protocol';
+import { KeepAlive } from './keepAlive';
+import { KeptConn, type KeptConnLimits } from './keptConn';
+import { OrderBytes } from './orderBytes';
+
+export type KeptConnSettings = KeptConnLimits &
+  Readonly<{
+    /** How long an idle conn is kept where its back end names no time. */
+    idleMicroseconds: number;
+    /** How much sooner than its back end says a conn is given up. */
+    marginMicroseconds: number;
+    /** An order that may run once goes only on a conn that was idle for less than this. */
+    onceIdleMicroseconds: number;
+  }>;
+
+/** Conns to one address: how many are kept for later, and how many may stand at once. */
+export type ConnBound = Readonly<{ kept: number; most: number }>;
+
+export const KeptConnDefaults: KeptConnSettings = {
+  connectMicroseconds: 1_000_000,
+  probeMicroseconds: 1_000_000,
+  headBytes: 16_384,
+  idleMicroseconds: 15_000_000,
+  marginMicroseconds: 1_000_000,
+  onceIdleMicroseconds: 3_000_000,
+};
+
+type Book = { readonly conns: Set<KeptConn>; /** The one used last stands last. */ idle: readonly KeptConn[] };
+
+const nothing: SendHandle = { cut: () => undefined };
+
+/**
+ * Keeps conns and uses them again, the one used last first. None is made ahead, none is dialled twice for one order,
+ * and an order is written once: what becomes of it after its first byte is `mayHaveRun`, on a kept conn as on a new one.
+ */
+export class KeptConnSender implements BackEndSender {
+  private readonly books = new Map<string, Book>();
+  private closed = false;
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly settings: KeptConnSettings = KeptConnDefaults,
+    private readonly boundOf: (address: string) => ConnBound = () => ({ kept: 16, most: 1024 }),
+  ) {}
+
+  public readonly send = (order: SendOrder, sink: SendSink): SendHandle => {
+    const { address } = order;
+    const known = this.takeIdle(address, order.runsOnce === true);
+    if (known !== undefined) return this.writeOn(known, order, sink);
+    const { most } = this.boundOf(address);
+    const { conns, idle } = this.bookOf(address);
+    // Why: it is too old for this order, and the place it takes is needed.
+    if (conns.size >= most) idle[0]?.destroy('its place is needed');
+    if (this.closed || this.bookOf(address).conns.size >= most) {
+      const text = this.closed ? 'no conns are made any more' : 'no conn is free';
+      queueMicrotask(() => sink.failed({ kind: 'notRun', text }));
+      return nothing;
+    }
+    return this.dial(order, sink);
+  };
+
+  /** Conns that stand or are being made, and those of them that are idle. */
+  public counts(address: string): Readonly<{ conns: number; idle: number }> {
+    const book = this.books.get(address);
+    return { conns: book?.conns.size ?? 0, idle: book?.idle.length ?? 0 };
+  }
+
+  /** Idle conns end; running orders go on. */
+  public close(): void {
+    this.closed = true;
+    for (const book of this.books.values()) for (const conn of book.idle) conn.destroy('the program ends');
+  }
+
+  private bookOf(address: string): Book {
+    const known = this.books.get(address);
+    if (known !== undefined) return known;
+    const made: Book = { conns: new Set(), idle: [] };
+    this.books.set(address, made);
+    return made;
+  }
+
+  private takeIdle(address: string, once: boolean): KeptConn | undefined {
+    for (;;) {
+      const book = this.bookOf(address);
+      const conn = book.idle.at(-1);
+      if (conn === undefined) return undefined;
+      const idle = conn.idleMicroseconds;
+      // Why here besides its timer: a process that was frozen wakes up with timers that are late.
+      if (idle >= conn.usableMicroseconds) {
+        conn.destroy('the conn was idle for long');
+        continue;
+      }
+      // Why not the others: they were idle for longer.
+      if (once && idle >= this.settings.onceIdleMicroseconds) return undefined;
+      book.idle = book.idle.slice(0, -1);
+      return conn;
+    }
+  }
+
+  private writeOn(conn: KeptConn, order: SendOrder, sink: SendSink): SendHandle {
+    const last = this.bookOf(order.address).conns.size > this.boundOf(order.address).kept;
+    const written = OrderBytes.of(order, last);
+    let text = 'not sent';
+    if (written.kind === 'unwritable') text = written.text;
+    // Why last: nothing may come between this look and the first byte.
+    else if (sink.mayGo()) return conn.write(order, written.bytes, last, sink);
+    this.keep(conn, undefined);
+    let cut = false;
+    queueMicrotask(() => {
+      if (!cut) sink.failed({ kind: 'notRun', text });
+    });
+    const stop = (): void => {
+      cut = true;
+    };
+    return { cut: stop, leave: stop };
+  }
+
+  private dial(order: SendOrder, sink: SendSink): SendHandle {
+    let running: SendHandle | undefined;
+    let state: 'dialling' | 'stands' | 'unwanted' = 'dialling';
+    const conn: KeptConn = new KeptConn(
+      order.address,
+      this.clock,
+      this.settings,
+      () => {
+        if (state === 'dialling') {
+          state = 'stands';
+          running = this.writeOn(conn, order, sink);
+        }
+        // Why kept though nobody wants it now: it was paid for, and nothing was written on it.
+        else this.keep(conn, undefined);
+      },
+      (end) => {
+        if (end.kind === 'free') return this.keep(conn, end.keepMicroseconds);
+        this.forget(conn);
+        // Why notRun: the conn never stood.
+        if (state === 'dialling') {
+          state = 'unwanted';
+          sink.failed({ kind: 'notRun', text: conn.closedBecause });
+        }
+      },
+    );
+    this.bookOf(order.address).conns.add(conn);
+    const stop = (how: 'cut' | 'leave') => (): void => {
+      if (state === 'dialling') state = 'unwanted';
+      else if (how === 'cut') running?.cut();
+      else running?.leave?.();
+    };
+    return { cut: stop('cut'), leave: stop('leave') };
+  }
+
+  private forget(conn: KeptConn): void {
+    const book = this.bookOf(conn.address);
+    book.conns.delete(conn);
+    book.idle = book.idle.filter((other) => other !== conn);
+    if (book.conns.size === 0) this.books.delete(conn.address);
+  }
+
+  /** A conn without an order on it goes back among the idle ones, or ends. */
+  private keep(conn: KeptConn, hint: number | undefined): void {
+    const book = this.bookOf(conn.address);
+    const { marginMicroseconds, idleMicroseconds } = this.settings;
+    const usable = KeepAlive.usableMicroseconds(hint, marginMicroseconds, idleMicroseconds);
+    if (this.closed || conn.closed || book.conns.size > this.boundOf(conn.address).kept || usable <= 0) {
+      conn.destroy('the conn is not kept');
+      return;
+    }
+    conn.idle(usable);
+    book.idle = [...book.idle, conn];
+  }
+}
--- /dev/null
+++ b/source/shared/http/httpLimits.ts
@@ -0,0 +1,18 @@
+export type HttpLimits = Readonly<{
+  headBytes: number;
+  headMicroseconds: number;
+  bodyMicroseconds: number;
+  conns: number;
+  /** How long a conn may wait for its next order. */
+  idleMicroseconds?: number;
+}>;
+
+export const HttpLimits = {
+  usual: {
+    headBytes: 16_384,
+    headMicroseconds: 5_000_000,
+    bodyMicroseconds: 15_000_000,
+    conns: 2048,
+  } satisfies HttpLimits,
+  usualBodyBytes: 4_194_304,
+} as const;
