--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -1,4 +1,7 @@
+import { ownWords } from '../shared/back-end/ownWords';
 import type { BackEndSender } from '../shared/back-end/protocol';
+import type { BackEndWords } from '../shared/back-end/words';
+import { ownDialect, type Dialect } from '../shared/blueprint/dialect';
 import type { NamedKey } from '../shared/directory/hashChain';
 import { ShardBook } from '../shared/directory/shardBook';
 import type { DirectoryNote, GrantAnswer } from '../shared/directory/shardDirectory';
@@ -14,18 +17,25 @@
 import { NewsExchange } from '../shared/news/newsExchange';
 import { Pulses } from '../shared/news/pulses';
 import type { Refusal } from '../shared/verdict/verdict';
+import { WeightsClocks } from '../shared/weights/weightsClocks';
 import { Feeders } from './feeding/feeders';
 import { Fence } from './fence/fence';
 import { FencePolicies, Identifier } from './fence/identify';
 import { FetchPlanner } from './fetch/fetchPlanner';
 import { LinkSpeeds } from './fetch/linkSpeeds';
+import { MoveSettings, PartMoves } from './fetch/partMoves';
+import { PartsPlanner } from './fetch/partsPlanner';
 import { TakeDesk } from './holding/takeDesk';
 import { TakePolicies } from './holding/takePolicy';
 import type { AnswerSink, Order } from './path/order';
 import { Pipeline } from './path/pipeline';
+import { WorkPlacementSettings } from './placement/byWork';
 import { EngineView } from './placement/engineView';
+import { EngineWork } from './placement/engineWork';
 import { PlacePolicies } from './placement/placePolicies';
 import { placementNamed, type PlacementName } from './placement/placements';
+import { ReadSpeeds } from './placement/readSpeeds';
+import { WorkPlacer } from './placement/workPlacer';
 import { RetryBudget } from './sends/retryBudget';
 import { SendPolicy } from './sends/sendPolicy';
 
@@ -49,6 +59,21 @@
   retryFleetAllowance: number;
   mostSends: number;
   retryAfterSeconds: number;
+  zone: string;
+  /** When an order that engines had no room for should be asked again. */
+  busySeconds: number;
+  /** Whether a send that never reached its engine counts as none. */
+  unsentIsFree: boolean;
+  /** Whether answers still running on weights whose time is over are cut. */
+  cutsOldWeights: boolean;
+  /** After so long from being named no order goes to an engine on the weights before. */
+  weightsCutMicroseconds: number;
+  /** Places of an engine that are given away, its own waiting ones included, in per mille of its places. */
+  roomPerMille: number;
+  workPlacement: WorkPlacementSettings;
+  moves: MoveSettings;
+  /** How long a part that was read counts as kept before the holder's events say so. */
+  latelyMicroseconds: number;
 }>;
 
 /** Starting values, ours: how often a note of the directory is passed on, and how many may wait. */
@@ -73,8 +98,20 @@
   retryFleetAllowance: 18,
   mostSends: 4,
   retryAfterSeconds: 2,
+  zone: '',
+  busySeconds: 1,
+  unsentIsFree: false,
+  cutsOldWeights: true,
+  weightsCutMicroseconds: WeightsClocks.cutMicroseconds,
+  roomPerMille: 1000,
+  workPlacement: WorkPlacementSettings.usual,
+  moves: MoveSettings.usual,
+  latelyMicroseconds: 3_000_000,
 } as const;
 
+/** The protocols that a proxy speaks; its own where nothing is said. */
+export type ProxyWords = Readonly<{ backEnds: BackEndWords; dialect: Dialect }>;
+
 /** The callers' path: takes orders while it knows its setup to be current, places them, and sends each at most once. */
 export class EdgeProxy {
   public readonly freshness: Freshness;
@@ -92,6 +129,7 @@
   private readonly pipeline: Pipeline;
   private readonly exchange: NewsExchange;
   private readonly speeds: LinkSpeeds;
+  private readonly readSpeeds: ReadSpeeds;
   private readonly feeders: Feeders;
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly tickers: readonly Ticker[];
@@ -102,15 +140,28 @@
     effects: Effects,
     sender: BackEndSender,
     private readonly settings: ProxySettings,
+    { backEnds, dialect }: ProxyWords = { backEnds: ownWords, dialect: ownDialect },
   ) {
     const { clock, random } = effects;
     this.effects = { ...effects, transport: new FleetTransport(effects.transport, () => this.fleet.name) };
     this.log = Logs.part(`proxy:${settings.name}`);
-    this.freshness = new Freshness(clock);
+    this.freshness = new Freshness(clock, dialect);
     this.pulses = new Pulses(clock);
-    this.fence = new Fence(this.freshness, clock, settings.freshMicroseconds);
+    this.fence = new Fence(this.freshness, clock, settings.freshMicroseconds, settings.weightsCutMicroseconds);
     this.identifier = new Identifier(this.fence, settings.retryAfterSeconds);
-    this.view = new EngineView(settings.name, this.freshness, this.facts, this.fence, clock);
+    this.view = new EngineView(
+      settings.name,
+      this.freshness,
+      this.facts,
+      this.fence,
+      clock,
+      new EngineWork(clock, settings),
+      settings.roomPerMille,
+    );
+    const readSpeeds = new ReadSpeeds();
+    // Why a start of a thousand: these are ratios of what a move takes to what it should, in thousandths.
+    const moves = new PartMoves(this.view, new LinkSpeeds(1000, 4096), settings.moves);
+    this.readSpeeds = readSpeeds;
     this.speeds = new LinkSpeeds(settings.importMicrosecondsPerBlock, 4096);
     this.exchange = new NewsExchange(
       {
@@ -139,9 +190,17 @@
       { grant: (engine, fill, epoch, keys) => this.grant(engine, fill, epoch, keys) },
       { ...settings, margin: settings.importMargin },
       this.metrics,
+      new PartsPlanner(this.view, this.shards, moves, readSpeeds, this.metrics),
     );
     this.sends = new SendPolicy({
       sender,
+      words: backEnds,
+      moves,
+      readSpeeds,
+      cutsOldWeights: settings.cutsOldWeights,
+      urgencyOf: ({ resolved }) => this.freshness.blueprint?.classes[resolved?.mapping.class ?? '']?.rank,
+      busySeconds: settings.busySeconds,
+      unsentIsFree: settings.unsentIsFree,
       fence: this.fence,
       identifier: this.identifier,
       view: this.view,
@@ -163,7 +222,14 @@
         FencePolicies.resolveMapping(this.identifier),
         TakePolicies.take(this.desk, this.identifier, (service) => this.budgetOf(service)),
         PlacePolicies.lookUp(),
-        PlacePolicies.place(this.view, this.shards, placementNamed(settings.placement), random, this.metrics),
+        PlacePolicies.place({
+          view: this.view,
+          shards: this.shards,
+          placement: placementNamed(settings.placement),
+          random,
+          metrics: this.metrics,
+          byWork: new WorkPlacer(this.view, moves, readSpeeds, random, settings.zone, settings.workPlacement),
+        }),
         planner.policy(),
         this.sends,
       ],
@@ -208,6 +274,19 @@
     return this.fence.fresh();
   }
 
+  /** Whether it can be of use to callers: it knows its setup, and an engine for each service that has mappings. */
+  public ready(): boolean {
+    const blueprint = this.freshness.blueprint;
+    if (blueprint === undefined || !this.fence.fresh()) return false;
+    const services = new Set(Object.values(blueprint.mappings).map(({ service }) => service));
+    return [...services].some((service) => this.view.candidates(service).length > 0);
+  }
+
+  /** The most daemons known to share the fleet with this one, itself included. */
+  public daemons(): number {
+    return this.view.daemonsEverSeen();
+  }
+
   /** What should be nothing once all orders are over. */
   public remains(): Readonly<Record<string, number>> {
     return {
@@ -248,7 +327,7 @@
    * the same rule: what it says has an age, and the fence is no wider. So the order of stops on a machine does not matter.
    */
   private async feed(): Promise<void> {
-    const load = { engines: this.view.loads(), ...this.desk.loads() };
+    const load = { engines: this.view.loads(), ...this.desk.loads(), work: this.view.work.sums() };
     const foster = this.feeders.foster();
     await Promise.all([
       // Why the load only here: the own agent is the one that says it to the fleet.
@@ -256,7 +335,12 @@
       ...(foster === undefined ? [] : [this.feedFrom(foster, {})]),
     ]);
     const listed = this.freshness.engines?.engines;
-    if (listed !== undefined) this.shards.keepOnly(Object.keys(listed));
+    if (listed !== undefined) {
+      const holders = [...Object.keys(listed), ...Object.keys(this.freshness.blueprint?.stores ?? {})];
+      this.shards.keepOnly(holders);
+      this.view.work.keepOnly(holders);
+      this.readSpeeds.keepOnly(holders);
+    }
     this.sends.recheck();
     this.desk.recheck();
     this.desk.serveAll();
--- a/source/edge-proxy/fence/fence.ts
+++ b/source/edge-proxy/fence/fence.ts
@@ -10,7 +10,9 @@
   public constructor(
     private readonly freshness: Freshness,
     private readonly clock: Clock,
+    /** Beyond this age nothing is taken; Infinity: what is known is acted on, however old. */
     private readonly freshMicroseconds: number,
+    private readonly weightsCutMicroseconds: number = WeightsClocks.cutMicroseconds,
   ) {}
 
   public fresh(): boolean {
@@ -35,7 +37,7 @@
       since.sinceMicroseconds === null
     )
       return 'forbidden';
-    return this.clock.nowMicroseconds() - since.sinceMicroseconds < WeightsClocks.cutMicroseconds
+    return this.clock.nowMicroseconds() - since.sinceMicroseconds < this.weightsCutMicroseconds
       ? 'untilChanged'
       : 'forbidden';
   }
--- a/source/edge-proxy/fence/identify.ts
+++ b/source/edge-proxy/fence/identify.ts
@@ -1,22 +1,55 @@
-import type { Blueprint } from '../../shared/blueprint/types';
+import type { Blueprint, Mapping } from '../../shared/blueprint/types';
 import { Identities } from '../../shared/directory/identity';
 import { Refusals, type Refusal } from '../../shared/verdict/verdict';
 import type { Order, Policy, Resolved } from '../path/order';
 import type { Fence } from './fence';
+import { Shares } from './shares';
+
+/** The mappings of one host: whole paths with a model, and beginnings of paths. */
+type HostIndex = Readonly<{ whole: ReadonlyMap<string, string>; beginnings: ReadonlyMap<string, string> }>;
 
 type Index = Readonly<{
   sharedDomain: string;
   paths: ReadonlySet<string>;
   of: Blueprint;
   tenants: ReadonlyMap<string, string>;
-  mappings: ReadonlyMap<string, string>;
+  hosts: ReadonlyMap<string, HostIndex>;
 }>;
 
 const place = (path: string, model: string): string => `${path}\u0000${model}`;
 
+/** A host as mappings name it: without the port, in small letters. */
+const hostOf = (host: string | undefined): string => (host ?? '').replace(/:\d+$/, '').toLowerCase();
+
+const indexHosts = (mappings: Blueprint['mappings']): ReadonlyMap<string, HostIndex> => {
+  const hosts = new Map<string, { whole: Map<string, string>; beginnings: Map<string, string> }>();
+  for (const [name, mapping] of Object.entries(mappings)) {
+    const host = hostOf(mapping.host);
+    const index = hosts.get(host) ?? { whole: new Map<string, string>(), beginnings: new Map<string, string>() };
+    hosts.set(host, index);
+    if (mapping.prefix === true) index.beginnings.set(mapping.path, name);
+    else index.whole.set(place(mapping.path, mapping.model), name);
+  }
+  return hosts;
+};
+
+/** The mapping whose beginning of a path is the longest; beginnings end with a slash. */
+const longest = (beginnings: ReadonlyMap<string, string>, path: string): string | undefined => {
+  if (beginnings.size === 0) return undefined;
+  for (let end = path.lastIndexOf('/'); end >= 0; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
+    const name = beginnings.get(path.slice(0, end + 1));
+    if (name !== undefined) return name;
+  }
+  return undefined;
+};
+
+/** What a head says of an order, before its body is read. */
+export type OrderHead = Readonly<{ key: string; path: string; host?: string; model?: string }>;
+
 type ModelRead = Readonly<{ kind: 'read'; model: string }> | Readonly<{ kind: 'broken' }>;
 
-const modelIn = (body: string): ModelRead => {
+const modelIn = (body: string | Uint8Array): ModelRead => {
+  if (typeof body !== 'string') return { kind: 'read', model: '' };
   if (body === '') return { kind: 'read', model: '' };
   try {
     const value = JSON.parse(body) as unknown;
@@ -57,6 +90,7 @@
     key: string,
   ): Readonly<{ kind: 'tenant'; tenant: string }> | Readonly<{ kind: 'refuse'; refusal: Refusal }> {
     if (!this.fence.fresh()) return { kind: 'refuse', refusal: this.notFresh() };
+    if (this.fence.blueprint?.keyed === false) return { kind: 'tenant', tenant: '' };
     if (key === '') return { kind: 'refuse', refusal: Refusals.make(401, 'notRun', 'noKey', 'A key is needed.') };
     const tenant = this.present()?.tenants.get(key);
     return tenant === undefined
@@ -64,26 +98,36 @@
       : { kind: 'tenant', tenant };
   }
 
+  /** Before the body is read: a refusal that no body could change. */
+  public refusedAtHead(head: OrderHead): Refusal | undefined {
+    const named = this.fence.fresh() ? this.mappingOf(head, head.model ?? '') : undefined;
+    if (named?.mapping.open === true) return undefined;
+    const tenant = this.tenantOf(head.key);
+    return tenant.kind === 'refuse' ? tenant.refusal : undefined;
+  }
+
   public resolve(
     order: Order,
   ): Readonly<{ kind: 'resolved'; resolved: Resolved }> | Readonly<{ kind: 'refuse'; refusal: Refusal }> {
-    const tenant = this.tenantOf(order.key);
-    if (tenant.kind === 'refuse') return tenant;
+    if (!this.fence.fresh()) return { kind: 'refuse', refusal: this.notFresh() };
     const index = this.present();
-    const blueprint = index?.of;
-    const read = this.modelOf(order);
-    const model = read.kind === 'read' ? read.model : '';
-    const name = index?.mappings.get(place(order.path, model)) ?? index?.mappings.get(place(order.path, ''));
-    const mapping = name === undefined ? undefined : blueprint?.mappings[name];
-    const service = mapping === undefined ? undefined : blueprint?.services[mapping.service];
+    const read: ModelRead = order.model === undefined ? this.modelOf(order) : { kind: 'read', model: order.model };
+    const named = this.mappingOf(order, read.kind === 'read' ? read.model : '');
+    const tenant: ReturnType<Identifier['tenantOf']> =
+      named?.mapping.open === true ? { kind: 'tenant', tenant: '' } : this.tenantOf(order.key);
+    if (tenant.kind === 'refuse') return tenant;
     const isPath = index?.paths.has(order.path) === true;
     // Why only for a known path: whether the body is sound is of no interest where nothing is mapped.
     if (read.kind === 'broken' && isPath)
       return { kind: 'refuse', refusal: Refusals.make(400, 'notRun', 'badBody', 'The body is not a JSON object.') };
+    const blueprint = index?.of;
+    const of = blueprint?.tenants[tenant.tenant];
+    const mapping = named === undefined ? undefined : asPlaced(named.mapping, order.id, of?.class ?? '');
+    const service = mapping === undefined ? undefined : blueprint?.services[mapping.service];
     if (
       index === undefined ||
       blueprint === undefined ||
-      name === undefined ||
+      named === undefined ||
       mapping === undefined ||
       service === undefined
     )
@@ -91,11 +135,11 @@
         kind: 'refuse',
         refusal: Refusals.make(404, 'notRun', 'noMapping', 'Nothing is mapped to this path and model.'),
       };
-    const walled = blueprint.tenants[tenant.tenant]?.walled ?? true;
+    const walled = of?.walled ?? tenant.tenant !== '';
     return {
       kind: 'resolved',
       resolved: {
-        mappingName: name,
+        mappingName: named.name,
         mapping,
         tenant: tenant.tenant,
         trustDomain: walled ? Identities.walledDomain(tenant.tenant) : index.sharedDomain,
@@ -139,6 +183,25 @@
     return { kind: same ? 'stands' : 'moved' };
   }
 
+  private mappingOf(
+    { path, host }: Pick<OrderHead, 'path' | 'host'>,
+    model: string,
+  ): Readonly<{ name: string; mapping: Mapping }> | undefined {
+    const index = this.present();
+    if (index === undefined) return undefined;
+    const own = hostOf(host);
+    for (const hostIndex of own === '' ? [index.hosts.get('')] : [index.hosts.get(own), index.hosts.get('')]) {
+      if (hostIndex === undefined) continue;
+      const name =
+        hostIndex.whole.get(place(path, model)) ??
+        hostIndex.whole.get(place(path, '')) ??
+        longest(hostIndex.beginnings, path);
+      const mapping = name === undefined ? undefined : index.of.mappings[name];
+      if (name !== undefined && mapping !== undefined) return { name, mapping };
+    }
+    return undefined;
+  }
+
   private modelOf(order: Order): ModelRead {
     const known = this.models.get(order);
     if (known !== undefined) return known;
@@ -158,15 +221,25 @@
         tenants: new Map(
           Object.entries(blueprint.tenants).flatMap(([tenant, { keys }]) => keys.map((key) => [key, tenant] as const)),
         ),
-        mappings: new Map(
-          Object.entries(blueprint.mappings).map(([name, mapping]) => [place(mapping.path, mapping.model), name]),
-        ),
+        hosts: indexHosts(blueprint.mappings),
       };
     }
     return this.index;
   }
 }
 
+/**
+ * A mapping as one order meets it: its part of the shares, and its tenant's class. Why by the order's own id: asked
+ * again, the same order must find the same service.
+ */
+const asPlaced = (mapping: Mapping, orderId: string, tenantClass: string): Mapping => {
+  const service = Shares.pick(mapping, orderId);
+  const className = tenantClass === '' ? mapping.class : tenantClass;
+  return service === mapping.service && className === mapping.class
+    ? mapping
+    : { ...mapping, service, class: className };
+};
+
 /** New weights alone do not make it another service: they have a clock of their own. */
 const sameService = (left: Resolved, right: Resolved): boolean =>
   JSON.stringify({ ...left.service, weights: '' }) === JSON.stringify({ ...right.service, weights: '' });
--- a/source/edge-proxy/fetch/fetchPlanner.ts
+++ b/source/edge-proxy/fetch/fetchPlanner.ts
@@ -9,6 +9,8 @@
 import type { Placed, Policy } from '../path/order';
 import type { EngineView } from '../placement/engineView';
 import type { LinkSpeeds } from './linkSpeeds';
+import type { Move } from './partMoves';
+import type { PartsPlanner } from './partsPlanner';
 
 /** What an order tells its engine of kept prompts, and what the directory must be told of the order. */
 export type FetchPlan = Readonly<{
@@ -21,6 +23,12 @@
   attested: readonly DirectoryNote[];
   abandoned: readonly DirectoryNote[];
   notSent: readonly DirectoryNote[];
+  /** What the order's parts are kept under; empty where they have one-off names. */
+  salt: string;
+  /** The import of named parts, as it was reckoned. */
+  move?: Move | undefined;
+  /** Names of the parts that the engine will keep because of this order. */
+  fills: readonly string[];
 }>;
 
 export type FetchSettings = Readonly<{
@@ -43,6 +51,8 @@
   attested: [],
   abandoned: [],
   notSent: [],
+  salt: '',
+  fills: [],
 };
 
 type Better = Readonly<{ holder: string; matched: number; bootEpoch: string; epoch: number }>;
@@ -63,14 +73,22 @@
     private readonly grants: Grants,
     private readonly settings: FetchSettings,
     private readonly metrics: Metrics,
+    private readonly parts: PartsPlanner,
   ) {}
 
   public policy(): Policy {
     return {
       name: 'planFetch',
       apply: async (context) => {
-        const { keys, placed, lookUp, order } = context;
-        if (keys === undefined || placed === undefined || lookUp === undefined) throw new Error('nothing placed');
+        const { keys, placed, lookUp, order, resolved } = context;
+        if (keys === undefined || placed === undefined || lookUp === undefined || resolved === undefined)
+          throw new Error('nothing placed');
+        // Why no waiting here: names of parts are derived, so nobody has to be asked for a grant.
+        if (order.parts !== undefined)
+          return {
+            kind: 'onward',
+            context: { ...context, fetch: this.parts.plan(placed, resolved, keys, lookUp) },
+          };
         const fetch =
           keys.blocks === 0
             ? noFetch
@@ -151,6 +169,7 @@
     );
     if (store !== undefined) fills.push(store.fill);
     return {
+      ...noFetch,
       target: { store: store?.address ?? '', keys: names },
       source,
       under: head,
--- /dev/null
+++ b/source/edge-proxy/fetch/partMoves.ts
@@ -0,0 +1,107 @@
+import type { Pool } from '../../shared/blueprint/types';
+import type { LookUp } from '../../shared/directory/lookup';
+import type { PartKey } from '../../shared/directory/promptParts';
+import type { EngineView } from '../placement/engineView';
+import type { LinkSpeeds } from './linkSpeeds';
+
+export type MoveSettings = Readonly<{
+  imports: boolean;
+  /** What any import costs, found or not. */
+  setupMicroseconds: number;
+  /** Where nobody says how fast links are. */
+  linkBytesPerSecond: number;
+  tokenBytes: number;
+  /** How many times as long a move takes between zones. */
+  zoneFactor: number;
+  /** What reading must save over moving, in per mille of the move's own time. */
+  marginPerMille: number;
+}>;
+
+export const MoveSettings = {
+  usual: {
+    imports: true,
+    setupMicroseconds: 2_000,
+    linkBytesPerSecond: 12_500_000_000,
+    tokenBytes: 163_840,
+    zoneFactor: 2,
+    marginPerMille: 1_500,
+  } satisfies MoveSettings,
+} as const;
+
+/** An import that pays: parts from `at` up to `matched` come from there. */
+export type Move = Readonly<{
+  holder: string;
+  address: string;
+  bootEpoch: string;
+  at: number;
+  matched: number;
+  tokens: number;
+  microseconds: number;
+}>;
+
+export const tokensIn = (keys: readonly PartKey[], from: number, to: number): number => {
+  let tokens = 0;
+  for (let index = from; index < to; index += 1) tokens += keys[index]?.size ?? 0;
+  return tokens;
+};
+
+/** Whether parts had better come from another holder than be read, and from which. Any doubt is a fresh prefill. */
+export class PartMoves {
+  /** `ratios` tells by how much moves between two holders have been slower than they should be, in thousandths. */
+  public constructor(
+    private readonly view: EngineView,
+    private readonly ratios: LinkSpeeds,
+    private readonly settings: MoveSettings,
+  ) {}
+
+  public best(
+    engine: Readonly<{ name: string; zone: string; tokensPerMillisecond: number }>,
+    pool: Pool,
+    keys: readonly PartKey[],
+    matched: number,
+    lookUp: LookUp,
+  ): Move | undefined {
+    if (!this.settings.imports || lookUp.kind === 'miss') return undefined;
+    let best: Readonly<{ move: Move; gain: number }> | undefined;
+    for (const found of lookUp.found) {
+      if (found.holder === engine.name || found.matched <= matched) continue;
+      const address = this.view.addressOf(found.holder);
+      if (address === undefined) continue;
+      const tokens = tokensIn(keys, matched, found.matched);
+      const microseconds = this.moveMicroseconds(found.holder, engine, pool, tokens);
+      const gain = (tokens * 1000) / engine.tokensPerMillisecond - microseconds;
+      if (gain * 1000 < microseconds * (this.settings.marginPerMille - 1000)) continue;
+      if (best !== undefined && best.gain >= gain) continue;
+      const { holder, bootEpoch } = found;
+      best = {
+        move: { holder, address, bootEpoch, at: matched, matched: found.matched, tokens, microseconds },
+        gain,
+      };
+    }
+    return best?.move;
+  }
+
+  /** An answer whose order had an import: how long that seems to have taken. */
+  public measured(engine: string, move: Move, microseconds: number): void {
+    const expected = this.settings.setupMicroseconds + move.microseconds / this.ratio(move.holder, engine);
+    this.ratios.measured(move.holder, engine, Math.min(30_000, Math.max(500, (microseconds * 1000) / expected)));
+  }
+
+  private ratio(from: string, to: string): number {
+    return this.ratios.blockMicroseconds(from, to) / 1000;
+  }
+
+  private moveMicroseconds(
+    holder: string,
+    engine: Readonly<{ name: string; zone: string }>,
+    pool: Pool,
+    tokens: number,
+  ): number {
+    const store = this.view.storeShape(holder);
+    const own = pool.shape?.linkBytesPerSecond || this.settings.linkBytesPerSecond;
+    const link = Math.min(own, store?.linkBytesPerSecond || own);
+    const bytes = tokens * (pool.shape?.tokenBytes || this.settings.tokenBytes);
+    const zones = this.view.zoneOf(holder) === engine.zone ? 1 : this.settings.zoneFactor;
+    return this.settings.setupMicroseconds + ((bytes * zones * 1_000_000) / link) * this.ratio(holder, engine.name);
+  }
+}
--- a/source/edge-proxy/path/order.ts
+++ b/source/edge-proxy/path/order.ts
@@ -1,18 +1,39 @@
 import type { AppService, Blueprint, Mapping, Pool } from '../../shared/blueprint/types';
+import type { PromptPart } from '../../shared/directory/promptParts';
+
 import type { LookUp } from '../../shared/directory/lookup';
 import type { Refusal } from '../../shared/verdict/verdict';
 import type { FetchPlan } from '../fetch/fetchPlanner';
 import type { PromptKeys } from '../placement/placePolicies';
 
+export type { PromptPart };
+
 /** One order as it was read from a caller. */
 export type Order = Readonly<{
   id: string;
   method: string;
+  /** Without the query. */
   path: string;
   key: string;
   contentType: string;
-  body: string;
+  body: string | Uint8Array;
   arrivedMicroseconds: number;
+  /** As the caller sent it, with the query; missing: `path`. */
+  target?: string;
+  host?: string;
+  /** Headers that go on to the back end as they came. */
+  passed?: Readonly<Record<string, string>>;
+  /** Said in the head; missing: it stands in the body. */
+  model?: string;
+  /** The prompt's parts, where the caller names them; missing: the prompt stands in the body. */
+  parts?: readonly PromptPart[];
+  /** Tokens of the prompt, and the most that may be put out. */
+  promptTokens?: number;
+  mostTokens?: number;
+  /** How long the caller waits, from `arrivedMicroseconds` on. */
+  limitMicroseconds?: number;
+  /** The caller has all events up to this one. */
+  after?: string;
 }>;
 
 export type AnswerHead = Readonly<{ status: number; headers: Readonly<Record<string, string>> }>;
@@ -41,7 +62,16 @@
   under: Blueprint;
 }>;
 
-export type Placed = Readonly<{ engine: string; address: string; bootEpoch: string; weights: string; matched: number }>;
+export type Placed = Readonly<{
+  engine: string;
+  address: string;
+  bootEpoch: string;
+  weights: string;
+  /** Blocks or parts, from the first on, that the engine keeps or is about to. */
+  matched: number;
+  /** Tokens it must read for this order, as far as known. */
+  toRead?: number;
+}>;
 
 export type Context = Readonly<{
   order: Order;
@@ -63,6 +93,8 @@
   /** An earlier send of a resumable order may have run; no later refusal may say it did not. */
   mayHaveRun: boolean;
   avoided: readonly string[];
+  /** The caller has events of an earlier send up to this one; the next send goes on after it. */
+  after?: string;
 }>;
 
 export type Step =
--- a/source/edge-proxy/path/pipeline.ts
+++ b/source/edge-proxy/path/pipeline.ts
@@ -63,7 +63,7 @@
 
 /** An order that goes back has no place and no choice any more; what it was resolved to stays only while it is held. */
 const back = (
-  { order, answer, resolved, keys, sends, rounds, mayHaveRun, owesSend }: Context,
+  { order, answer, resolved, keys, sends, rounds, mayHaveRun, owesSend, after }: Context,
   held: boolean,
 ): Context => ({
   order,
@@ -75,4 +75,5 @@
   owesSend,
   mayHaveRun,
   avoided: [],
+  ...(after === undefined ? {} : { after }),
 });
--- /dev/null
+++ b/source/edge-proxy/placement/byWork.ts
@@ -0,0 +1,102 @@
+import type { PartKey } from '../../shared/directory/promptParts';
+import type { Random } from '../../shared/effects/random/random';
+import { Rendezvous } from '../../shared/rendezvous/rendezvous';
+import type { Candidate } from './engineView';
+
+/** What an engine would have to do for one order, and what it has to do besides. */
+export type Offer = Candidate &
+  Readonly<{
+    /** Leading parts that it keeps, or is about to. */
+    matched: number;
+    /** Tokens it would read itself. */
+    toRead: number;
+    /** Time its import would take, before it reads; 0 without one. */
+    moveMicroseconds: number;
+    tokensPerMillisecond: number;
+    /** Tokens that running orders and kept parts share; 0: not known. */
+    keptTokens: number;
+  }>;
+
+export type Demand = Readonly<{
+  /** Tokens of the prompt and of what it may put out. */
+  tokens: number;
+  /** The names that the parts are kept under, the first one first. */
+  parts: readonly PartKey[];
+  zone: string;
+}>;
+
+export type WorkPlacementSettings = Readonly<{
+  /** What one more running order costs the others, in microseconds of delay that they feel. */
+  sendMicroseconds: number;
+  /** What waiting costs where all places are taken, for each whole turn of them. */
+  turnMicroseconds: number;
+  /** What it costs to fill an engine's memory to the brim, where running orders are put back. */
+  crowdMicroseconds: number;
+  /** The part of the memory that running orders may take before that, in per mille. */
+  memoryPerMille: number;
+  /** What bytes between zones are worth, for an order of so many tokens. */
+  zoneMicroseconds: number;
+  zoneMicrosecondsPerThousand: number;
+  /** What a part's first reader is drawn to its own engine by. */
+  homeMicroseconds: number;
+}>;
+
+export const WorkPlacementSettings = {
+  usual: {
+    sendMicroseconds: 3_000,
+    turnMicroseconds: 200_000,
+    crowdMicroseconds: 400_000,
+    memoryPerMille: 800,
+    zoneMicroseconds: 2_000,
+    zoneMicrosecondsPerThousand: 1_000,
+    homeMicroseconds: 15_000,
+  } satisfies WorkPlacementSettings,
+} as const;
+
+/** Which engine an order of named parts goes to: the one whose answer begins soonest, all costs counted as time. */
+export const ByWork = {
+  cost: (offer: Offer, demand: Demand, home: string | undefined, settings: WorkPlacementSettings): number => {
+    const { work, toRead, tokensPerMillisecond, capacity, inFlight, keptTokens } = offer;
+    const reading = ((work.reading + toRead) * 1000) / tokensPerMillisecond;
+    const turns = Math.max(0, inFlight + 1 - capacity) / Math.max(1, capacity);
+    const room = (keptTokens * settings.memoryPerMille) / 1000;
+    const crowd = keptTokens === 0 ? 0 : Math.max(0, (work.tokens + demand.tokens - room) / keptTokens);
+    const away =
+      offer.zone === demand.zone
+        ? 0
+        : settings.zoneMicroseconds + (settings.zoneMicrosecondsPerThousand * demand.tokens) / 1000;
+    return (
+      reading +
+      offer.moveMicroseconds +
+      inFlight * settings.sendMicroseconds +
+      turns * settings.turnMicroseconds +
+      crowd * settings.crowdMicroseconds +
+      away -
+      (offer.name === home ? settings.homeMicroseconds : 0)
+    );
+  },
+
+  choose: (
+    offers: readonly Offer[],
+    demand: Demand,
+    random: Random,
+    settings: WorkPlacementSettings,
+  ): Offer | undefined => {
+    const first = demand.parts[0];
+    // Why a home at all: two proxies that both find a part nowhere then choose the same engine, and one reads it.
+    const home =
+      first === undefined || offers.some(({ matched }) => matched > 0)
+        ? undefined
+        : Rendezvous.order(
+            first.name,
+            offers.map(({ name }) => name),
+          )[0];
+    let best: Readonly<{ offer: Offer; cost: number }> | undefined;
+    for (const offer of offers) {
+      // Why a little chance: proxies that see the same numbers must not all choose the same engine.
+      const cost = ByWork.cost(offer, demand, home, settings) + random.fraction() * settings.sendMicroseconds;
+      if (best === undefined || cost < best.cost) best = { offer, cost };
+    }
+    return best?.offer;
+  },
+} as const;
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -1,9 +1,10 @@
-import type { Engine } from '../../shared/blueprint/types';
+import type { Engine, EngineList, Store as StoreShape } from '../../shared/blueprint/types';
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { FactBook } from '../../shared/news/facts';
 import { FactKeys, MemberStates, type EngineFact, type LoadFact, type MemberFact } from '../../shared/news/factTypes';
 import type { Fence } from '../fence/fence';
+import type { EngineWork, WorkSum } from './engineWork';
 
 export type Candidate = Readonly<{
   name: string;
@@ -12,6 +13,9 @@
   weights: string;
   capacity: number;
   inFlight: number;
+  zone: string;
+  /** Tokens that are being read for sends whose answers have not begun, and of all sends, as far as known. */
+  work: WorkSum;
 }>;
 
 export type Store = Readonly<{ name: string; address: string; bootEpoch: string }>;
@@ -21,17 +25,29 @@
 /** Starting value, ours: how long an engine's word that it is full may stand without fresher news. */
 const fullMicroseconds = 300_000;
 
+/** Starting value, ours: how long an engine that a send did not find is left alone without fresher news. */
+const otherMicroseconds = 500_000;
+
 /** So old are counts of other proxies when they come. */
 const hintMicroseconds = 300_000;
 const keptBegins = 64;
 
 type Full = Readonly<{ version: string; own: number; at: number }>;
+type Elsewhere = Readonly<{ sends: number; work: WorkSum }>;
+type Others = Readonly<{ at: number; loads: readonly LoadFact[]; engines: ReadonlyMap<string, Elsewhere> }>;
+
+/** So long one sum over the loads of all other proxies is used: they are older than that when they come. */
+const sumsMicroseconds = 20_000;
+const noneElsewhere: Elsewhere = { sends: 0, work: { reading: 0, tokens: 0 } };
 
 /** What this proxy knows of the back ends: the platform's list, the stewards' word, loads here and elsewhere. */
 export class EngineView {
   private readonly own = new Map<string, number>();
   private readonly full = new Map<string, Full>();
+  private readonly other = new Map<string, Readonly<{ version: string; at: number }>>();
   private readonly begins = new Map<string, readonly number[]>();
+  private others: Others | undefined;
+  private index: Readonly<{ of: EngineList; services: ReadonlyMap<string, Listed> }> | undefined;
 
   public constructor(
     private readonly self: string,
@@ -39,6 +55,8 @@
     private readonly facts: FactBook,
     private readonly fence: Fence,
     private readonly clock: Clock,
+    public readonly work: EngineWork,
+    private readonly roomPerMille = 1000,
   ) {}
 
   public began(engine: string): void {
@@ -73,16 +91,17 @@
     });
   }
 
+  /** At its address nobody is there, or another one. It stands as long as the word that an engine is full. */
+  public saidOther(engine: string): void {
+    this.other.set(engine, { version: this.versionOf(engine), at: this.clock.nowMicroseconds() });
+  }
+
   public loads(): Readonly<Record<string, number>> {
     return Object.fromEntries(this.own);
   }
 
   public otherLoads(): readonly LoadFact[] {
-    const agents = new Set(this.agents().map(({ name }) => name));
-    return this.facts
-      .withPrefix('load/')
-      .map(({ value }) => value as LoadFact)
-      .filter(({ agent }) => agent !== this.self && agents.has(agent));
+    return this.othersNow().loads;
   }
 
   public proxies(): number {
@@ -104,19 +123,34 @@
 
   /** Engines of a service that new work may go to. */
   public candidates(service: string): readonly Candidate[] {
-    const others = this.otherLoads();
+    const { engines } = this.othersNow();
     return this.listed(service).flatMap(([name, engine]) => {
-      const elsewhere = others.reduce((sum, load) => sum + (load.engines[name] ?? 0), 0);
-      const counted = this.ownInFlight(name) + elsewhere;
+      const elsewhere = engines.get(name) ?? noneElsewhere;
+      const counted = this.ownInFlight(name) + elsewhere.sends;
+      const own = this.work.of(name);
+      const work: WorkSum = {
+        reading: own.reading + elsewhere.work.reading,
+        tokens: own.tokens + elsewhere.work.tokens,
+      };
       if (engine.kind === 'app')
         return [
-          { name, address: engine.address, bootEpoch: '', weights: '', capacity: appCapacity, inFlight: counted },
+          {
+            name,
+            address: engine.address,
+            bootEpoch: '',
+            weights: '',
+            capacity: appCapacity,
+            inFlight: counted,
+            zone: engine.zone,
+            work,
+          },
         ];
       const fact = this.facts.value<EngineFact>(FactKeys.engine(name));
       // Why the steward's word is needed: an engine nobody has confirmed may run on any weights.
       if (fact === undefined || !fact.reachable || !fact.accepting || fact.changing || fact.address !== engine.address)
         return [];
       if (this.fence.weights(service, fact.weights) === 'forbidden') return [];
+      if (this.isOther(name)) return [];
       const inFlight = this.isFull(name) ? Math.max(counted, fact.capacity) : counted;
       return [
         {
@@ -126,6 +160,8 @@
           weights: fact.weights,
           capacity: fact.capacity,
           inFlight,
+          zone: engine.zone,
+          work,
         },
       ];
     });
@@ -137,32 +173,68 @@
   }
 
   public capacity(service: string): number {
-    return this.candidates(service).reduce((sum, { capacity }) => sum + capacity, 0);
+    return this.candidates(service).reduce((sum, { capacity }) => sum + this.roomIn(capacity), 0);
   }
 
   /** Places that seem to be free at this moment; counts of other proxies are hints. */
   public free(service: string): number {
-    return this.candidates(service).reduce((sum, { capacity, inFlight }) => sum + Math.max(0, capacity - inFlight), 0);
+    return this.candidates(service).reduce(
+      (sum, { capacity, inFlight }) => sum + Math.max(0, this.roomIn(capacity) - inFlight),
+      0,
+    );
+  }
+
+  /** Why more than its places: an engine lets its own waiting orders in by their urgency, sooner than any proxy could. */
+  private roomIn(capacity: number): number {
+    return Math.floor((capacity * this.roomPerMille) / 1000);
   }
 
   public bootEpochOf(holder: string): string | undefined {
-    const listed = this.freshness.engines?.engines[holder];
+    const address = this.addressOf(holder);
     const fact = this.facts.value<EngineFact>(FactKeys.engine(holder));
-    return listed === undefined || fact === undefined || !fact.reachable || fact.address !== listed.address
+    return address === undefined || fact === undefined || !fact.reachable || fact.address !== address
       ? undefined
       : fact.bootEpoch;
   }
 
   public addressOf(holder: string): string | undefined {
-    return this.freshness.engines?.engines[holder]?.address;
+    return this.freshness.engines?.engines[holder]?.address ?? this.freshness.blueprint?.stores?.[holder]?.address;
+  }
+
+  public zoneOf(holder: string): string | undefined {
+    return this.freshness.engines?.engines[holder]?.zone ?? this.freshness.blueprint?.stores?.[holder]?.zone;
+  }
+
+  public storeShape(holder: string): StoreShape | undefined {
+    return this.freshness.blueprint?.stores?.[holder];
+  }
+
+  /** Stores that answer, from the list or from the operators' document. */
+  public stores(): readonly Store[] {
+    const listed = Object.entries(this.freshness.engines?.engines ?? {}).flatMap(([name, engine]) =>
+      engine.kind === 'store' && engine.state === 'ready' ? [[name, engine.address] as const] : [],
+    );
+    const named = Object.entries(this.freshness.blueprint?.stores ?? {}).map(
+      ([name, { address }]) => [name, address] as const,
+    );
+    return [...listed, ...named].flatMap(([name, address]) => {
+      const bootEpoch = this.bootEpochOf(name);
+      return bootEpoch === undefined ? [] : [{ name, address, bootEpoch }];
+    });
   }
 
   public store(): Store | undefined {
-    for (const [name, engine] of Object.entries(this.freshness.engines?.engines ?? {})) {
-      const bootEpoch = engine.kind === 'store' && engine.state === 'ready' ? this.bootEpochOf(name) : undefined;
-      if (bootEpoch !== undefined) return { name, address: engine.address, bootEpoch };
-    }
-    return undefined;
+    return this.stores()[0];
+  }
+
+  private isOther(engine: string): boolean {
+    const said = this.other.get(engine);
+    if (said === undefined) return false;
+    // Why not for long: it may have been this proxy's link, and the steward sees more than one send.
+    if (this.clock.nowMicroseconds() - said.at < otherMicroseconds && said.version === this.versionOf(engine))
+      return true;
+    this.other.delete(engine);
+    return false;
   }
 
   private isFull(engine: string): boolean {
@@ -179,9 +251,43 @@
     return this.facts.get(FactKeys.engine(engine))?.version.join('.') ?? '';
   }
 
-  private listed(service: string): readonly (readonly [string, Engine])[] {
-    return Object.entries(this.freshness.engines?.engines ?? {}).filter(
-      ([, engine]) => engine.kind !== 'store' && engine.service === service && engine.state === 'ready',
-    );
+  private listed(service: string): Listed {
+    const list = this.freshness.engines;
+    if (list === undefined) return [];
+    if (this.index?.of !== list) this.index = { of: list, services: byService(list) };
+    return this.index.services.get(service) ?? [];
+  }
+
+  private othersNow(): Others {
+    const now = this.clock.nowMicroseconds();
+    if (this.others !== undefined && now - this.others.at < sumsMicroseconds) return this.others;
+    const agents = new Set(this.agents().map(({ name }) => name));
+    const loads = this.facts
+      .withPrefix('load/')
+      .map(({ value }) => value as LoadFact)
+      .filter(({ agent }) => agent !== this.self && agents.has(agent));
+    const engines = new Map<string, Elsewhere>();
+    for (const load of loads)
+      for (const [name, sends] of Object.entries(load.engines)) {
+        const known = engines.get(name) ?? noneElsewhere;
+        const [reading, tokens] = load.work?.[name] ?? [0, 0];
+        engines.set(name, {
+          sends: known.sends + sends,
+          work: { reading: known.work.reading + reading, tokens: known.work.tokens + tokens },
+        });
+      }
+    this.others = { at: now, loads, engines };
+    return this.others;
   }
 }
+
+type Listed = readonly (readonly [string, Engine])[];
+
+const byService = (list: EngineList): ReadonlyMap<string, Listed> => {
+  const services = new Map<string, (readonly [string, Engine])[]>();
+  for (const entry of Object.entries(list.engines)) {
+    const [, { kind, service, state }] = entry;
+    if (kind !== 'store' && state === 'ready') services.set(service, [...(services.get(service) ?? []), entry]);
+  }
+  return services;
+};
--- a/source/edge-proxy/placement/placePolicies.ts
+++ b/source/edge-proxy/placement/placePolicies.ts
@@ -1,12 +1,15 @@
 import { HashChains, type BlockKey } from '../../shared/directory/hashChain';
+import { PromptParts, type PartKey, type PromptPart } from '../../shared/directory/promptParts';
 import { LookUps, type LookUp } from '../../shared/directory/lookup';
 import type { ShardBook } from '../../shared/directory/shardBook';
 import type { Random } from '../../shared/effects/random/random';
 import type { Metrics } from '../../shared/metrics/metrics';
 import { Refusals } from '../../shared/verdict/verdict';
-import type { Context, Policy, Resolved } from '../path/order';
-import type { EngineView } from './engineView';
+import type { Context, Order, Placed, Policy, Resolved } from '../path/order';
+import type { Candidate, EngineView } from './engineView';
 import type { Placement, Scored } from './placements';
+import { Salts } from './salts';
+import type { WorkPlacer } from './workPlacer';
 
 export const mostBlocks = 128;
 
@@ -15,31 +18,62 @@
 
 const nothing: LookUp = { kind: 'miss', reason: 'noBlocks' };
 
+/** Starting value, ours: a prompt whose shared parts are shorter than this is not worth looking up. */
+const leastSharedTokens = 512;
+
 /** The keys of an order's prompt under one weight version, worked out once each. */
 export class PromptKeys {
   private readonly chain: readonly string[];
+  private readonly named: readonly PromptPart[];
   private readonly byWeights = new Map<string, readonly BlockKey[]>();
+  private readonly salts = new Map<string, string>();
 
   public constructor(
     private readonly resolved: Resolved,
-    body: string,
+    order: Order,
   ) {
     const { service } = resolved;
-    this.chain = service.kind === 'pool' ? HashChains.blocks(promptIn(body), service.blockCharacters, mostBlocks) : [];
+    this.chain =
+      service.kind === 'pool' && order.parts === undefined && typeof order.body === 'string'
+        ? HashChains.blocks(promptIn(order.body), service.blockCharacters, mostBlocks)
+        : [];
+    const parts = order.parts ?? [];
+    // Why without the last: it belongs to the order itself, and no other asks for it.
+    const shared = parts.slice(0, -1).reduce((sum, { size }) => sum + size, 0);
+    this.named = service.kind === 'pool' && shared >= leastSharedTokens ? parts : [];
   }
 
   public get blocks(): number {
-    return this.chain.length;
+    return this.chain.length + this.named.length;
   }
 
+  /** Keys of blocks of a text, or of parts that the caller named. */
   public under(weights: string): readonly BlockKey[] {
     const known = this.byWeights.get(weights);
     if (known !== undefined) return known;
     const { service, trustDomain } = this.resolved;
-    const keys = service.kind === 'pool' ? HashChains.keys(this.chain, service, weights, trustDomain) : [];
+    const keys =
+      service.kind !== 'pool'
+        ? []
+        : this.named.length > 0
+          ? PromptParts.keys(this.named, this.salt(weights))
+          : HashChains.keys(this.chain, service, weights, trustDomain);
     this.byWeights.set(weights, keys);
     return keys;
   }
+
+  /** The parts that the caller named; none where the prompt stands in the body or is short. */
+  public parts(weights: string): readonly PartKey[] {
+    return this.named.length > 0 ? (this.under(weights) as readonly PartKey[]) : [];
+  }
+
+  public salt(weights: string): string {
+    const { service, trustDomain } = this.resolved;
+    if (service.kind !== 'pool') return '';
+    const known = this.salts.get(weights) ?? Salts.of(service, weights, trustDomain);
+    this.salts.set(weights, known);
+    return known;
+  }
 }
 
 const promptIn = (body: string): string => {
@@ -51,6 +85,16 @@
   }
 };
 
+export type PlaceParts = Readonly<{
+  view: EngineView;
+  shards: ShardBook;
+  placement: Placement;
+  random: Random;
+  metrics: Metrics;
+  /** How an engine is chosen for an order whose prompt's parts are named. */
+  byWork: WorkPlacer;
+}>;
+
 export const PlacePolicies = {
   lookUp: (): Policy => ({
     name: 'lookUp',
@@ -59,15 +103,15 @@
       if (resolved === undefined) throw new Error('no mapping resolved');
       return Promise.resolve({
         kind: 'onward',
-        context: { ...context, keys: context.keys ?? new PromptKeys(resolved, context.order.body) },
+        context: { ...context, keys: context.keys ?? new PromptKeys(resolved, context.order) },
       });
     },
   }),
 
-  place: (view: EngineView, shards: ShardBook, placement: Placement, random: Random, metrics: Metrics): Policy => ({
+  place: ({ view, shards, placement, random, metrics, byWork }: PlaceParts): Policy => ({
     name: 'place',
     apply: (context: Context) => {
-      const { resolved, keys } = context;
+      const { resolved, keys, order } = context;
       if (resolved === undefined || keys === undefined) throw new Error('no keys looked up');
       const service = resolved.mapping.service;
       const candidates = view.candidates(service).filter(({ name }) => !context.avoided.includes(name));
@@ -81,42 +125,52 @@
         lookUps.set(weights, found);
         return found;
       };
-      const scored: readonly Scored[] = candidates.map((candidate) => {
-        const found = lookUp(candidate.weights);
-        const matched =
-          found.kind === 'miss' ? 0 : (found.found.find(({ holder }) => holder === candidate.name)?.matched ?? 0);
-        // Why: who sends several at once to one engine may take it that others do the same, and cannot see it yet.
-        const crowd = Math.max(0, view.unseen(candidate.name) - 1) * (view.proxies() - 1) * crowdPart;
-        return { ...candidate, matched, likelyInFlight: candidate.inFlight + crowd };
-      });
-      const chosen = placement.choose(scored, keys.blocks, random);
-      if (chosen === undefined)
+      const placed =
+        order.parts === undefined
+          ? byPrefix(candidates, keys, lookUp, view, placement, random)
+          : byWork.place(candidates, order, resolved, keys, lookUp);
+      if (placed === undefined)
         // Why held: another engine may be back in a moment, and its limit goes on.
         return Promise.resolve({
           kind: 'hold',
           context,
           refusal: Refusals.make(503, 'notRun', 'noEngine', 'No engine can take it now.', 1),
         });
-      const found = lookUp(chosen.weights);
+      const found = lookUp(placed.weights);
       if (keys.blocks > 0 && context.sends === 0)
         metrics.count(
           'postdrum_lookups_total',
           found.kind === 'miss' ? { result: 'miss', reason: found.reason } : { result: found.kind },
         );
-      return Promise.resolve({
-        kind: 'onward',
-        context: {
-          ...context,
-          placed: {
-            engine: chosen.name,
-            address: chosen.address,
-            bootEpoch: chosen.bootEpoch,
-            weights: chosen.weights,
-            matched: chosen.matched,
-          },
-          lookUp: found,
-        },
-      });
+      return Promise.resolve({ kind: 'onward', context: { ...context, placed, lookUp: found } });
     },
   }),
 } as const;
+
+const byPrefix = (
+  candidates: readonly Candidate[],
+  keys: PromptKeys,
+  lookUp: (weights: string) => LookUp,
+  view: EngineView,
+  placement: Placement,
+  random: Random,
+): Placed | undefined => {
+  const scored: readonly Scored[] = candidates.map((candidate) => {
+    const found = lookUp(candidate.weights);
+    const matched =
+      found.kind === 'miss' ? 0 : (found.found.find(({ holder }) => holder === candidate.name)?.matched ?? 0);
+    // Why: who sends several at once to one engine may take it that others do the same, and cannot see it yet.
+    const crowd = Math.max(0, view.unseen(candidate.name) - 1) * (view.proxies() - 1) * crowdPart;
+    return { ...candidate, matched, likelyInFlight: candidate.inFlight + crowd };
+  });
+  const chosen = placement.choose(scored, keys.blocks, random);
+  return chosen === undefined
+    ? undefined
+    : {
+        engine: chosen.name,
+        address: chosen.address,
+        bootEpoch: chosen.bootEpoch,
+        weights: chosen.weights,
+        matched: chosen.matched,
+      };
+};
--- a/source/edge-proxy/placement/placements.ts
+++ b/source/edge-proxy/placement/placements.ts
@@ -1,7 +1,7 @@
 import { Randoms, type Random } from '../../shared/effects/random/random';
 import type { Candidate } from './engineView';
 
-export type Scored = Candidate & Readonly<{ matched: number; likelyInFlight: number }>;
+export type Scored = Omit<Candidate, 'zone' | 'work'> & Readonly<{ matched: number; likelyInFlight: number }>;
 
 /** How one engine is chosen among those that may be. Exchanged by a setting. */
 export interface Placement {
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -1,4 +1,5 @@
-import { BackEndHeaders, CacheHeaders, type BackEndSender, type SendHead } from '../../shared/back-end/protocol';
+import type { BackEndSender, SendHead } from '../../shared/back-end/protocol';
+import type { BackEndWords, HeadMeaning } from '../../shared/back-end/words';
 import type { DirectoryNote } from '../../shared/directory/shardDirectory';
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Log } from '../../shared/log/log';
@@ -8,23 +9,38 @@
 import type { Identifier } from '../fence/identify';
 import { noFetch, type FetchPlan } from '../fetch/fetchPlanner';
 import type { LinkSpeeds } from '../fetch/linkSpeeds';
+import type { PartMoves } from '../fetch/partMoves';
 import type { Context, Placed, Policy, Resolved, Step } from '../path/order';
 import type { EngineView } from '../placement/engineView';
+import type { ReadSpeeds } from '../placement/readSpeeds';
 import type { RetryBudget } from './retryBudget';
 import { FinalEvent, SendStates, type SendEvent, type SendState } from './runningSend';
+import { WholeEvents } from './wholeEvents';
 
 export type SendParts = Readonly<{
   sender: BackEndSender;
+  words: BackEndWords;
   fence: Fence;
   identifier: Identifier;
   view: EngineView;
   speeds: LinkSpeeds;
+  /** What imports of named parts have taken, and how fast engines read. */
+  moves: PartMoves;
+  readSpeeds: ReadSpeeds;
+  /** Whether answers still running on weights whose time is over are cut. */
+  cutsOldWeights: boolean;
   clock: Clock;
   metrics: Metrics;
   log: Log;
   budgetOf: (service: string) => RetryBudget;
   /** How long an order may still be held. */
   holdingLeft: (context: Context) => number;
+  /** What an order's class means to an engine; undefined: nothing is said. */
+  urgencyOf: (context: Context) => number | undefined;
+  /** When an order that engines had no room for should be asked again. */
+  busySeconds: number;
+  /** Whether a send that never reached its engine counts as none. */
+  unsentIsFree: boolean;
   tell: (notes: readonly DirectoryNote[]) => void;
   mostSends: number;
   stillGood: (fetch: FetchPlan) => boolean;
@@ -35,14 +51,26 @@
 /** Starting value, ours: an engine its steward has not seen for so long may be frozen. */
 const silentMicroseconds = 900_000;
 
-const passedHeaders = ['content-type', 'cache-control'] as const;
+/** Starting value, ours: so many engines in a row may turn out not to be there before it counts. */
+const mostUnsent = 4;
+
+/** Statuses that promise the caller that nothing has run; only an answer that says so itself may carry one. */
+const promises: readonly number[] = [408, 421, 429, 503];
+
+/** What a send had to wait for when it began, to learn from its answer. */
+const fewBefore = 3;
+type Begun = Readonly<{ reading: number; inFlight: number }>;
 
 /** One send, from the last look at the fence to the end of its answer. */
 class RunningSend {
   private state: SendState = SendStates.start;
   private readonly final = new FinalEvent();
+  private readonly events = new WholeEvents();
   private attested = false;
   private head: SendHead | undefined;
+  private meaning: HeadMeaning | undefined;
+  private begunWith: Begun = { reading: 0, inFlight: 0 };
+  private sentMicroseconds: number;
   private cutSend: () => void = () => undefined;
   private stopped: Step | undefined;
   private finish: (step: Step) => void = () => undefined;
@@ -57,21 +85,39 @@
     private readonly lastLook: () => Step | undefined,
   ) {
     this.startedMicroseconds = parts.clock.nowMicroseconds();
+    this.sentMicroseconds = this.startedMicroseconds;
   }
 
   public run(): Promise<Step> {
-    const { parts, context, resolved, placed, fetch } = this;
+    const { parts, context, placed, fetch } = this;
     const { order, answer } = context;
     parts.tell(fetch.began);
+    this.begunWith = {
+      reading: parts.view.work.of(placed.engine).reading,
+      inFlight: parts.view.ownInFlight(placed.engine),
+    };
     parts.view.began(placed.engine);
+    parts.view.work.began(placed.engine, placed.bootEpoch, {
+      order: order.id,
+      toRead: placed.toRead ?? 0,
+      tokens: (order.promptTokens ?? 0) + (order.mostTokens ?? 0),
+      fills: fetch.fills,
+    });
     const over = new Promise<Step>((resolve) => {
       this.finish = resolve;
     });
-    const cancelLimit = parts.clock.after(resolved.service.answerLimitMicroseconds, () =>
+    const cancelLimit = parts.clock.after(Math.max(0, this.leftMicroseconds()), () =>
       this.abandon(Refusals.make(504, 'mayHaveRun', 'engineSilent', 'The engine took too long.', 1)),
     );
     const { cut } = parts.sender.send(
-      { address: placed.address, method: order.method, path: order.path, headers: this.headers(), body: order.body },
+      {
+        address: placed.address,
+        method: order.method,
+        path: order.target ?? order.path,
+        headers: this.headers(),
+        body: order.body,
+        runsOnce: !this.isRepeatable(),
+      },
       {
         mayGo: () => this.mayGo(),
         head: (head) => this.onHead(head),
@@ -86,9 +132,27 @@
     return over.finally(() => {
       cancelLimit();
       parts.view.ended(placed.engine);
+      parts.view.work.ended(placed.engine, order.id);
     });
   }
 
+  private isRepeatable(): boolean {
+    const { resumable, repeatable } = this.resolved.mapping;
+    return resumable || repeatable === true;
+  }
+
+  /** How long an answer may still take: by the service, the mapping, and the caller's own patience. */
+  private leftMicroseconds(): number {
+    const { service, mapping } = this.resolved;
+    const { order } = this.context;
+    const spent = this.parts.clock.nowMicroseconds() - order.arrivedMicroseconds;
+    return Math.min(
+      service.answerLimitMicroseconds,
+      ...(mapping.limitMicroseconds ? [mapping.limitMicroseconds - spent] : []),
+      ...(order.limitMicroseconds === undefined ? [] : [order.limitMicroseconds - spent]),
+    );
+  }
+
   /** Called with every piece of news: an answer on weights whose time is over ends here, visibly. */
   public recheck(): void {
     const { service } = this.resolved;
@@ -116,6 +180,7 @@
     }
     if (
       service.kind === 'pool' &&
+      (this.parts.cutsOldWeights || this.state.kind === 'opening') &&
       this.parts.fence.weights(this.resolved.mapping.service, this.placed.weights) === 'forbidden'
     )
       this.abandon(Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The weights were replaced while it ran.', 1));
@@ -131,18 +196,30 @@
     if (this.stopped !== undefined) return false;
     // Why here: what is written now counts as traffic, and nothing else earns a second send.
     if (this.context.sends === 0) this.parts.budgetOf(this.resolved.mapping.service).first();
+    this.sentMicroseconds = this.parts.clock.nowMicroseconds();
     return true;
   }
 
   private headers(): Readonly<Record<string, string>> {
-    const { target, source } = this.fetch;
-    return {
-      ...(this.context.order.contentType === '' ? {} : { 'content-type': this.context.order.contentType }),
-      [BackEndHeaders.order]: this.context.order.id,
-      [BackEndHeaders.tenant]: this.resolved.trustDomain,
-      ...(target === undefined ? {} : { [BackEndHeaders.cacheTarget]: CacheHeaders.target(target) }),
-      ...(source === undefined ? {} : { [BackEndHeaders.cacheSource]: CacheHeaders.source(source) }),
-    };
+    const { target, source, salt } = this.fetch;
+    const { order } = this.context;
+    const { service, tenant, trustDomain } = this.resolved;
+    return this.parts.words.write({
+      orderId: order.id,
+      contentType: order.contentType,
+      passed: order.passed ?? {},
+      tenant: tenant === '' ? undefined : tenant,
+      trustDomain,
+      engine: this.placed.engine,
+      model: service.kind === 'pool' ? service.model : '',
+      weights: this.placed.weights,
+      urgency: this.parts.urgencyOf(this.context),
+      leftMicroseconds: order.limitMicroseconds === undefined ? undefined : this.leftMicroseconds(),
+      salt,
+      target,
+      source,
+      after: this.context.after ?? order.after,
+    });
   }
 
   private step(event: SendEvent): boolean {
@@ -154,69 +231,108 @@
   private onHead(head: SendHead): void {
     if (!this.step({ kind: 'head', status: head.status, framed: head.framed })) return;
     this.head = head;
-    if (head.headers[BackEndHeaders.notRun] !== undefined) {
+    const meaning = this.parts.words.read(
+      head,
+      this.resolved.service.kind === 'pool' ? this.resolved.service.model : '',
+    );
+    this.meaning = meaning;
+    // Why first: an answer to another order says nothing of this one, and may not be believed in anything.
+    if (meaning.orderId !== undefined && meaning.orderId !== this.context.order.id) {
+      this.step({ kind: 'failed' });
+      this.cutSend();
+      this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine gave an answer to another order.'));
+      return;
+    }
+    if (meaning.notRun !== undefined) {
       this.step({ kind: 'notRun' });
       this.parts.tell(this.fetch.notSent);
       this.cutSend();
-      // Why back to holding: the next place should come from fresher counts, not from guessing again.
-      this.parts.view.saidFull(this.placed.engine);
-      this.again(Refusals.make(503, 'notRun', 'engineBusy', 'The engine is busy.', 1), 'hold');
+      const refusal = Refusals.make(503, 'notRun', 'engineBusy', 'The engine is busy.', this.parts.busySeconds);
+      if (meaning.notRun === 'busy') {
+        // Why back to holding: the next place should come from fresher counts, not from guessing again.
+        this.parts.view.saidFull(this.placed.engine);
+        this.again(refusal, 'hold');
+      } else {
+        this.parts.view.saidOther(this.placed.engine);
+        this.again(refusal);
+      }
+      return;
+    }
+    if (promises.includes(head.status) || this.startsAnew(head, meaning)) {
+      this.step({ kind: 'failed' });
+      this.cutSend();
+      this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine failed.'));
       return;
     }
-    if (this.resolved.service.kind !== 'pool') return;
-    const bootEpoch = head.headers[BackEndHeaders.bootEpoch];
-    const weights = head.headers[BackEndHeaders.weights];
+    if (this.resolved.service.kind !== 'pool' || !this.parts.words.namesInstance) return;
     // Why before a byte reaches the caller: this engine is not the one that was confirmed.
     if (
-      weights === undefined ||
-      bootEpoch === undefined ||
-      this.parts.fence.weights(this.resolved.mapping.service, weights) === 'forbidden'
+      meaning.weights === undefined ||
+      meaning.bootEpoch === undefined ||
+      this.parts.fence.weights(this.resolved.mapping.service, meaning.weights) === 'forbidden'
     )
       this.abandon(
         Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The engine answered on weights that are not in service.', 1),
       );
   }
 
+  /** An answer that should go on with an earlier one, and is none of its kind. */
+  private startsAnew(head: SendHead, meaning: HeadMeaning): boolean {
+    return this.context.answer.begun() && (head.status !== 200 || !meaning.events);
+  }
+
   private onPart(bytes: Uint8Array): Promise<void> | undefined {
     if (!this.step({ kind: 'part', hasFinal: this.final.see(bytes) })) return undefined;
+    const passed = this.meaning?.events === true ? this.events.feed(bytes) : bytes;
+    if (passed === undefined) return undefined;
     this.begin();
-    return this.context.answer.part(bytes);
+    return this.context.answer.part(passed);
   }
 
   private begin(): void {
-    const { answer } = this.context;
-    const head = this.head;
-    if (head === undefined || answer.begun()) return;
-    this.attest(head);
-    const headers = Object.fromEntries(
-      passedHeaders.flatMap((name) => (head.headers[name] === undefined ? [] : [[name, head.headers[name]]])),
-    );
-    const length = head.headers['content-length'];
+    const { answer, order } = this.context;
+    const { head, meaning } = this;
+    if (head === undefined || meaning === undefined) return;
+    this.attest(head, meaning);
+    if (answer.begun()) return;
     answer.head({
       status: head.status,
       headers: {
-        ...headers,
-        ...(length === undefined ? {} : { 'content-length': length }),
-        'postdrum-order': this.context.order.id,
-        ...(head.status >= 400 ? { 'postdrum-verdict': 'ran' } : {}),
+        ...meaning.passed,
+        ...(this.parts.words.namesInstance ? { 'postdrum-order': order.id } : {}),
+        ...(this.parts.words.namesInstance && head.status >= 400 ? { 'postdrum-verdict': 'ran' } : {}),
       },
     });
   }
 
   /** The first event of the answer: what the engine was told to move has ended. */
-  private attest(head: SendHead): void {
+  private attest(head: SendHead, meaning: HeadMeaning): void {
     if (this.attested) return;
     this.attested = true;
-    const good =
-      head.status === 200 &&
-      head.headers[BackEndHeaders.bootEpoch] === this.placed.bootEpoch &&
-      head.headers[BackEndHeaders.weights] === this.placed.weights;
-    this.parts.tell(good ? this.fetch.attested : this.fetch.abandoned);
-    const { source } = this.fetch;
-    const took = Number(head.headers[BackEndHeaders.importMicroseconds] ?? Number.NaN);
-    if (source !== undefined && Number.isFinite(took) && took > 0) {
-      this.parts.speeds.measured(source.holder, this.placed.engine, took / source.keys.length);
-      this.parts.metrics.count('postdrum_imports_total', { ended: good ? 'answered' : 'failed' });
+    const { parts, placed, fetch } = this;
+    if (head.status === 200) parts.view.work.begun(placed.engine, this.context.order.id);
+    const good = head.status === 200 && meaning.bootEpoch === placed.bootEpoch && meaning.weights === placed.weights;
+    parts.tell(good ? fetch.attested : fetch.abandoned);
+    if (head.status === 200) this.learn();
+    const { source } = fetch;
+    const took = meaning.importMicroseconds;
+    if (source !== undefined && took !== undefined) {
+      parts.speeds.measured(source.holder, placed.engine, took / source.keys.length);
+      parts.metrics.count('postdrum_imports_total', { ended: good ? 'answered' : 'failed' });
+    }
+  }
+
+  /** What the time to the first event tells of reading and moving, where little else was in the way. */
+  private learn(): void {
+    const { parts, placed, fetch } = this;
+    const toRead = placed.toRead ?? 0;
+    if (toRead === 0 || this.begunWith.inFlight > fewBefore) return;
+    const took = parts.clock.nowMicroseconds() - this.sentMicroseconds;
+    const { move } = fetch;
+    if (move === undefined) parts.readSpeeds.saw(placed.engine, toRead + this.begunWith.reading, took);
+    else {
+      const reading = ((toRead + this.begunWith.reading) * 1000) / parts.readSpeeds.of(placed.engine);
+      parts.moves.measured(placed.engine, move, Math.max(0, took - reading));
     }
   }
 
@@ -225,6 +341,8 @@
     const { answer } = this.context;
     if (this.state.kind === 'over' && this.state.how === 'whole') {
       this.begin();
+      const rest = this.events.flush();
+      if (rest !== undefined) void answer.part(rest);
       answer.end();
       this.parts.metrics.count('postdrum_answers_total', { service: this.resolved.mapping.service, end: 'whole' });
       this.finish({ kind: 'done' });
@@ -243,7 +361,8 @@
         this.finish(this.stopped);
         return;
       }
-      this.again(Refusals.make(503, 'notRun', 'engineFailed', 'The engine could not be reached.', 1));
+      if (this.parts.unsentIsFree) this.parts.view.saidOther(this.placed.engine);
+      this.again(Refusals.make(503, 'notRun', 'engineFailed', 'The engine could not be reached.', 1), 'unsent');
       return;
     }
     this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine failed.'));
@@ -252,10 +371,11 @@
   /** A failure after bytes may have left: only a resumable order whose answer has not begun is sent again. */
   private broken(refusal: Refusal): void {
     if (!this.attested) this.parts.tell(this.fetch.abandoned);
-    if (this.context.answer.begun()) {
+    if (this.context.answer.begun() && !this.mayGoOnAfter()) {
       this.parts.metrics.count('postdrum_answers_total', { service: this.resolved.mapping.service, end: 'cut' });
       this.finish({ kind: 'refuse', refusal });
     } else if (this.resolved.mapping.resumable) this.again(refusal);
+    else if (this.resolved.mapping.repeatable === true) this.again(refusal);
     else this.finish({ kind: 'refuse', refusal });
   }
 
@@ -266,20 +386,37 @@
     this.finish({ kind: 'refuse', refusal });
   }
 
-  private again(refusal: Refusal, kind: 'again' | 'hold' = 'again'): void {
+  /** Whether an answer that has begun may be taken up at another engine, after the last event that the caller has. */
+  private mayGoOnAfter(): boolean {
+    return (
+      this.resolved.mapping.resumable &&
+      this.meaning?.events === true &&
+      (this.events.lastId ?? this.context.after) !== undefined
+    );
+  }
+
+  /** `unsent`: the engine was never reached, so it is no send at all, and costs nothing of the budget. */
+  private again(refusal: Refusal, how: 'again' | 'hold' | 'unsent' = 'again'): void {
+    const kind = how === 'hold' ? 'hold' : 'again';
+    const after = this.events.lastId ?? this.context.after;
     const context: Context = {
       ...this.context,
-      sends: this.context.sends + 1,
+      sends: this.context.sends + (how === 'unsent' && this.parts.unsentIsFree ? 0 : 1),
+      rounds: this.context.rounds + 1,
       mayHaveRun: this.context.mayHaveRun || refusal.verdict !== 'notRun',
       avoided: [...this.context.avoided, this.placed.engine],
+      ...(after === undefined ? {} : { after }),
     };
     const spent =
-      this.parts.clock.nowMicroseconds() - this.startedMicroseconds > this.resolved.service.answerLimitMicroseconds;
+      this.parts.clock.nowMicroseconds() - this.startedMicroseconds > this.resolved.service.answerLimitMicroseconds ||
+      this.leftMicroseconds() <= 0;
     const budget = this.parts.budgetOf(this.resolved.mapping.service);
+    const free = how === 'unsent' && this.parts.unsentIsFree && this.context.rounds < mostUnsent;
+    const most = this.resolved.mapping.mostSends ? this.resolved.mapping.mostSends : this.parts.mostSends;
     const mayGoOn =
       !spent &&
-      context.sends < this.parts.mostSends &&
-      (kind === 'hold' ? budget.mayHope(this.parts.holdingLeft(context)) : budget.spend());
+      context.sends < most &&
+      (free || (kind === 'hold' ? budget.mayHope(this.parts.holdingLeft(context)) : budget.spend()));
     if (!mayGoOn) {
       this.finish({ kind: 'refuse', refusal });
       return;
--- a/source/fleet-simulator/machines/simBackEnds.ts
+++ b/source/fleet-simulator/machines/simBackEnds.ts
@@ -155,12 +155,13 @@
     return {
       send: (order, sink) => {
         const name = order.address.split(':', 1)[0] ?? '';
+        const body = typeof order.body === 'string' ? order.body : Buffer.from(order.body).toString('utf8');
         let over = false;
         let engineGone: () => void = () => undefined;
         let goneEarly = false;
         const sent = (): void => {
           const proxyName = proxy.name.replace(/-proxy$/, '');
-          const nonce = nonceIn(order.body);
+          const nonce = nonceIn(body);
           this.sends.push({ proxy: proxyName, engine: name, nonce, atMicroseconds: this.world.nowMicroseconds });
         };
         const failed = (kind: 'notRun' | 'mayHaveRun', text: string): void =>
@@ -255,7 +256,7 @@
               const arrival = {
                 engine: name,
                 order: order.headers['postdrum-order'] ?? '',
-                nonce: nonceIn(order.body),
+                nonce: nonceIn(body),
                 leftMicroseconds,
                 atMicroseconds: this.world.nowMicroseconds,
               };
@@ -266,7 +267,7 @@
                 back(() => sink.head({ status, headers, framed: true }));
               };
               void engine.run(
-                { headers: order.headers, body: order.body },
+                { headers: order.headers, body },
                 {
                   head,
                   part: (text) => back(() => sink.part(Buffer.from(text))),
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -31,6 +31,8 @@
   classes: Readonly<Record<string, number>>;
   waiting: Readonly<Record<string, number>>;
   tenants: Readonly<Record<string, number>>;
+  /** Tokens that its sends have an engine read before their first events, and tokens of all its sends there. */
+  work?: Readonly<Record<string, readonly [reading: number, tokens: number]>>;
 }>;
 
 export const FactKeys = {
--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -171,8 +171,8 @@
     cuts: [
       [
         'edge-proxy/placement/engineView.ts',
-        "engine.kind !== 'store' && engine.service === service && engine.state === 'ready'",
-        "engine.kind !== 'store' && engine.service === service",
+        "if (kind !== 'store' && state === 'ready')",
+        "if (kind !== 'store' && state !== '')",
       ],
       [
         'edge-agent/stewards/engineSteward.ts',
