Keepers on the users' platform: their operators' words and document, one composition, a small bundle

Cause: the platform starts keepers from its own settings file and its operators call other paths. The door takes the words of one manner; the product's own are the other implementation.

--- /dev/null
+++ b/build/platform.mjs
@@ -0,0 +1,21 @@
+// Why a bundle a program: a short start matters on small machines, so each loads one small file and nothing else.
+import { build } from 'esbuild';
+import { existsSync, readdirSync } from 'node:fs';
+import path from 'node:path';
+
+const programs = readdirSync('platform').filter((name) => existsSync(path.join('platform', name, 'main.ts')));
+// Why module first: jsonc-parser's other entry loads its parts in a way no bundler follows.
+await build({
+  entryPoints: Object.fromEntries(programs.map((name) => [name, path.join('platform', name, 'main.ts')])),
+  outdir: 'target',
+  bundle: true,
+  minify: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outExtension: { '.js': '.cjs' },
+  external: ['msgpackr-extract'],
+  legalComments: 'none',
+  logLevel: 'warning',
+  mainFields: ['module', 'main'],
+});
--- /dev/null
+++ b/source/core-keeper/program/keeperProgram.ts
@@ -0,0 +1,58 @@
+import type { Dialect } from '../../shared/blueprint/dialect';
+import type { Disk } from '../../shared/effects/disk/disk';
+import type { Effects } from '../../shared/effects/effects';
+import type { HttpDoor } from '../../shared/http/httpDoor';
+import { Metrics } from '../../shared/metrics/metrics';
+import { CoreKeeper, type KeeperSettings } from '../coreKeeper';
+import { OperatorsDoor, type DoorSettings } from '../operators/operatorsDoor';
+import type { OperatorsWords } from '../operators/operatorsWords';
+
+/** What differs between the manners in which a keeper is run. */
+export type KeeperParts = Readonly<{
+  effects: Effects;
+  disk: Disk;
+  settings: KeeperSettings;
+  dialect: Dialect;
+  words: OperatorsWords;
+  door: DoorSettings;
+  /** Called when the disk can no longer be trusted; the process must end. */
+  broken: (sentence: string) => void;
+}>;
+
+export type KeeperProgram = Readonly<{
+  keeper: CoreKeeper;
+  door: HttpDoor;
+  address: string;
+  stop: () => Promise<void>;
+}>;
+
+/** A whole core keeper: its register, its listener and its operators' door. Composed here and nowhere else. */
+export const startKeeper = async (parts: KeeperParts): Promise<KeeperProgram> => {
+  const { effects, settings } = parts;
+  const keeper = new CoreKeeper(effects, parts.disk, settings, parts.dialect);
+  const metrics = new Metrics();
+  metrics.watch(() => [
+    ['postdrum_keeper_votes', {}, keeper.core.votes() ? 1 : 0],
+    ...Object.entries(keeper.owners()).map(
+      ([key, { revision, owner }]) => ['postdrum_key_revision', { key, owner }, revision] as const,
+    ),
+  ]);
+  keeper.news.on('broken', parts.broken);
+  const started = await keeper.start();
+  if (started.kind === 'corrupt')
+    throw new Error(
+      `the file in the data folder is damaged at byte ${started.at}; this keeper must not vote. Empty the folder, and it catches up from the others.`,
+    );
+  const door = await OperatorsDoor.open(keeper, parts.words, parts.door, effects.clock, metrics);
+  return {
+    keeper,
+    door,
+    address: started.address,
+    stop: async () => {
+      // Why the door first: an operator's call that was read gets its outcome from a keeper that still hears the others.
+      await door.drain();
+      await keeper.stop();
+      await effects.transport.close();
+    },
+  };
+};
--- a/source/shared/blueprint/document.ts
+++ b/source/shared/blueprint/document.ts
@@ -32,6 +32,54 @@
   }
 };
 
+const quote = 34;
+const backslash = 92;
+const colon = 58;
+const openObject = 123;
+const closeObject = 125;
+const openArray = 91;
+const closeArray = 93;
+
+/** Where the string that begins at `start` ends, in a text that is sound JSON. */
+const stringEnd = (text: string, start: number): number => {
+  let end = text.indexOf('"', start + 1);
+  for (;;) {
+    let slashes = 0;
+    while (text.charCodeAt(end - 1 - slashes) === backslash) slashes += 1;
+    if (slashes % 2 === 0) return end;
+    end = text.indexOf('"', end + 1);
+  }
+};
+
+/** Names given twice in one object, names that are not allowed, and depth, found in one pass over sound JSON. */
+const nameFaults = (text: string): readonly Fault[] => {
+  const faults: Fault[] = [];
+  const open: (Set<string> | undefined)[] = [];
+  for (let at = 0; at < text.length; at += 1) {
+    const code = text.charCodeAt(at);
+    if (code === openObject || code === openArray) {
+      open.push(code === openObject ? new Set() : undefined);
+      if (open.length > mostDepth) return [{ path: '', fault: 'nested too deep' }];
+    } else if (code === closeObject || code === closeArray) open.pop();
+    else if (code === quote) {
+      const end = stringEnd(text, at);
+      let next = end + 1;
+      while (text.charCodeAt(next) <= 32) next += 1;
+      const names = open.at(-1);
+      if (text.charCodeAt(next) === colon && names !== undefined) {
+        const raw = text.slice(at + 1, end);
+        const name = raw.includes('\\') ? String(JSON.parse(`"${raw}"`)) : raw;
+        if (names.has(name)) faults.push({ path: `/${escape(name)}`, fault: 'named twice' });
+        if (name === '__proto__' || name === 'constructor' || name === 'prototype')
+          faults.push({ path: `/${escape(name)}`, fault: 'name not allowed' });
+        names.add(name);
+      }
+      at = end;
+    }
+  }
+  return faults;
+};
+
 /** Strict JSON text with the place of each value, so that a piece change leaves all other bytes alone. */
 export const Documents = {
   read: (text: string): DocumentRead => {
@@ -56,6 +104,20 @@
     return { kind: 'read', value: getNodeValue(tree), tree };
   },
 
+  /** The value alone, as strictly and much faster: for long texts of which no place is asked. */
+  readPlain: (
+    text: string,
+  ): Readonly<{ kind: 'read'; value: unknown }> | Readonly<{ kind: 'faulty'; faults: readonly Fault[] }> => {
+    let value: unknown;
+    try {
+      value = JSON.parse(text);
+    } catch {
+      return { kind: 'faulty', faults: [{ path: '', fault: 'broken JSON' }] };
+    }
+    const faults = nameFaults(text);
+    return faults.length > 0 ? { kind: 'faulty', faults } : { kind: 'read', value };
+  },
+
   pointer: (path: string): readonly string[] | undefined =>
     path === '' ? [] : path.startsWith('/') ? path.slice(1).split('/').map(unescape) : undefined,
 
