Stewards driven by held event calls, derived names, rounds of weights (thin)

Status looks and lists are priced on the users' platform, long event calls are not; so a steward there lives by its events and looks only when it must. Names that follow from the identity need no registration. Ruled out: bending the own protocol's steward (its looks carry its pulses).

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -19,6 +19,8 @@
 import type { EngineLister } from './engine-list/engineLister';
 import { Membership } from './membership/membership';
 import { DutyHolder } from './stewards/dutyHolder';
+import { EventReaderDefaults } from './stewards/eventReader';
+import { HeldStewardDefaults } from './stewards/heldSteward';
 import { Stewardship } from './stewards/stewardship';
 
 export type AgentSettings = Readonly<{
@@ -52,6 +54,14 @@
   engineList: 'kept' | 'listed';
   listMicroseconds: number;
   listAskMicroseconds: number;
+  /** So long after its duty began a steward gives no directive, where events calls are held. */
+  directiveWaitMicroseconds: number;
+  /** Within this time of their taking new weights stand everywhere, where events calls are held. */
+  weightsWithinMicroseconds: number;
+  /** How often an engine is looked at while nothing happens, where events calls are held. */
+  statusMicroseconds: number;
+  /** Smallest part of a prompt worth telling the fleet of, where holders say sizes. */
+  leastPart: number;
 }>;
 
 export const AgentDefaults = {
@@ -76,6 +86,10 @@
   engineList: 'kept',
   listMicroseconds: 500_000,
   listAskMicroseconds: EngineListDefaults.askMicroseconds,
+  directiveWaitMicroseconds: HeldStewardDefaults.directiveWaitMicroseconds,
+  weightsWithinMicroseconds: HeldStewardDefaults.weightsWithinMicroseconds,
+  statusMicroseconds: HeldStewardDefaults.statusMicroseconds,
+  leastPart: HeldStewardDefaults.leastPart,
 } as const;
 
 /** Starting value, ours: after so long without a word from its proxy an agent no longer says what that one runs. */
@@ -163,7 +177,20 @@
       this.pulses,
       door,
       effects,
-      { ...settings, askMicroseconds: settings.tendAskMicroseconds, readsList: settings.engineList === 'listed' },
+      {
+        ...settings,
+        askMicroseconds: settings.tendAskMicroseconds,
+        readsList: settings.engineList === 'listed',
+        held: {
+          ...HeldStewardDefaults,
+          askMicroseconds: settings.tendAskMicroseconds,
+          events: EventReaderDefaults,
+          directiveWaitMicroseconds: settings.directiveWaitMicroseconds,
+          weightsWithinMicroseconds: settings.weightsWithinMicroseconds,
+          statusMicroseconds: settings.statusMicroseconds,
+          leastPart: settings.leastPart,
+        },
+      },
       this.log,
     );
     const engineList =
--- a/source/edge-agent/stewards/engineSteward.ts
+++ b/source/edge-agent/stewards/engineSteward.ts
@@ -10,6 +10,8 @@
 import { FactKeys, type EngineFact } from '../../shared/news/factTypes';
 import type { NamedKey } from '../../shared/directory/hashChain';
 import { PulseLimits, type Pulses } from '../../shared/news/pulses';
+import { EngineWord } from './engineWord';
+import type { Steward } from './steward';
 import { WeightsPlans } from './weightsPlan';
 
 export type EngineStewardSettings = Readonly<{ askMicroseconds: number; unreachableAfter: number }>;
@@ -21,9 +23,9 @@
 const drainAfterMicroseconds = 2_000_000;
 
 /** One engine or store under one term: its status, its events, its directives and its grants. */
-export class EngineSteward {
+export class EngineSteward implements Steward {
   private readonly shard: ShardDirectory;
-  private sequence = 0;
+  private readonly word: EngineWord;
   private missed = 0;
   private changing = false;
   /** By the steady time: what is waited for is that the looks of others have grown too old. */
@@ -50,6 +52,7 @@
     // Why empty: what an earlier steward knew of fills in flight is not known here; committed blocks are ordered anew.
     this.shard = new ShardDirectory(name, term, ShardLimits.usual, kind === 'engine', () => clock.nowMicroseconds());
     shards.set(name, this.shard.news);
+    this.word = new EngineWord(name, term, facts);
     // Why from now: the steward before may have let the old names be used up to its last moment.
     this.fencedMicroseconds = clock.steadyMicroseconds();
   }
@@ -166,28 +169,7 @@
   }
 
   private say(engine: Engine, status: EngineStatus | undefined): void {
-    const before = this.facts.value<EngineFact>(FactKeys.engine(this.name));
-    const value: EngineFact = {
-      engine: this.name,
-      kind: engine.kind === 'store' ? 'store' : 'engine',
-      address: engine.address,
-      bootEpoch: status?.bootEpoch ?? before?.bootEpoch ?? '',
-      weights: status?.weights ?? before?.weights ?? '',
-      capacity: status?.capacity ?? before?.capacity ?? 0,
-      inFlight: status?.inFlight ?? 0,
-      accepting: status?.accepting ?? false,
-      changing: this.changing,
-      reachable: status !== undefined,
-    };
-    // Why only changes: at rest the fleet should be quiet.
-    if (
-      before !== undefined &&
-      (this.facts.get(FactKeys.engine(this.name))?.version[0] ?? 0) === this.term &&
-      JSON.stringify(before) === JSON.stringify(value)
-    )
-      return;
-    this.sequence += 1;
-    this.facts.put({ key: FactKeys.engine(this.name), version: [this.term, this.sequence], value });
+    this.word.say(engine, status, this.changing);
   }
 
   private async readEvents(engine: Engine): Promise<void> {
@@ -195,7 +177,7 @@
     const after = this.shard.after;
     if (after !== undefined) {
       const read = await this.door.events(engine.address, after, bootEpoch, this.settings.askMicroseconds);
-      if (!this.holds() || read === undefined || this.shard.events(read)) return;
+      if (!this.holds() || read === undefined || read === 'later' || this.shard.events(read)) return;
       this.log(`The events of ${this.name} have a gap; its list is read.`);
     }
     const list = await this.door.list(engine.address, this.settings.askMicroseconds);
--- a/source/edge-agent/stewards/stewardship.ts
+++ b/source/edge-agent/stewards/stewardship.ts
@@ -12,17 +12,23 @@
 import type { DutyHolder } from './dutyHolder';
 import { DutyLine, DutySubjects, type DutyLineSettings } from './dutyLine';
 import { EngineSteward } from './engineSteward';
+import { HeldSteward, type HeldStewardSettings } from './heldSteward';
+import { LiveSalts } from './liveSalts';
+import type { Steward } from './steward';
 
 export type StewardshipSettings = DutyLineSettings &
   Readonly<{
     askMicroseconds: number;
     /** Whether this fleet reads a list of engines that something outside keeps. */
     readsList: boolean;
+    /** Where events calls are held. */
+    held: HeldStewardSettings;
   }>;
 
 /** All duties of one agent: renews what it holds, stands for what is vacant, hands over what another is first in line for. */
 export class Stewardship {
-  private readonly stewards = new Map<string, EngineSteward>();
+  private readonly stewards = new Map<string, Steward>();
+  private readonly salts: LiveSalts;
   private readonly line: DutyLine;
   /** Duties on their way to others: neither renewed nor taken up again. */
   private readonly leaving = new Set<string>();
@@ -41,14 +47,15 @@
     private readonly settings: StewardshipSettings,
     private readonly log: Log,
   ) {
+    this.salts = new LiveSalts(freshness);
     this.line = new DutyLine(self, duties, membership, facts, effects.clock, settings);
   }
 
-  public steward(engine: string): EngineSteward | undefined {
+  public steward(engine: string): Steward | undefined {
     return this.duties.term(`engine/${engine}`) === undefined ? undefined : this.stewards.get(engine);
   }
 
-  public held(): readonly EngineSteward[] {
+  public held(): readonly Steward[] {
     return [...this.stewards.values()].filter(({ name }) => this.duties.term(`engine/${name}`) !== undefined);
   }
 
@@ -83,7 +90,7 @@
     await this.duties.ballot(wanted);
     const listTerm = this.listTerm();
     if (listTerm !== undefined) this.line.say(DutySubjects.list, listTerm, this.self);
-    for (const [engine, { kind }] of engines) if (!this.leaving.has(engine)) this.settle(engine, kind);
+    for (const [name, engine] of engines) if (!this.leaving.has(name)) this.settle(name, engine);
   }
 
   /** Why never handed over: one call a moment costs nobody much, and each change of hands is a pause. */
@@ -135,7 +142,7 @@
     this.stewards.delete(name);
   }
 
-  private settle(engine: string, kind: Engine['kind']): void {
+  private settle(engine: string, listed: Engine): void {
     const term = this.duties.term(`engine/${engine}`);
     const steward = this.stewards.get(engine);
     if (term === undefined) {
@@ -144,26 +151,46 @@
     }
     if (steward?.term !== term) {
       const holds = (): boolean => this.duties.term(`engine/${engine}`) === term;
-      this.stewards.set(
-        engine,
-        new EngineSteward(
-          engine,
-          term,
-          this.self,
-          holds,
-          this.door,
-          this.facts,
-          this.shards,
-          this.freshness,
-          this.pulses,
-          this.effects.clock,
-          { askMicroseconds: this.settings.askMicroseconds, unreachableAfter: 2 },
-          kind,
-          this.log,
-        ),
-      );
+      this.stewards.set(engine, this.made(engine, term, holds, listed));
       this.log(`Steward of ${engine} under term ${term}.`);
     }
     this.line.say(DutySubjects.engine(engine), term, this.self);
   }
+
+  private made(name: string, term: number, holds: () => boolean, engine: Engine): Steward {
+    const { door, facts, shards, freshness, pulses, log, settings } = this;
+    const { clock } = this.effects;
+    if (door.traits?.holdsEvents === true)
+      return new HeldSteward(
+        name,
+        term,
+        this.self,
+        holds,
+        door,
+        facts,
+        shards,
+        freshness,
+        pulses,
+        clock,
+        settings.held,
+        this.salts,
+        engine,
+        log,
+      );
+    return new EngineSteward(
+      name,
+      term,
+      this.self,
+      holds,
+      door,
+      facts,
+      shards,
+      freshness,
+      pulses,
+      clock,
+      { askMicroseconds: settings.askMicroseconds, unreachableAfter: 2 },
+      engine.kind,
+      log,
+    );
+  }
 }
--- a/source/shared/back-end/protocol.ts
+++ b/source/shared/back-end/protocol.ts
@@ -72,11 +72,13 @@
   drains: boolean;
   /** An events call may be held until there are some; then one follows the other, and each is also a sign of life. */
   holdsEvents: boolean;
+  /** Kept parts have names that follow from the identity, the same ones whoever ordered them. */
+  derivedNames: boolean;
   /** Holders that are no engines have a status too. */
   storesHaveStatus: boolean;
 }>;
 export const DoorTraits = {
-  usual: { drains: true, holdsEvents: false, storesHaveStatus: true } satisfies DoorTraits,
+  usual: { drains: true, holdsEvents: false, derivedNames: false, storesHaveStatus: true } satisfies DoorTraits,
 } as const;
 
 export const Paths = {
@@ -180,7 +182,10 @@
       : undefined,
 } as const;
 
-/** The control side of a back end, as a steward uses it. Undefined means: no sound answer within the limit. */
+/**
+ * The control side of a back end, as a steward uses it. Undefined means: no sound answer within the limit. `later`: it
+ * answers, and has no room for the call.
+ */
 export interface BackEndDoor {
   /** Missing: the usual ones. */
   readonly traits?: DoorTraits;
@@ -192,7 +197,7 @@
     limitMicroseconds: number,
     /** How long the call may be held until there are events; missing: it is answered at once. */
     holdMicroseconds?: number,
-  ) => Promise<KvEvents | undefined>;
+  ) => Promise<KvEvents | 'later' | undefined>;
   readonly list: (address: string, limitMicroseconds: number) => Promise<KvList | undefined>;
   readonly directive: (address: string, directive: Directive, limitMicroseconds: number) => Promise<DirectiveOutcome>;
 }
--- a/source/shared/directory/hashChain.ts
+++ b/source/shared/directory/hashChain.ts
@@ -5,7 +5,12 @@
 export type BlockKey = Readonly<{ physical: string; logical: string }>;
 
 /** A key and the opaque name under which one holder keeps the block. */
-export type NamedKey = BlockKey & Readonly<{ name: string }>;
+export type NamedKey = BlockKey &
+  Readonly<{
+    name: string;
+    /** How much of it is kept, where holders say so. */
+    size?: number;
+  }>;
 
 type ChatMessage = Readonly<{ role?: unknown; content?: unknown }>;
 
--- a/source/shared/directory/shardDirectory.ts
+++ b/source/shared/directory/shardDirectory.ts
@@ -1,4 +1,5 @@
 import type { KvEvents, KvList } from '../back-end/protocol';
+import { DerivedNames } from './derivedNames';
 import { BlockStates, type BlockEvent, type BlockState } from './blockState';
 import { FillTables, type FillNotice, type Fills } from './fills';
 import type { NamedKey } from './hashChain';
@@ -28,6 +29,8 @@
   chargedBlocks: number;
   quarantinedBlocks: number;
   unclaimed: number;
+  /** Smallest part worth telling the fleet of, where holders say sizes. */
+  leastSize?: number;
 }>;
 
 export const ShardLimits = {
@@ -45,6 +48,7 @@
   private fills: Fills = FillTables.empty;
   private nextSequence: number | undefined;
   private quarantinedCount = 0;
+  private readonly derived: DerivedNames;
 
   public constructor(
     holder: string,
@@ -52,8 +56,15 @@
     private readonly limits: ShardLimits,
     private readonly checksWeights: boolean,
     private readonly now: () => number = () => 0,
+    /** `oneOff`: each fill gives a block a new name, and registers it. `derived`: names follow from the identity. */
+    private readonly names: 'oneOff' | 'derived' = 'oneOff',
   ) {
     this.news = new ShardNews({ holder, term, epoch: 1, bootEpoch: '', weights: '', version: 0 });
+    this.derived = new DerivedNames(
+      { entries: limits.blocks, leastSize: limits.leastSize ?? 0 },
+      (key) => this.news.put(key),
+      (physical) => this.news.remove(physical),
+    );
   }
 
   public get epoch(): number {
@@ -70,7 +81,7 @@
   }
 
   public get used(): number {
-    return this.blocks.size;
+    return this.blocks.size + this.derived.size;
   }
 
   public get after(): number | undefined {
@@ -85,7 +96,10 @@
   public observe(bootEpoch: string, weights: string): boolean {
     const head = this.news.present;
     if (head.bootEpoch === bootEpoch && head.weights === weights) return false;
-    if (head.bootEpoch !== bootEpoch) this.nextSequence = undefined;
+    if (head.bootEpoch !== bootEpoch) {
+      this.nextSequence = undefined;
+      this.derived.clear();
+    }
     this.fence(bootEpoch, weights);
     return true;
   }
@@ -98,6 +112,12 @@
     this.fillKeys.clear();
     this.fillTimes.clear();
     this.unclaimed.clear();
+    this.derived.sayAgain();
+  }
+
+  /** Of derived names: which ones are of use to anybody now. */
+  public spreadOnly(spread: (name: string) => boolean): void {
+    this.derived.spreadOnly(spread);
   }
 
   public grant(fill: string, epoch: number, keys: readonly NamedKey[]): GrantAnswer {
@@ -144,6 +164,7 @@
   /** False: something is missing, and only the holder's list can mend it. */
   public events(read: KvEvents): boolean {
     if (read.bootEpoch !== this.news.present.bootEpoch) return false;
+    if (this.names === 'derived') return this.derivedEvents(read);
     if (this.nextSequence === undefined) return false;
     for (const event of [...read.events].sort((left, right) => left.sequence - right.sequence)) {
       // Why skip: an event heard before is heard once.
@@ -158,6 +179,11 @@
 
   public list(list: KvList): void {
     if (list.bootEpoch !== this.news.present.bootEpoch) return;
+    if (this.names === 'derived') {
+      this.derived.list(list);
+      this.nextSequence = Math.max(this.nextSequence ?? 0, list.sequence + 1);
+      return;
+    }
     const listed = new Set(list.keys);
     for (const { state, key } of [...this.blocks.values()])
       if (state.kind === 'committed' && !listed.has(key.name)) this.evicted(key.name);
@@ -166,6 +192,13 @@
     this.nextSequence = list.sequence + 1;
   }
 
+  /** Why numbers may be missing: a few events never arrive, and a whole list for each of them would cost more than they do. */
+  private derivedEvents(read: KvEvents): boolean {
+    for (const event of read.events) this.derived.event(event);
+    this.nextSequence = read.last + 1;
+    return read.lost !== true;
+  }
+
   private register(fill: string, epoch: number, moves: boolean, keys: readonly NamedKey[]): void {
     if (epoch !== this.epoch || this.fillKeys.has(fill)) return;
     const fresh = keys.filter(
--- a/source/shared/directory/shardNews.ts
+++ b/source/shared/directory/shardNews.ts
@@ -71,7 +71,7 @@
 
   public put(key: NamedKey): void {
     const known = this.committed.get(key.physical);
-    if (known?.name === key.name) return;
+    if (known?.name === key.name && known.size === key.size) return;
     if (known !== undefined) this.forget(known);
     this.committed.set(key.physical, key);
     this.logicals.set(key.logical, (this.logicals.get(key.logical) ?? 0) + 1);
