--- a/source/edge-agent/agentProgram.ts
+++ b/source/edge-agent/agentProgram.ts
@@ -1,4 +1,5 @@
 import type { BackEndDoor } from '../shared/back-end/protocol';
+import type { Dialect } from '../shared/blueprint/dialect';
 import { realClock } from '../shared/effects/clock/realClock';
 import { realRandom } from '../shared/effects/random/random';
 import { TcpTransport } from '../shared/effects/transport/tcpTransport';
@@ -13,6 +14,8 @@
   settings: AgentSettings;
   door: BackEndDoor & Closable;
   lister?: EngineLister & Closable;
+  /** How the operators' document is read; missing: the fleet's own way. */
+  dialect?: Dialect;
   /** Pages for operators, where there are any. */
   openPages?: (agent: EdgeAgent) => Promise<Closable>;
   stopLimitMicroseconds: number;
@@ -25,7 +28,13 @@
   start: async (parts: AgentParts): Promise<void> => {
     const { settings, door, lister } = parts;
     const transport = new TcpTransport(realClock);
-    const agent = new EdgeAgent({ clock: realClock, random: realRandom, transport }, door, settings, lister);
+    const agent = new EdgeAgent(
+      { clock: realClock, random: realRandom, transport },
+      door,
+      settings,
+      lister,
+      parts.dialect,
+    );
     const address = await agent.start();
     const pages = await parts.openPages?.(agent);
     Logs.part('agent:notice')(`Agent ${settings.name} listens on ${address}.`);
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -1,4 +1,5 @@
 import type { BackEndDoor } from '../shared/back-end/protocol';
+import { ownDialect, type Dialect } from '../shared/blueprint/dialect';
 import type { NamedKey } from '../shared/directory/hashChain';
 import { ShardBook } from '../shared/directory/shardBook';
 import type { DirectoryNote, GrantAnswer } from '../shared/directory/shardDirectory';
@@ -123,13 +124,14 @@
     door: BackEndDoor,
     private readonly settings: AgentSettings,
     lister?: EngineLister,
+    dialect: Dialect = ownDialect,
   ) {
     const { clock, random } = given;
     this.fleet = new FleetName(settings.fleet);
     const effects = { ...given, transport: new FleetTransport(given.transport, () => this.fleet.name) };
     this.effects = effects;
     this.log = Logs.part(`agent:${settings.name}`);
-    this.freshness = new Freshness(clock);
+    this.freshness = new Freshness(clock, dialect);
     this.pulses = new Pulses(clock);
     this.link = new CoreLink(
       effects,
--- a/source/edge-agent/stewards/heldSteward.ts
+++ b/source/edge-agent/stewards/heldSteward.ts
@@ -2,12 +2,7 @@
 import type { Engine, Pool } from '../../shared/blueprint/types';
 import type { NamedKey } from '../../shared/directory/hashChain';
 import type { ShardBook } from '../../shared/directory/shardBook';
-import {
-  ShardDirectory,
-  ShardLimits,
-  type DirectoryNote,
-  type GrantAnswer,
-} from '../../shared/directory/shardDirectory';
+import { ShardDirectory, ShardLimits, type GrantAnswer } from '../../shared/directory/shardDirectory';
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { Log } from '../../shared/log/log';
