--- a/source/shared/log/log.ts
+++ b/source/shared/log/log.ts
@@ -1,5 +1,7 @@
 import debug from 'debug';
 
+const logFlag = '--log=';
+
 export type Log = (sentence: string) => void;
 
 export const Logs = {
@@ -8,9 +10,11 @@
     const write = debug(`postdrum:${part}`);
     return (sentence) => write('%s', sentence);
   },
-  /** What a person must see even where DEBUG is unset. */
-  enableDefault: (): void => {
-    if (process.env['DEBUG'] === undefined) debug.enable('postdrum:*:notice');
+  /** What a person must see even where DEBUG is unset. Where no environment can be set, the flag `--log` says more. */
+  enableDefault: (words: readonly string[] = process.argv): void => {
+    const asked = words.find((word) => word.startsWith(logFlag))?.slice(logFlag.length);
+    if (asked !== undefined) debug.enable(asked);
+    else if (process.env['DEBUG'] === undefined) debug.enable('postdrum:*:notice');
   },
   text: (error: unknown): string => (error instanceof Error ? error.message : String(error)),
 } as const;
--- a/source/shared/settings/settings.ts
+++ b/source/shared/settings/settings.ts
@@ -66,7 +66,7 @@
     const fallback = setting.default === null ? 'needed' : `default ${JSON.stringify(setting.default)}`;
     return `  --${name} VALUE\n      ${setting.doc} (${fallback})`;
   });
-  return `${program}: ${purpose}\n\nUse: ${program} [--settings FILE] [--NAME VALUE …]\n\n  --settings FILE\n      JSON file with any of the names below; flags go first\n  --help\n${lines.join('\n')}\n`;
+  return `${program}: ${purpose}\n\nUse: ${program} [--settings FILE] [--NAME VALUE …]\n\n  --settings FILE\n      JSON file with any of the names below; flags go first\n  --log=PATTERN\n      which parts say what they do, such as postdrum:* (default postdrum:*:notice)\n  --help\n${lines.join('\n')}\n`;
 };
 
 /** Settings from a file, then flags, checked by convict. Faults: one sentence on stderr, exit code 2. */
@@ -83,7 +83,7 @@
     };
     try {
       const options = Object.fromEntries(
-        [...Object.keys(schema), 'settings'].map((name) => [name, { type: 'string' as const }]),
+        [...Object.keys(schema), 'settings', 'log'].map((name) => [name, { type: 'string' as const }]),
       );
       const parsed = parseArgs({ args: [...words], options: { ...options, help: { type: 'boolean' } }, strict: true });
       const values = parsed.values as Readonly<Record<string, string | boolean | undefined>>;
@@ -105,7 +105,7 @@
       };
       const file = values['settings'];
       if (typeof file === 'string') checker.load(JSON.parse(readFileSync(file, 'utf8')));
-      const flags = Object.entries(values).filter(([name]) => name !== 'settings' && schema[name] !== undefined);
+      const flags = Object.entries(values).filter(([name]) => schema[name] !== undefined);
       checker.load(
         Object.fromEntries(flags.map(([name, value]) => [name, fromFlag(schema[name] as Setting, String(value))])),
       );
