--- a/source/shared/back-end/keptConns/keptConn.ts
+++ b/source/shared/back-end/keptConns/keptConn.ts
@@ -20,7 +20,6 @@
 type Run = {
   readonly sink: SendSink;
   readonly reader: AnswerReader;
-  readonly last: boolean;
   /** Parts wait for a slow reader. */
   held: boolean;
   /** Nobody wants the answer any more; it is read to its end for the sake of the conn. */
@@ -78,12 +77,11 @@
   }
 
   /** Bytes of an order may leave from here on; whether they may has been asked. The handle is good for this order alone. */
-  public write(order: SendOrder, bytes: Buffer, last: boolean, sink: SendSink): SendHandle {
+  public write(order: SendOrder, bytes: Buffer, sink: SendSink): SendHandle {
     this.cancelTimer();
     const run: Run = {
       sink,
       reader: new AnswerReader(order.method, this.limits.headBytes),
-      last,
       held: false,
       left: false,
       leftBytes: 0,
@@ -197,7 +195,6 @@
     this.run = undefined;
     // Why these: surplus bytes, an order not wholly written, or an end that was announced leave no conn to use again.
     const kept =
-      !run.last &&
       keepMicroseconds !== 0 &&
       run.reader.left === 0 &&
       this.socket.writableLength === 0 &&
--- a/source/shared/back-end/keptConns/keptConnSender.ts
+++ b/source/shared/back-end/keptConns/keptConnSender.ts
@@ -99,12 +99,11 @@
   }
 
   private writeOn(conn: KeptConn, order: SendOrder, sink: SendSink): SendHandle {
-    const last = this.bookOf(order.address).conns.size > this.boundOf(order.address).kept;
-    const written = OrderBytes.of(order, last);
+    const written = OrderBytes.of(order);
     let text = 'not sent';
     if (written.kind === 'unwritable') text = written.text;
     // Why last: nothing may come between this look and the first byte.
-    else if (sink.mayGo()) return conn.write(order, written.bytes, last, sink);
+    else if (sink.mayGo()) return conn.write(order, written.bytes, sink);
     this.keep(conn, undefined);
     let cut = false;
     queueMicrotask(() => {
--- a/source/shared/back-end/keptConns/orderBytes.ts
+++ b/source/shared/back-end/keptConns/orderBytes.ts
@@ -11,7 +11,7 @@
 
 export const OrderBytes = {
   /** One order as it stands on the wire. What could be read as two orders is never written. */
-  of: (order: SendOrder, lastOnConn: boolean): OrderBytes => {
+  of: (order: SendOrder): OrderBytes => {
     if (!token.test(order.method) || !target.test(order.path))
       return { kind: 'unwritable', text: 'the method or path cannot be written' };
     const body = typeof order.body === 'string' ? Buffer.from(order.body, 'utf8') : order.body;
@@ -25,7 +25,7 @@
     }
     if (!host) head += `host: ${order.address}\r\n`;
     if (body.length > 0 || withBody.has(order.method)) head += `content-length: ${body.length}\r\n`;
-    head += `connection: ${lastOnConn ? 'close' : 'keep-alive'}\r\n\r\n`;
+    head += 'connection: keep-alive\r\n\r\n';
     return { kind: 'bytes', bytes: Buffer.concat([Buffer.from(head, 'latin1'), body]) };
   },
 } as const;
