--- a/source/edge-proxy/fence/identify.ts
+++ b/source/edge-proxy/fence/identify.ts
@@ -113,8 +113,11 @@
     const index = this.present();
     const read: ModelRead = order.model === undefined ? this.modelOf(order) : { kind: 'read', model: order.model };
     const named = this.mappingOf(order, read.kind === 'read' ? read.model : '');
+    // Why the tenant all the same where a key is known: what runs for it must not meet what others keep.
     const tenant: ReturnType<Identifier['tenantOf']> =
-      named?.mapping.open === true ? { kind: 'tenant', tenant: '' } : this.tenantOf(order.key);
+      named?.mapping.open === true
+        ? { kind: 'tenant', tenant: index?.tenants.get(order.key) ?? '' }
+        : this.tenantOf(order.key);
     if (tenant.kind === 'refuse') return tenant;
     const isPath = index?.paths.has(order.path) === true;
     // Why only for a known path: whether the body is sound is of no interest where nothing is mapped.
@@ -248,8 +251,8 @@
   identifyTenant: (identifier: Identifier): Policy => ({
     name: 'identifyTenant',
     apply: (context) => {
-      const tenant = identifier.tenantOf(context.order.key);
-      return Promise.resolve(tenant.kind === 'refuse' ? tenant : { kind: 'onward', context });
+      const refusal = identifier.refusedAtHead(context.order);
+      return Promise.resolve(refusal === undefined ? { kind: 'onward', context } : { kind: 'refuse', refusal });
     },
   }),
 
--- /dev/null
+++ b/tests/named-parts.test.ts
@@ -0,0 +1,197 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { Shares } from '../source/edge-proxy/fence/shares';
+import { ByWork, WorkPlacementSettings, type Offer } from '../source/edge-proxy/placement/byWork';
+import { EngineWork } from '../source/edge-proxy/placement/engineWork';
+import { ReadSpeeds } from '../source/edge-proxy/placement/readSpeeds';
+import { WholeEvents } from '../source/edge-proxy/sends/wholeEvents';
+import type { Mapping, Pool } from '../source/shared/blueprint/types';
+import { PromptParts } from '../source/shared/directory/promptParts';
+import type { Clock } from '../source/shared/effects/clock/clock';
+import { seededRandom } from '../source/shared/effects/random/random';
+
+const handClock = (): Clock & { now: number } => {
+  const clock = {
+    now: 0,
+    nowMicroseconds: () => clock.now,
+    steadyMicroseconds: () => clock.now,
+    after: () => () => undefined,
+  };
+  return clock;
+};
+
+const pool: Pool = {
+  kind: 'pool',
+  model: 'm',
+  weights: '1',
+  tokenizer: 't',
+  adapter: '',
+  dtype: 'bf16',
+  quant: 'none',
+  layout: 'paged-1',
+  shard: 'tp1-pp1',
+  rope: 'default',
+  blockCharacters: 64,
+  answerLimitMicroseconds: 1_000_000,
+};
+
+const eventText = fc.record({ id: fc.nat(999), data: fc.stringMatching(/^[a-z ]{0,20}$/) });
+
+test('events are cut at their borders only, in whatever pieces they come, and none is lost', () => {
+  fc.assert(
+    fc.property(
+      fc.array(eventText, { minLength: 1, maxLength: 8 }),
+      fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1, maxLength: 40 }),
+      fc.constantFrom('\n', '\r\n'),
+      (events, sizes, line) => {
+        const texts = events.map(({ id, data }) => `id: ${id}${line}data: ${data}${line}${line}`);
+        const bytes = Buffer.from(texts.join(''));
+        const whole = new WholeEvents();
+        const passed: Buffer[] = [];
+        let at = 0;
+        for (let turn = 0; at < bytes.length; turn += 1) {
+          const size = sizes[turn % sizes.length] ?? 1;
+          const piece = whole.feed(bytes.subarray(at, at + size));
+          at += size;
+          if (piece === undefined) continue;
+          passed.push(piece);
+          const text = Buffer.concat(passed).toString();
+          assert.ok(text.endsWith(line + line), 'ends at a border');
+          assert.equal(whole.lastId, String(events[text.split('id: ').length - 2]?.id));
+        }
+        assert.equal(whole.flush(), undefined);
+        assert.equal(Buffer.concat(passed).toString(), bytes.toString());
+      },
+    ),
+    { seed: 3, numRuns: 300 },
+  );
+});
+
+test('half an event is kept back, and its id is not the last one', () => {
+  const whole = new WholeEvents();
+  assert.equal(whole.feed(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n'))?.toString(), 'id: 1\ndata: a\n\n');
+  assert.equal(whole.lastId, '1');
+  assert.equal(whole.flush()?.toString(), 'id: 2\ndata: b\n');
+});
+
+test('an event without end is passed on in the end, and cannot be taken up after', () => {
+  const whole = new WholeEvents();
+  assert.equal(whole.feed(Buffer.from('id: 1\ndata: a\n\n'))?.length, 15);
+  let passed = 0;
+  for (let turn = 0; turn < 20; turn += 1) passed += whole.feed(Buffer.alloc(100_000, 0x61))?.length ?? 0;
+  assert.ok(passed > 1_000_000);
+  assert.equal(whole.lastId, undefined);
+});
+
+test('a part of another tenant behind a wall, of other weights or another model has another name', () => {
+  const names = [
+    PromptParts.salt(pool, '1', 'shared'),
+    PromptParts.salt(pool, '2', 'shared'),
+    PromptParts.salt(pool, '1', 'walled/a'),
+    PromptParts.salt(pool, '1', 'walled/b'),
+    PromptParts.salt({ ...pool, model: 'n' }, '1', 'shared'),
+  ];
+  assert.equal(new Set(names).size, names.length);
+  assert.equal(PromptParts.salt({ ...pool }, '1', 'shared'), names[0]);
+});
+
+test('a part that is being read counts as kept there, until its order fails or the engine starts anew', () => {
+  const clock = handClock();
+  const work = new EngineWork(clock, { latelyMicroseconds: 1000 });
+  const names = ['s/a', 's/b', 's/own'];
+  work.began('e', 'boot1', { order: 'o', toRead: 900, tokens: 1000, fills: ['s/a', 's/b'] });
+  assert.equal(work.matched('e', 'boot1', names, 0), 2);
+  assert.equal(work.matched('e', 'boot2', names, 0), 0, 'another life of the engine');
+  assert.equal(work.matched('other', 'boot1', names, 0), 0);
+  assert.deepEqual(work.of('e'), { reading: 900, tokens: 1000 });
+  work.begun('e', 'o');
+  assert.deepEqual(work.of('e'), { reading: 0, tokens: 1000 });
+  work.ended('e', 'o');
+  assert.equal(work.matched('e', 'boot1', names, 0), 2, 'read a moment ago');
+  clock.now = 1001;
+  assert.equal(work.matched('e', 'boot1', names, 0), 0, 'by now the events would show it');
+  work.began('e', 'boot1', { order: 'p', toRead: 900, tokens: 1000, fills: ['s/a'] });
+  work.ended('e', 'p');
+  assert.equal(work.matched('e', 'boot1', names, 0), 0, 'it failed before it was read');
+  work.began('e', 'boot1', { order: 'q', toRead: 1, tokens: 1, fills: ['s/a'] });
+  work.began('e', 'boot2', { order: 'r', toRead: 1, tokens: 1, fills: [] });
+  assert.equal(work.matched('e', 'boot2', names, 0), 0, 'fenced');
+});
+
+const offer = (name: string, change: Partial<Offer> = {}): Offer => ({
+  name,
+  address: `${name}:1`,
+  bootEpoch: 'b',
+  weights: '1',
+  capacity: 10,
+  inFlight: 0,
+  zone: 'z',
+  work: { reading: 0, tokens: 0 },
+  matched: 0,
+  toRead: 10_000,
+  moveMicroseconds: 0,
+  tokensPerMillisecond: 50,
+  keptTokens: 100_000,
+  ...change,
+});
+const demand = { tokens: 12_000, parts: [{ physical: 's/a', logical: 'a', name: 's/a', size: 9000 }], zone: 'z' };
+const choose = (offers: readonly Offer[], seed = 1): string | undefined =>
+  ByWork.choose(offers, demand, seededRandom(seed), WorkPlacementSettings.usual)?.name;
+
+test('an order goes where its parts are kept, but not behind a long queue, a full house or a full memory', () => {
+  const keeps = { matched: 1, toRead: 1000 };
+  assert.equal(choose([offer('a'), offer('b', keeps), offer('c')]), 'b');
+  assert.equal(choose([offer('a'), offer('b', { ...keeps, work: { reading: 40_000, tokens: 0 } })]), 'a');
+  assert.equal(choose([offer('a'), offer('b', { ...keeps, inFlight: 30 })]), 'a');
+  assert.equal(choose([offer('a'), offer('b', { ...keeps, work: { reading: 0, tokens: 140_000 } })]), 'a');
+  assert.equal(choose([]), undefined);
+});
+
+test('proxies that find a part nowhere choose the same engine for it; for other parts they spread', () => {
+  const offers = ['a', 'b', 'c', 'd', 'e'].map((name) => offer(name));
+  const chosen = Array.from({ length: 20 }, (_, seed) => choose(offers, seed));
+  assert.equal(new Set(chosen).size, 1);
+  const spread = Array.from({ length: 40 }, (_, index) => {
+    const parts = [{ physical: `s/${index}`, logical: '', name: `s/${index}`, size: 9000 }];
+    return ByWork.choose(offers, { ...demand, parts }, seededRandom(1), WorkPlacementSettings.usual)?.name;
+  });
+  assert.equal(new Set(spread).size, offers.length);
+});
+
+test('with all else equal the own zone is chosen', () => {
+  assert.equal(choose([offer('a', { zone: 'y' }), offer('b')]), 'b');
+});
+
+test('reading speeds follow what is seen, and short prompts tell nothing', () => {
+  const speeds = new ReadSpeeds();
+  const start = speeds.of('e');
+  speeds.saw('e', 100, 1_000_000);
+  assert.equal(speeds.of('e'), start);
+  for (let turn = 0; turn < 50; turn += 1) speeds.saw('e', 20_000, 1_000_000);
+  assert.ok(Math.abs(speeds.of('e') - 20) < 1);
+  assert.ok(speeds.of('unknown') < start, 'a new engine is taken to be like the others');
+});
+
+test('an order finds the same service each time it is asked, and all orders together keep to the shares', () => {
+  const mapping: Mapping = {
+    path: '/p/',
+    model: '',
+    service: 'a',
+    class: 'c',
+    resumable: false,
+    shares: [
+      { service: 'a', weight: 70 },
+      { service: 'b', weight: 0 },
+      { service: 'c', weight: 30 },
+    ],
+  };
+  const counts: Record<string, number> = {};
+  for (let index = 0; index < 4000; index += 1) {
+    const service = Shares.pick(mapping, `order-${index}`);
+    assert.equal(Shares.pick(mapping, `order-${index}`), service);
+    counts[service] = (counts[service] ?? 0) + 1;
+  }
+  assert.equal(counts['b'], undefined);
+  assert.ok(Math.abs((counts['a'] ?? 0) - 2800) < 150, JSON.stringify(counts));
+});
