--- a/source/shared/blueprint/check.ts
+++ b/source/shared/blueprint/check.ts
@@ -63,7 +63,7 @@
   must(isObject(value), 'must be an object');
   const parts = value as Readonly<Record<string, unknown>>;
   for (const field of Object.keys(parts)) must(fields[field] !== undefined, `has an unknown field ${field}`);
-  for (const [field, { format }] of Object.entries(fields)) format(parts[field]);
+  for (const [field, { format }] of fieldEntries(fields)) format(parts[field]);
 };
 const shapeFields: Fields = {
   keptTokens: { format: number, default: 0 },
@@ -346,13 +346,21 @@
   }
 };
 
+const entriesKept = new Map<Fields, readonly (readonly [string, Field])[]>();
+/** Why kept: thousands of mappings are checked by the same few fields. */
+const fieldEntries = (fields: Fields): readonly (readonly [string, Field])[] => {
+  const entries = entriesKept.get(fields) ?? Object.entries(fields);
+  entriesKept.set(fields, entries);
+  return entries;
+};
+
 /** Each field by its format alone; for values that a translation has made, with no default left open. */
 const formatFaults = (value: unknown, fields: Fields, path: string, faults: Fault[]): void => {
   if (!isObject(value)) {
     faults.push({ path, fault: 'must be an object' });
     return;
   }
-  for (const [field, { format, default: fallback }] of Object.entries(fields)) {
+  for (const [field, { format, default: fallback }] of fieldEntries(fields)) {
     const given = value[field];
     if (given === undefined && fallback !== needed) continue;
     try {
--- /dev/null
+++ b/tests/dialect.test.ts
@@ -0,0 +1,360 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import fc from 'fast-check';
+import { platformDialect } from '../platform/operators/dialect';
+import { Envelopes } from '../platform/operators/envelope';
+import { Changes, emptyEntry } from '../source/core-keeper/register/changes';
+import type { ChangeOrder } from '../source/core-keeper/register/messages';
+import type { Dialect, DialectApplied, OrderForm } from '../source/shared/blueprint/dialect';
+import { ownDialect, rememberingDialect } from '../source/shared/blueprint/dialect';
+import type { Blueprint, Pool } from '../source/shared/blueprint/types';
+import type { Entry } from '../source/shared/register/types';
+import { SimBlueprints } from '../source/fleet-simulator/machines/simFleet';
+import { platformDocument } from './support/platformDocument';
+
+const settings = { numRuns: Number(process.env['POSTDRUM_TEST_RUNS'] ?? 100), seed: 4711 };
+const nothing = { revision: 0, text: '' };
+
+const apply = (present: string, form: OrderForm, text: string, ifMatch = 0): DialectApplied =>
+  platformDialect.apply({ revision: 5, text: present }, { form, text, ifMatch });
+
+const written = (applied: DialectApplied): string => {
+  assert.equal(applied.kind, 'write', JSON.stringify(applied));
+  return applied.kind === 'write' ? applied.text : '';
+};
+
+const first = (version = 5): string => written(apply('', 'whole', platformDocument(version)));
+
+const blueprintOf = (text: string): Blueprint => {
+  const checked = platformDialect.read(text);
+  assert.equal(checked.kind, 'good', JSON.stringify(checked));
+  if (checked.kind !== 'good') throw new Error('faulty');
+  return checked.value;
+};
+
+type Document = { routes: Record<string, unknown>[]; services: Record<string, unknown>[]; [field: string]: unknown };
+const changed = (change: (document: Document) => void, version = 9): string => {
+  const document = JSON.parse(platformDocument(version)) as Document;
+  change(document);
+  return JSON.stringify(document);
+};
+
+describe('what the platform means in the words of the product', () => {
+  test('routes, services, stores, tenants and limits', () => {
+    const blueprint = blueprintOf(first());
+    assert.deepEqual(blueprint.mappings['r-long'], {
+      path: '/long/',
+      prefix: true,
+      host: 'one.example',
+      model: '',
+      service: 'lm',
+      shares: [],
+      class: 'rank-1',
+      resumable: true,
+      repeatable: true,
+      open: false,
+      mostSends: 2,
+      limitMicroseconds: 6_000_000,
+      aimMicroseconds: 600_000,
+      gapMicroseconds: 250_000,
+    });
+    const split = blueprint.mappings['r-split'];
+    assert.deepEqual(split?.shares, [
+      { service: 'lm', weight: 90 },
+      { service: 'desk', weight: 10 },
+    ]);
+    assert.deepEqual([split?.repeatable, split?.open, split?.class], [false, true, 'rank-0']);
+    const pool = blueprint.services['lm'] as Pool;
+    assert.deepEqual([pool.kind, pool.model, pool.weights], ['pool', 'model-a', '1']);
+    assert.deepEqual(pool.shape, {
+      keptTokens: 140_644,
+      tokenBytes: 163_840,
+      linkBytesPerSecond: 137_500_000_000,
+      conns: 170,
+      calls: 12,
+      healthPath: '/health',
+    });
+    assert.equal(blueprint.services['desk']?.kind, 'app');
+    assert.equal(blueprint.services['store'], undefined);
+    assert.deepEqual(blueprint.stores?.['store'], {
+      address: '10.9.0.2:8165',
+      zone: 'z1',
+      keptTokens: 1_902_523,
+      linkBytesPerSecond: 48_750_000_000,
+      calls: 12,
+    });
+    assert.deepEqual(blueprint.tenants['north'], {
+      walled: true,
+      keys: ['key-north-1', 'key-north-2'],
+      class: 'rank-1',
+    });
+    assert.deepEqual(blueprint.tenants['south'], { walled: false, keys: ['key-south-1'], class: '' });
+    assert.deepEqual(blueprint.classes['rank-0'], {
+      rank: 0,
+      sharePerMille: 500,
+      lends: true,
+      holdingMost: 512,
+      holdingLimitMicroseconds: 6_000_000,
+    });
+    assert.deepEqual([blueprint.keyed, blueprint.limits?.headMicroseconds], [true, 3_000_000]);
+  });
+
+  test('a repeatable order: safe, or a stream that may be taken up; nothing else', () => {
+    const kinds = [
+      ['safe', false, true],
+      ['unsafe', false, false],
+      ['streaming', false, false],
+      ['streaming', true, true],
+    ] as const;
+    for (const [routeType, resumable, repeatable] of kinds) {
+      const text = changed((document) => Object.assign(document.routes[0] ?? {}, { routeType, resumable }));
+      assert.equal(blueprintOf(written(apply('', 'whole', text))).mappings['r-long']?.repeatable, repeatable);
+    }
+  });
+
+  test('without tenants no order needs a key', () => {
+    const text = changed((document) => delete document['tenants']);
+    assert.equal(blueprintOf(written(apply('', 'whole', text))).keyed, false);
+  });
+
+  test('any sound document is taken, read back byte for byte, and trusted to mean what it was checked to mean', () => {
+    const word = fc.stringMatching(/^[a-z][a-z0-9-]{0,20}$/);
+    const route = fc.record({
+      name: word,
+      hostname: word.map((name) => `${name}.example`),
+      pathPrefix: fc.tuple(word, word).map(([left, right]) => `/${left}/${right}/`),
+      routeType: fc.constantFrom('safe', 'unsafe', 'streaming'),
+      timeoutMs: fc.integer({ min: 1, max: 60_000 }),
+      targetMs: fc.integer({ min: 1, max: 6000 }),
+      priority: fc.integer({ min: 0, max: 6 }),
+      backend: fc.constantFrom('lm', 'desk'),
+      retries: fc.integer({ min: 0, max: 5 }),
+      public: fc.boolean(),
+      resumable: fc.boolean(),
+      [`x-${'unknown'}`]: fc.jsonValue({ maxDepth: 2 }),
+    });
+    const routes = fc
+      .array(route, { maxLength: 12 })
+      .map((list) => [...new Map(list.map((item) => [item.name, item])).values()])
+      .map((list) => [...new Map(list.map((item) => [`${item.hostname}${item.pathPrefix}`, item])).values()]);
+    fc.assert(
+      fc.property(routes, fc.integer({ min: 0, max: 3 }), (list, indent) => {
+        const document = { ...(JSON.parse(platformDocument(4)) as object), routes: list };
+        const sent = JSON.stringify(document, undefined, indent);
+        if (sent.includes('"__proto__"') || sent.includes('"constructor"') || sent.includes('"prototype"')) return;
+        const stored = written(apply('', 'whole', sent));
+        assert.equal(Envelopes.open(stored).document, sent);
+        const strict = platformDialect.read(stored);
+        assert.equal(strict.kind, 'good');
+        assert.deepEqual(platformDialect.trusted(stored), strict);
+      }),
+      settings,
+    );
+  });
+
+  test('three thousand routes are read and translated', () => {
+    const text = changed((document) => {
+      const [route] = document.routes;
+      document.routes = Array.from({ length: 3000 }, (_, index) => ({
+        ...route,
+        name: `r-${index}`,
+        pathPrefix: `/p${index}/`,
+      }));
+    });
+    assert.equal(Object.keys(blueprintOf(written(apply('', 'whole', text))).mappings).length, 3000);
+  });
+});
+
+describe('what is invalid is refused at once', () => {
+  const route = (fields: Readonly<Record<string, unknown>>) => (document: Document) =>
+    void Object.assign(document.routes[0] ?? {}, fields);
+  const kinds: readonly (readonly [string, string])[] = [
+    ['cut short', platformDocument(9).slice(0, -40)],
+    ['empty', ''],
+    ['no object', '[]'],
+    ['a name twice', platformDocument(9).replace('{"version":9', '{"version":9,"version":9')],
+    ['__proto__', platformDocument(9).replace('{"version":9', '{"version":9,"__proto__":{}')],
+    ['an escaped __proto__', platformDocument(9).replace('{"version":9', '{"version":9,"\\u005f_proto__":{}')],
+    ['an unknown service', changed(route({ backend: 'nowhere' }))],
+    ['no service at all', changed(route({ backend: undefined }))],
+    ['a store as a service', changed(route({ backend: 'store' }))],
+    ['an unknown service in a split', changed(route({ trafficSplit: [{ backend: 'nowhere', share: 1 }] }))],
+    ['no weight', changed(route({ trafficSplit: [{ backend: 'lm', share: 0 }] }))],
+    ['no parts', changed(route({ trafficSplit: [] }))],
+    ['a negative weight', changed(route({ trafficSplit: [{ backend: 'lm', share: -1 }] }))],
+    ['no time-out', changed(route({ timeoutMs: 0 }))],
+    ['a time-out that is no number', changed(route({ timeoutMs: '6000' }))],
+    ['the same place twice', changed(route({ pathPrefix: '/split/' }))],
+    ['the same place in other letters', changed(route({ hostname: 'ONE.example', pathPrefix: '/split/' }))],
+    ['a route without a name', changed(route({ name: undefined }))],
+    ['two routes of one name', changed(route({ name: 'r-split' }))],
+    [
+      'a shared key',
+      changed(
+        (document) =>
+          (document['tenants'] = [
+            { name: 'a', apiKeys: ['key-1'] },
+            { name: 'b', apiKeys: ['key-2', 'key-1'] },
+          ]),
+      ),
+    ],
+    ['no list of routes', changed((document) => ((document as Record<string, unknown>)['routes'] = {}))],
+    ['the version that stands', changed(route({ timeoutMs: 4000 }), 5)],
+    ['an older version', platformDocument(4)],
+    ['no version', changed((document) => delete document['version'])],
+    ['half a version', changed((document) => (document['version'] = 9.5))],
+  ];
+  for (const [what, text] of kinds)
+    test(what, () => {
+      const applied = apply(first(), 'whole', text, 5);
+      assert.equal(applied.kind, 'refused', what);
+      assert.ok(applied.kind === 'refused' && applied.reason === 'faults' && applied.faults.length > 0);
+      assert.ok(!JSON.stringify(applied).includes('key-1'), 'no fault shows a key');
+    });
+
+  test('an invalid change of named items too', () => {
+    const patches: readonly unknown[] = [
+      { version: 9, upsert: { routes: [{ name: 'r-long', backend: 'nowhere' }] } },
+      { version: 9, remove: { services: ['lm'] } },
+      { version: 5, upsert: {} },
+      { version: 9, upsert: { tenants: [{ name: 'south', apiKeys: ['key-north-1'] }] } },
+    ];
+    for (const patch of patches)
+      assert.equal(apply(first(), 'pieces', JSON.stringify(patch), 5).kind, 'refused', JSON.stringify(patch));
+  });
+});
+
+describe('terms', () => {
+  test('built on another version: the loser of a race hears which one stands', () => {
+    const applied = apply(first(5), 'whole', platformDocument(9), 4);
+    assert.ok(applied.kind === 'refused' && applied.reason === 'revision');
+    const pieces = apply(first(5), 'pieces', JSON.stringify({ version: 9, upsert: {} }), 6);
+    assert.ok(pieces.kind === 'refused' && pieces.reason === 'revision');
+    assert.equal(apply('', 'whole', platformDocument(3), 1).kind, 'refused');
+  });
+
+  test('the same document under the number that stands is no change, whatever it builds on', () => {
+    assert.equal(apply(first(5), 'whole', platformDocument(5), 0).kind, 'same');
+    assert.equal(apply(first(5), 'whole', platformDocument(5), 5).kind, 'same');
+    assert.equal(apply(first(5), 'whole', `${platformDocument(5)} `, 0).kind, 'refused');
+  });
+
+  test('named items: put in place, added, taken away; all others and unknown fields stay', () => {
+    const odd = changed((document) => Object.assign(document.routes[1] ?? {}, { odd: [1, { deep: true }] }), 5);
+    const stored = written(apply('', 'whole', odd));
+    const before = JSON.parse(Envelopes.open(stored).document) as Document;
+    const added = { ...before.routes[0], name: 'r-new', pathPrefix: '/new/' };
+    const patch = {
+      version: 12,
+      upsert: {
+        routes: [{ ...before.routes[1], timeoutMs: 4321 }, added],
+        tenants: [{ name: 'west', apiKeys: ['k'] }],
+      },
+      remove: { routes: ['r-long', 'r-never-there'], tenants: ['south'] },
+      limits: { idleTimeoutMs: 20000 },
+    };
+    const next = written(apply(stored, 'pieces', JSON.stringify(patch), 5));
+    const after = JSON.parse(Envelopes.open(next).document) as Document & { tenants: { name: string }[] };
+    assert.equal(after['version'], 12);
+    assert.deepEqual(after.routes, [{ ...before.routes[1], timeoutMs: 4321 }, added]);
+    assert.deepEqual(after.services, before.services);
+    assert.deepEqual(
+      after.tenants.map(({ name }) => name),
+      ['north', 'west'],
+    );
+    assert.deepEqual(after['limits'], { ...(before['limits'] as object), idleTimeoutMs: 20000 });
+    assert.deepEqual(Object.keys(blueprintOf(next).mappings), ['r-split', 'r-new']);
+  });
+
+  test('weights: raised, kept over documents, never lowered; an unknown model is refused', () => {
+    const named = (version: number, model = 'model-a'): string => JSON.stringify({ model, version });
+    const raised = written(apply(first(), 'weights', named(2)));
+    assert.equal((blueprintOf(raised).services['lm'] as Pool).weights, '2');
+    assert.equal(apply(raised, 'weights', named(2)).kind, 'same');
+    assert.equal(apply(raised, 'weights', named(1)).kind, 'same');
+    assert.equal(apply(first(), 'weights', named(1)).kind, 'same');
+    const later = written(apply(raised, 'whole', platformDocument(9), 5));
+    assert.equal((blueprintOf(later).services['lm'] as Pool).weights, '2');
+    assert.equal(Envelopes.open(later).document, platformDocument(9));
+    assert.equal(apply(raised, 'weights', named(3, 'nobody')).kind, 'refused');
+    // Before the first document nobody can tell which models there are.
+    const early = written(apply('', 'weights', named(4)));
+    assert.equal(
+      (blueprintOf(written(apply(early, 'whole', platformDocument(1), 0))).services['lm'] as Pool).weights,
+      '4',
+    );
+  });
+});
+
+describe('changes by the register', () => {
+  const order = (version: number, ifMatch: number, form: OrderForm = 'whole'): ChangeOrder => {
+    const text = platformDocument(version);
+    return { key: 'blueprint', form, text, ifMatch, id: `${form} ${ifMatch} ${text}` };
+  };
+  const taken = (entry: Entry, next: ChangeOrder): Entry => {
+    const planned = Changes.plan(entry, next, platformDialect);
+    assert.equal(planned.kind, 'write');
+    return planned.kind === 'write' ? planned.entry : entry;
+  };
+
+  test('two on one version: one is written, the other refused; each repeated hears the same', () => {
+    const base = taken(emptyEntry, order(5, 0));
+    const one = taken(base, order(7, 5));
+    const other = Changes.plan(one, order(8, 5), platformDialect);
+    assert.ok(other.kind === 'answer' && other.outcome.kind === 'refused' && other.outcome.reason === 'revision');
+    const again = Changes.plan(one, order(7, 5), platformDialect);
+    assert.deepEqual(again, { kind: 'answer', outcome: { kind: 'taken', revision: 2 } });
+    // Also when others were taken since.
+    const later = taken(one, order(11, 7));
+    assert.deepEqual(Changes.plan(later, order(7, 5), platformDialect), again);
+    assert.deepEqual(Changes.plan(later, order(5, 0), platformDialect), {
+      kind: 'answer',
+      outcome: { kind: 'taken', revision: 1 },
+    });
+  });
+
+  test('the register counts by itself, whatever steps the operators take', () => {
+    const entry = taken(taken(emptyEntry, order(50, 0)), order(900, 50));
+    assert.equal(entry.revision, 2);
+  });
+
+  test('lists of engines and members are written the same under every dialect', () => {
+    const text = JSON.stringify({ engines: {} });
+    const planned = Changes.plan(
+      emptyEntry,
+      { key: 'engines', form: 'whole', text, ifMatch: 0, id: 'e' },
+      platformDialect,
+    );
+    assert.ok(planned.kind === 'write' && planned.entry.text === text);
+  });
+});
+
+describe('every dialect', () => {
+  const own = JSON.stringify(SimBlueprints.first());
+  const all: readonly (readonly [Dialect, string])[] = [
+    [ownDialect, own],
+    [platformDialect, platformDocument(1)],
+  ];
+  for (const [dialect, document] of all) {
+    test(`${dialect.name}: takes its document once, is pure, and reads what it wrote`, () => {
+      const once = dialect.apply(nothing, { form: 'whole', text: document, ifMatch: 0 });
+      assert.deepEqual(dialect.apply(nothing, { form: 'whole', text: document, ifMatch: 0 }), once);
+      assert.equal(once.kind, 'write');
+      if (once.kind !== 'write') return;
+      assert.equal(dialect.read(once.text).kind, 'good');
+      assert.deepEqual(dialect.trusted(once.text), dialect.read(once.text));
+      const late = dialect.apply({ revision: 1, text: once.text }, { form: 'whole', text: `${document} `, ifMatch: 0 });
+      assert.equal(late.kind, 'refused');
+      assert.equal(dialect.apply(nothing, { form: 'whole', text: document.slice(1), ifMatch: 0 }).kind, 'refused');
+    });
+
+    test(`${dialect.name}: remembering changes nothing`, () => {
+      const remembering = rememberingDialect(dialect);
+      const once = dialect.apply(nothing, { form: 'whole', text: document, ifMatch: 0 });
+      assert.ok(once.kind === 'write');
+      if (once.kind !== 'write') return;
+      for (const text of [once.text, once.text]) assert.deepEqual(remembering.trusted(text), dialect.trusted(text));
+      for (const text of [once.text, once.text]) assert.deepEqual(remembering.read(text), dialect.read(text));
+    });
+  }
+});
