--- /dev/null
+++ b/tests/support/heldEngines.ts
@@ -0,0 +1,258 @@
+import type { EngineLister, ListedEngine, ListPage } from '../../source/edge-agent/engine-list/engineLister';
+import type {
+  BackEndDoor,
+  DirectiveOutcome,
+  EngineStatus,
+  KvEvent,
+  KvEvents,
+  KvList,
+} from '../../source/shared/back-end/protocol';
+import { Clocks } from '../../source/shared/effects/clock/clock';
+import type { SimNetwork } from '../../source/fleet-simulator/world/simNetwork';
+import type { SimProcess } from '../../source/fleet-simulator/world/simProcess';
+import type { World } from '../../source/fleet-simulator/world/world';
+
+/** One directive as the engine got it; what judges read. */
+export type GotDirective = Readonly<{
+  engine: string;
+  holder: string;
+  term: number;
+  weights: string;
+  outcome: DirectiveOutcome;
+  atMicroseconds: number;
+}>;
+
+export type HeldEngine = {
+  readonly name: string;
+  readonly machine: string;
+  readonly service: string;
+  weights: string;
+  bootEpoch: string;
+  alive: boolean;
+  loading: string | undefined;
+  state: 'ready' | 'draining';
+  sequence: number;
+  log: KvEvent[];
+  kept: Map<string, number>;
+  waiting: Set<() => void>;
+  readonly checksTerms: boolean;
+  highestTerm: number;
+};
+
+const model = 'm';
+const loadMicroseconds = 400_000;
+const keptEvents = 200;
+
+/** Engines whose events calls are held, and the list of them that something outside the fleet keeps, on virtual time. */
+export class HeldEngines {
+  public readonly got: GotDirective[] = [];
+  public readonly engines = new Map<string, HeldEngine>();
+  public readonly calls = { status: 0, list: 0, events: 0, pages: 0 };
+  /** What the list answers besides the truth; undefined: the truth. */
+  public listAnswer: ((from: string | undefined) => ListPage | undefined) | undefined;
+  public pageSize = 50;
+  /** Who asked for a page of the list, and when. */
+  public readonly pageCalls: { agent: string; atMicroseconds: number }[] = [];
+
+  public constructor(
+    private readonly world: World,
+    private readonly network: SimNetwork,
+  ) {}
+
+  public add(name: string, machine: string, weights: string, service = 'pool', checksTerms = true): HeldEngine {
+    const made: HeldEngine = {
+      name,
+      machine,
+      service,
+      weights,
+      bootEpoch: `boot-${name}`,
+      alive: true,
+      loading: undefined,
+      state: 'ready',
+      sequence: 0,
+      log: [],
+      kept: new Map(),
+      waiting: new Set(),
+      checksTerms,
+      highestTerm: 0,
+    };
+    this.engines.set(name, made);
+    return made;
+  }
+
+  public get(name: string): HeldEngine {
+    const found = this.engines.get(name);
+    if (found === undefined) throw new Error(`no engine ${name}`);
+    return found;
+  }
+
+  public keep(name: string, key: string, size: number): void {
+    const engine = this.get(name);
+    engine.sequence += 1;
+    if (size > 0) engine.kept.set(key, size);
+    else engine.kept.delete(key);
+    const event: KvEvent = { sequence: engine.sequence, kind: size > 0 ? 'stored' : 'evicted', key, size };
+    engine.log = [...engine.log, event].slice(-keptEvents);
+    for (const wake of [...engine.waiting]) wake();
+  }
+
+  /** A crash: held calls break off, and it is gone for good. */
+  public crash(name: string): void {
+    const engine = this.get(name);
+    engine.alive = false;
+    for (const wake of [...engine.waiting]) wake();
+  }
+
+  public listed(): readonly ListedEngine[] {
+    return [...this.engines.values()].map(({ name, machine, service, state, weights }) => ({
+      name,
+      service,
+      address: `${machine}:1`,
+      zone: '',
+      state,
+      capacity: 8,
+      weights: { [model]: weights },
+    }));
+  }
+
+  public listerOf(agent: SimProcess): EngineLister {
+    return {
+      page: (from, limitMicroseconds) =>
+        this.call(agent, 'list', limitMicroseconds, () => {
+          this.calls.pages += 1;
+          this.pageCalls.push({ agent: agent.name, atMicroseconds: this.world.nowMicroseconds });
+          if (this.listAnswer !== undefined) return this.listAnswer(from);
+          const all = this.listed();
+          const at = Number(from ?? 0);
+          const next = at + this.pageSize < all.length ? String(at + this.pageSize) : undefined;
+          return { engines: all.slice(at, at + this.pageSize), next };
+        }),
+    };
+  }
+
+  public doorOf(agent: SimProcess): BackEndDoor {
+    const at = (address: string): HeldEngine | undefined =>
+      [...this.engines.values()].filter(({ machine }) => `${machine}:1` === address).at(-1);
+    const ask = <Result>(
+      address: string,
+      limit: number,
+      act: (engine: HeldEngine) => Result,
+    ): Promise<Result | undefined> =>
+      this.call(agent, address.split(':', 1)[0] ?? '', limit, () => {
+        const engine = at(address);
+        return engine?.alive === true ? act(engine) : undefined;
+      });
+    return {
+      traits: { drains: false, holdsEvents: true, derivedNames: true, storesHaveStatus: false },
+      status: (address, limit) =>
+        ask(address, limit, (engine): EngineStatus => {
+          this.calls.status += 1;
+          return {
+            bootEpoch: '',
+            weights: engine.weights,
+            capacity: 0,
+            inFlight: 0,
+            accepting: true,
+            models: { [model]: engine.weights },
+            busy: engine.loading !== undefined,
+          };
+        }),
+      list: (address, limit) =>
+        ask(address, limit, (engine): KvList => {
+          this.calls.list += 1;
+          const { bootEpoch, sequence, kept } = engine;
+          return { bootEpoch, sequence, keys: [...kept.keys()], sizes: [...kept.values()] };
+        }),
+      events: (address, after, _boot, limit, hold = 0) =>
+        this.call(agent, address.split(':', 1)[0] ?? '', limit, () => {
+          this.calls.events += 1;
+          const engine = at(address);
+          return engine?.alive === true ? this.held(engine, after, hold) : undefined;
+        }),
+      directive: async (address, directive, limit) => {
+        if (directive.kind !== 'loadWeights') return 'failed';
+        const outcome = await ask(address, limit, (engine) => this.direct(engine, directive));
+        return outcome ?? 'failed';
+      },
+    };
+  }
+
+  private direct(
+    engine: HeldEngine,
+    directive: Readonly<{ steward: string; term: number; weights: string; engine?: string }>,
+  ): DirectiveOutcome {
+    const outcome = this.judged(engine, directive);
+    this.got.push({
+      engine: engine.name,
+      holder: directive.steward,
+      term: directive.term,
+      weights: directive.weights,
+      outcome,
+      atMicroseconds: this.world.nowMicroseconds,
+    });
+    if (outcome !== 'begun') return outcome;
+    engine.loading = directive.weights;
+    this.world.plan(loadMicroseconds, () => {
+      if (!engine.alive || engine.loading === undefined) return;
+      engine.weights = engine.loading;
+      engine.loading = undefined;
+      for (const key of [...engine.kept.keys()]) this.keep(engine.name, key, 0);
+    });
+    return outcome;
+  }
+
+  private judged(
+    engine: HeldEngine,
+    { term, weights, engine: meant }: Readonly<{ term: number; weights: string; engine?: string }>,
+  ): DirectiveOutcome {
+    if (meant !== undefined && meant !== engine.name) return 'failed';
+    if (engine.checksTerms && term < engine.highestTerm) return 'oldTerm';
+    engine.highestTerm = Math.max(engine.highestTerm, term);
+    if (engine.loading !== undefined) return 'otherUnderWay';
+    return engine.weights === weights ? 'done' : 'begun';
+  }
+
+  private async held(engine: HeldEngine, after: number, hold: number): Promise<KvEvents | undefined> {
+    const read = (): KvEvents => {
+      const first = engine.log[0]?.sequence ?? engine.sequence + 1;
+      const events = engine.log.filter(({ sequence }) => sequence > after);
+      return { bootEpoch: engine.bootEpoch, events, last: engine.sequence, lost: after + 1 < first };
+    };
+    if (engine.sequence <= after && hold > 0) {
+      let wake: () => void = () => undefined;
+      await Clocks.within(
+        this.world.clock,
+        hold,
+        new Promise<void>((resolve) => {
+          wake = resolve;
+          engine.waiting.add(resolve);
+        }),
+      );
+      engine.waiting.delete(wake);
+    }
+    return engine.alive ? read() : undefined;
+  }
+
+  /** There, the act, and back; a cut link or a dead side says nothing until the limit. */
+  private call<Result>(
+    agent: SimProcess,
+    machine: string,
+    limitMicroseconds: number,
+    act: () => Result | Promise<Result>,
+  ): Promise<Awaited<Result> | undefined> {
+    return Clocks.within(
+      agent.clock,
+      limitMicroseconds,
+      new Promise<Awaited<Result> | undefined>((resolve) => {
+        this.network.carry(
+          agent.machine,
+          machine,
+          () =>
+            void Promise.resolve(act()).then((result) =>
+              this.network.carry(machine, agent.machine, () => agent.enter(() => resolve(result))),
+            ),
+        );
+      }),
+    );
+  }
+}
