--- a/source/shared/back-end/keptConns/keptConnSender.ts
+++ b/source/shared/back-end/keptConns/keptConnSender.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../../effects/clock/clock';
+import { Logs } from '../../log/log';
 import type { BackEndSender, SendHandle, SendOrder, SendSink } from '../protocol';
 import { KeepAlive } from './keepAlive';
 import { KeptConn, type KeptConnLimits } from './keptConn';
@@ -36,6 +37,7 @@
  */
 export class KeptConnSender implements BackEndSender {
   private readonly books = new Map<string, Book>();
+  private readonly log = Logs.part('conns');
   private closed = false;
 
   public constructor(
@@ -141,6 +143,7 @@
       },
     );
     this.bookOf(order.address).conns.add(conn);
+    this.log(`A conn to ${order.address} is made; ${this.tell(order.address)}.`);
     const stop = (how: 'cut' | 'leave') => (): void => {
       if (state === 'dialling') state = 'unwanted';
       else if (how === 'cut') running?.cut();
@@ -149,7 +152,13 @@
     return { cut: stop('cut'), leave: stop('leave') };
   }
 
+  private tell(address: string): string {
+    const { conns, idle } = this.counts(address);
+    return `${conns} stand, ${idle} are idle`;
+  }
+
   private forget(conn: KeptConn): void {
+    this.log(`A conn to ${conn.address} ends, because ${conn.closedBecause}; ${this.tell(conn.address)}.`);
     const book = this.bookOf(conn.address);
     book.conns.delete(conn);
     book.idle = book.idle.filter((other) => other !== conn);
