Changed settings are read while a program runs; a keeper that leaves says so; standing by leads to members

A planned stop frees the keys at once. An agent whose seeds only stand by is led to the members by them.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -185,6 +185,22 @@
     return { kind: 'started', address: this.listener.address };
   }
 
+  public seedsAre(seeds: readonly string[]): void {
+    this.standing.seedsAre(seeds);
+  }
+
+  /** A planned stop: says that it leaves, so that others need not find out before they take its keys over. */
+  public async leave(): Promise<void> {
+    for (const ticker of this.tickers) ticker.stop();
+    const message = { kind: 'ownerLeaves', owner: this.settings.name };
+    await Promise.all(
+      this.core
+        .others()
+        .map(([, { address }]) => this.effects.transport.ask(address, message, this.settings.askMicroseconds)),
+    );
+    await this.stop();
+  }
+
   public async stop(): Promise<void> {
     for (const ticker of this.tickers) ticker.stop();
     await this.listener?.close();
@@ -349,6 +365,9 @@
         return this.acceptor.accept(message as unknown as Accept);
       case 'owners':
         return this.hearOwners(message);
+      case 'ownerLeaves':
+        for (const [key, { owner }] of this.heard) if (owner === message['owner']) this.heard.delete(key);
+        return { kind: 'heard' };
       case 'words':
         // Why here: agents read several times a second, so an operator who asks finds them all.
         this.hearAsker(message['own']);
--- a/source/core-keeper/program/keeperProgram.ts
+++ b/source/core-keeper/program/keeperProgram.ts
@@ -51,7 +51,7 @@
     stop: async () => {
       // Why the door first: an operator's call that was read gets its outcome from a keeper that still hears the others.
       await door.drain();
-      await keeper.stop();
+      await keeper.leave();
       await effects.transport.close();
     },
   };
--- a/source/core-keeper/standing/standing.ts
+++ b/source/core-keeper/standing/standing.ts
@@ -36,6 +36,7 @@
 export class StandingKeeper {
   /** The voting keeper that was followed last, while this one has no voice. */
   private led: Hello | undefined;
+  private seeds: readonly string[];
 
   public constructor(
     private readonly core: KeeperCore,
@@ -44,7 +45,14 @@
     private readonly settings: StandingSettings,
     private readonly log: Log,
     private readonly joined: () => void,
-  ) {}
+  ) {
+    this.seeds = settings.seeds;
+  }
+
+  /** Other first contacts than those that were told at the start. */
+  public seedsAre(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
 
   public hello(asker: string): Hello {
     const { standing, fleet, firstMembers, known } = this.core.state;
@@ -88,7 +96,7 @@
   /** Seeds, and whoever was a member as far as this keeper knows: a seed address may be gone for good. */
   private knownAddresses(): readonly string[] {
     const members = [...Object.values(this.core.members().members), ...this.ledMembers()];
-    const addresses = new Set([...this.settings.seeds, ...members.map(({ address }) => address)]);
+    const addresses = new Set([...this.seeds, ...members.map(({ address }) => address)]);
     return [...addresses].filter((address) => address !== this.settings.member.address);
   }
 
@@ -159,7 +167,7 @@
     // Why first: a fleet that lists this very keeper at this very address is its own.
     if (fleets.size === 1) return listing[0]?.fleet ?? '';
     // Why one less: its own seed says nothing.
-    const others = this.settings.seeds.filter((seed) => seed !== this.settings.member.address).length;
+    const others = this.seeds.filter((seed) => seed !== this.settings.member.address).length;
     return fleets.size > 1
       ? ''
       : FleetVotes.judge(
@@ -181,8 +189,8 @@
 
   private async found(hellos: readonly Hello[]): Promise<void> {
     // Why only seeds: a keeper that was added later must not make up the number of the founders.
-    if (!this.settings.seeds.includes(this.settings.member.address)) return;
-    const founders = hellos.filter(({ member }) => this.settings.seeds.includes(member.address));
+    if (!this.seeds.includes(this.settings.member.address)) return;
+    const founders = hellos.filter(({ member }) => this.seeds.includes(member.address));
     const all = [this.hello(this.core.name), ...founders];
     const names = new Set(all.map(({ keeper }) => keeper));
     // Why all: fewer than all founders could be the survivors of a fleet whose other disks hold its state.
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -7,7 +7,13 @@
 import { MajorityReads, type WordsAnswer } from './majorityRead';
 
 /** What one address said: the fleet it leads to, and a keeper's words. */
-type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined }>;
+type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined; led: readonly string[] }>;
+
+/** Most addresses that one keeper without a voice may name. */
+const mostLed = 16;
+
+const addressesIn = (value: unknown): readonly string[] =>
+  Array.isArray(value) ? value.filter((item) => typeof item === 'string').slice(0, mostLed) : [];
 
 export type CoreLinkSettings = Readonly<{
   seeds: readonly string[];
@@ -21,6 +27,7 @@
   private toldApart = false;
   private readonly notice = Logs.part('agent:notice');
   private view: WordsAnswer['view'] | undefined;
+  private led: readonly string[] = [];
 
   public constructor(
     private readonly effects: Effects,
@@ -47,6 +54,8 @@
     const asked = this.effects.clock.nowMicroseconds();
     const addresses = this.addresses();
     const said = await Promise.all(addresses.map((address) => this.words(address)));
+    // Why only until a list is known: keepers that stand by lead to the members, and no further.
+    if (this.view === undefined) this.led = said.flatMap(({ led }) => led);
     if (this.fleetName.name === '') this.chooseFleet(said.filter((_, index) => this.isSeed(addresses[index] ?? '')));
     // Why one answer a keeper: a seed and a member entry may name the same one.
     const byKeeper = new Map(
@@ -86,7 +95,7 @@
       ...Object.values(this.view?.members ?? {}),
       ...Object.values(this.freshness.coreMembers?.members ?? {}),
     ].map(({ address }) => address);
-    return [...new Set([...members, ...this.settings.seeds])];
+    return [...new Set([...members, ...(this.view === undefined ? this.led : []), ...this.settings.seeds])];
   }
 
   private async words(address: string): Promise<Said> {
@@ -95,10 +104,10 @@
       { kind: 'words', own: this.own() },
       this.settings.askMicroseconds,
     );
-    if (answer.kind !== 'answered') return { fleet: '', words: undefined };
+    if (answer.kind !== 'answered') return { fleet: '', words: undefined, led: [] };
     const { message } = answer;
     const words = message.kind === 'words' ? (message as unknown as WordsAnswer) : undefined;
-    return { fleet: words?.stamp.fleet ?? String(message['fleet'] ?? ''), words };
+    return { fleet: words?.stamp.fleet ?? String(message['fleet'] ?? ''), words, led: addressesIn(message['led']) };
   }
 
   private async fetchBodies(): Promise<void> {
--- a/source/shared/settings/program.ts
+++ b/source/shared/settings/program.ts
@@ -4,6 +4,8 @@
   /** Runs a program; what stops it at the start is one sentence on stderr and a code that is not 0. */
   run: (program: string, start: () => Promise<void>, notices = true): void => {
     if (notices) Logs.enableDefault();
+    // Why for all: where nobody listens this signal ends a program, and it only says that settings may have changed.
+    process.on('SIGHUP', () => undefined);
     start().catch((error: unknown) => {
       const code = (error as { code?: string }).code;
       const sentence = code === 'EADDRINUSE' ? `the address is in use (${Logs.text(error)})` : Logs.text(error);
@@ -12,6 +14,11 @@
     });
   },
 
+  /** SIGHUP: the settings may have changed. */
+  onHup: (look: () => Promise<void>): void => {
+    process.on('SIGHUP', () => void look());
+  },
+
   /** SIGTERM and SIGINT: finish what was read, then leave; at the second limit, leave all the same. */
   onTerm: (limitMicroseconds: number, finish: () => Promise<void>): void => {
     let begun = false;
