--- /dev/null
+++ b/tests/agent-doors.test.ts
@@ -0,0 +1,331 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { describe, test } from 'node:test';
+import { EngineDoor } from '../platform/engines/engineDoor';
+import { InstanceLister } from '../platform/engines/instanceLister';
+import { HttpBackEndDoor } from '../source/shared/back-end/httpBackEnds';
+import { DoorTraits, type BackEndDoor, type Directive, type EngineStatus } from '../source/shared/back-end/protocol';
+import { realClock } from '../source/shared/effects/clock/realClock';
+import { seededRandom } from '../source/shared/effects/random/random';
+import { EngineHttp, httpNeighbours } from '../source/stand-in-engine/engineHttp';
+import { StandInEngine } from '../source/stand-in-engine/standInEngine';
+import { PlatformEngine, PlatformList, type Misdeed } from './support/platformEngine';
+
+const limit = 2_000_000;
+
+type Stand = Readonly<{
+  address: string;
+  door: BackEndDoor;
+  /** Keeps a part; what is given back is the name under which the holder says so. */
+  keep: (part: string) => string;
+  restart: () => void;
+  weights: readonly [before: string, after: string];
+  finishLoad: () => void;
+  close: () => Promise<void>;
+}>;
+
+const own = async (): Promise<Stand> => {
+  const engine = new StandInEngine(
+    {
+      name: 'e',
+      weights: 'w1',
+      capacity: 4,
+      mostBlocks: 100,
+      blockCharacters: 64,
+      prefillMicrosecondsPerBlock: 0,
+      importMicrosecondsPerBlock: 0,
+      partMicroseconds: 0,
+      loadMicroseconds: 1000,
+      checksTerms: true,
+    },
+    realClock,
+    seededRandom(3),
+    httpNeighbours,
+  );
+  const server = await EngineHttp.open(engine, '127.0.0.1:0');
+  const door = new HttpBackEndDoor();
+  return {
+    address: server.address,
+    door,
+    keep: (part) => {
+      const key = part.padStart(32, '0');
+      engine.kv.keep({ key, weights: 'w1', tenant: '', digest: '', madeBy: '', makerNonce: '' });
+      return key;
+    },
+    restart: () => engine.reboot(),
+    weights: ['w1', 'w2'],
+    finishLoad: () => undefined,
+    close: async () => {
+      await door.close();
+      await server.close();
+    },
+  };
+};
+
+const platform = async (): Promise<Stand> => {
+  const engine = new PlatformEngine('e');
+  const address = await engine.open();
+  const door = new EngineDoor();
+  return {
+    address,
+    door,
+    keep: (part) => {
+      engine.keep('salt', part, 600);
+      return `salt/${part}`;
+    },
+    restart: () => engine.restart(),
+    weights: ['1', '2'],
+    finishLoad: () => engine.finishLoad(),
+    close: async () => {
+      door.close();
+      await engine.close();
+    },
+  };
+};
+
+const load = (stand: Stand, term: number): Directive => ({
+  kind: 'loadWeights',
+  term,
+  steward: 'edge-1',
+  weights: stand.weights[1],
+  drainMicroseconds: 0,
+  model: 'm',
+  engine: 'e',
+});
+
+/** Asks again until the engine says so; each ask is an answer on a real conn, and the limit is the test's own. */
+const until = async (stand: Stand, met: (status: EngineStatus) => boolean): Promise<EngineStatus> => {
+  for (;;) {
+    const status = await stand.door.status(stand.address, limit);
+    if (status !== undefined && met(status)) return status;
+  }
+};
+
+for (const [name, open] of [
+  ['own protocol', own],
+  ["users' platform", platform],
+] as const)
+  describe(`the control side of an engine: ${name}`, () => {
+    const withStand = (sentence: string, act: (stand: Stand) => Promise<void>): void =>
+      void test(sentence, async () => {
+        const stand = await open();
+        try {
+          await act(stand);
+        } finally {
+          await stand.close();
+        }
+      });
+
+    withStand('its status tells its weights and that it takes work', async ({ door, address, weights }) => {
+      const status = await door.status(address, limit);
+      assert.equal(status?.weights, weights[0]);
+      assert.equal(status.accepting, true);
+      assert.ok(Number.isSafeInteger(status.inFlight));
+    });
+
+    withStand('events come in order after the one that was heard, with the boot they belong to', async (stand) => {
+      const { door, address } = stand;
+      const names = ['a1', 'a2', 'a3'].map(stand.keep);
+      const first = await door.events(address, 0, '', limit);
+      assert.ok(first !== undefined && first !== 'later');
+      assert.deepEqual(
+        first.events.map(({ key, kind }) => [key, kind]),
+        names.map((key) => [key, 'stored']),
+      );
+      assert.notEqual(first.bootEpoch, '');
+      const more = stand.keep('a4');
+      const second = await door.events(address, first.last, first.bootEpoch, limit);
+      assert.ok(second !== undefined && second !== 'later');
+      assert.deepEqual(
+        second.events.map(({ key }) => key),
+        [more],
+      );
+      assert.ok(second.events.every(({ sequence }) => sequence > first.last && sequence <= second.last));
+      const none = await door.events(address, second.last, first.bootEpoch, limit);
+      assert.ok(none !== undefined && none !== 'later');
+      assert.deepEqual([none.events, none.last], [[], second.last]);
+    });
+
+    withStand('its list tells all it keeps, and goes on where its events do', async (stand) => {
+      const names = ['b1', 'b2'].map(stand.keep);
+      const list = await stand.door.list(stand.address, limit);
+      assert.deepEqual([...(list?.keys ?? [])].sort(), [...names].sort());
+      const more = stand.keep('b3');
+      const read = await stand.door.events(stand.address, list?.sequence ?? -1, list?.bootEpoch ?? '', limit);
+      assert.ok(read !== undefined && read !== 'later');
+      assert.deepEqual(
+        read.events.map(({ key }) => key),
+        [more],
+      );
+      assert.equal(read.bootEpoch, list?.bootEpoch);
+    });
+
+    withStand('a restart is another boot, and keeps nothing', async (stand) => {
+      stand.keep('c1');
+      const before = await stand.door.list(stand.address, limit);
+      stand.restart();
+      const after = await stand.door.list(stand.address, limit);
+      assert.ok(before !== undefined && after !== undefined);
+      assert.notEqual(after.bootEpoch, before.bootEpoch);
+      assert.deepEqual(after.keys, []);
+    });
+
+    withStand('a directive is taken, given again does no more, and a lower term is refused', async (stand) => {
+      const first = await stand.door.directive(stand.address, load(stand, 7), limit);
+      assert.ok(first === 'done' || first === 'begun', first);
+      stand.finishLoad();
+      await until(stand, ({ weights, accepting, busy }) => weights === stand.weights[1] && accepting && busy !== true);
+      assert.equal(await stand.door.directive(stand.address, load(stand, 7), limit), 'done');
+      assert.equal(await stand.door.directive(stand.address, load(stand, 6), limit), 'oldTerm');
+    });
+
+    withStand('who does not answer, or not at all, is undefined', async ({ door }) => {
+      const silent = net.createServer(() => undefined);
+      await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', () => resolve()));
+      const there = `127.0.0.1:${(silent.address() as net.AddressInfo).port}`;
+      const closed = net.createServer();
+      await new Promise<void>((resolve) => closed.listen(0, '127.0.0.1', () => resolve()));
+      const gone = `127.0.0.1:${(closed.address() as net.AddressInfo).port}`;
+      await new Promise<void>((resolve) => closed.close(() => resolve()));
+      for (const address of [there, gone]) {
+        assert.equal(await door.status(address, 50_000), undefined);
+        assert.equal(await door.events(address, 0, '', 50_000, 10_000), undefined);
+        assert.equal(await door.list(address, 50_000), undefined);
+        assert.equal(
+          await door.directive(
+            address,
+            { kind: 'loadWeights', term: 1, steward: 's', weights: '2', drainMicroseconds: 0 },
+            50_000,
+          ),
+          'failed',
+        );
+      }
+      silent.close();
+    });
+  });
+
+const withEngine = async (
+  act: (engine: PlatformEngine, door: EngineDoor, address: string) => Promise<void>,
+): Promise<void> => {
+  const engine = new PlatformEngine('i-7', 3);
+  const address = await engine.open();
+  const door = new EngineDoor();
+  try {
+    await act(engine, door, address);
+  } finally {
+    door.close();
+    await engine.close();
+  }
+};
+
+test('platform: nonsense, cut answers and errors of an engine are no answer at all', async () => {
+  await withEngine(async (engine, door, address) => {
+    for (const misdeed of ['garbage', 'wrongShape', 'cut', 'error', 'silent'] satisfies readonly Misdeed[]) {
+      engine.misdeed = misdeed;
+      const short = misdeed === 'silent' ? 50_000 : limit;
+      assert.equal(await door.status(address, short), undefined, misdeed);
+      assert.equal(await door.events(address, 0, '', short), undefined, misdeed);
+      assert.equal(await door.list(address, short), undefined, misdeed);
+    }
+    engine.misdeed = 'tooMany';
+    assert.equal(await door.events(address, 0, '', limit), 'later', 'it lives, and has no room for the call');
+  });
+});
+
+test('platform: an events call is held as long as it is said, and comes back with the first event', async () => {
+  await withEngine(async (engine, door, address) => {
+    const held = door.events(address, 0, '', limit, 1_000_000);
+    while (engine.heldFor.length === 0) await new Promise<void>((resolve) => setImmediate(resolve));
+    engine.keep('s', 'p', 700);
+    const read = await held;
+    assert.deepEqual(engine.heldFor, ['1000']);
+    assert.ok(read !== undefined && read !== 'later');
+    assert.deepEqual(read.events, [{ sequence: 1, kind: 'stored', key: 's/p', size: 700 }]);
+  });
+});
+
+test('platform: events that are no longer there are said to be lost, and sizes are told', async () => {
+  await withEngine(async (engine, door, address) => {
+    for (const part of ['a', 'b', 'c', 'd', 'e']) engine.keep('s', part, 600);
+    const read = await door.events(address, 1, '', limit);
+    assert.ok(read !== undefined && read !== 'later');
+    assert.equal(read.lost, true);
+    const on = await door.events(address, read.last, '', limit);
+    assert.ok(on !== undefined && on !== 'later');
+    assert.equal(on.lost, false);
+    assert.deepEqual((await door.list(address, limit))?.sizes, [600, 600, 600, 600, 600]);
+  });
+});
+
+test('platform: an order says all that the page asks for, to the engine that is meant and no other', async () => {
+  await withEngine(async (engine, door, address) => {
+    const directive: Directive = {
+      kind: 'loadWeights',
+      term: 41,
+      steward: 'edge-3',
+      weights: '2',
+      drainMicroseconds: 0,
+      model: 'm',
+      engine: 'i-7',
+    };
+    assert.equal(await door.directive(address, directive, limit), 'begun');
+    assert.deepEqual(engine.orders, [
+      { operation: 'version', model: 'm', version: 2, method: 'wait', holderName: 'edge-3', fenceNumber: 41 },
+    ]);
+    assert.equal((await door.status(address, limit))?.busy, true);
+    assert.equal(await door.directive(address, { ...directive, weights: '3' }, limit), 'otherUnderWay');
+    assert.equal(await door.directive(address, { ...directive, engine: 'i-8' }, limit), 'failed');
+    assert.equal(engine.orders.length, 2);
+  });
+});
+
+test('platform: one conn serves call after call', async () => {
+  await withEngine(async (engine, door, address) => {
+    for (let turn = 0; turn < 5; turn += 1) await door.events(address, 0, '', limit);
+    assert.equal(engine.conns, 1);
+  });
+});
+
+test('platform: the list of engines, page by page, and what is no list', async () => {
+  const list = new PlatformList();
+  const lister = new InstanceLister(await list.open());
+  const instance = (id: string): Readonly<Record<string, unknown>> => ({
+    backend: 'pool',
+    address: '10.0.0.1:80',
+    zone: 'hill',
+    version: 'v1',
+    capacity: 12,
+    state: 'draining',
+    coldLeftMs: 0,
+    phase: 'full',
+    models: [{ name: 'm', version: 4, adapters: [] }],
+    id,
+  });
+  list.instances = [instance('i-1'), { ...instance('i-2'), models: undefined }, instance('i-3')];
+  const first = await lister.page(undefined, limit);
+  assert.deepEqual(first?.engines[0], {
+    name: 'i-1',
+    service: 'pool',
+    address: '10.0.0.1:80',
+    zone: 'hill',
+    state: 'draining',
+    capacity: 12,
+    weights: { m: '4' },
+  });
+  assert.deepEqual(first.engines[1]?.weights, {});
+  const second = await lister.page(first.next, limit);
+  assert.deepEqual([second?.engines.map(({ name }) => name), second?.next], [['i-3'], undefined]);
+  for (const misdeed of ['tooMany', 'garbage', 'wrongShape'] as const) {
+    list.misdeed = misdeed;
+    assert.equal(await lister.page(undefined, limit), undefined, misdeed);
+  }
+  lister.close();
+  await list.close();
+});
+
+test('the own protocol drains engines and is asked again and again; the platform does neither', () => {
+  assert.deepEqual(DoorTraits.usual, { drains: true, holdsEvents: false, derivedNames: false, storesHaveStatus: true });
+  const door = new EngineDoor();
+  assert.deepEqual([door.traits.drains, door.traits.holdsEvents, door.traits.derivedNames], [false, true, true]);
+  door.close();
+});
