Silence of a listed-out engine ends no answer where engines look after their own callers

Ruled out: the weights' clock (the bump was 2 s old). Now a setting; Infinity on the platform. A short answer that says 'not run' no longer costs a conn.

--- a/source/edge-proxy/door/callersDoor.ts
+++ b/source/edge-proxy/door/callersDoor.ts
@@ -154,7 +154,7 @@
 
   /** An idle conn is closed a second after the time that is named, so that no order meets a conn that just closes. */
   private connHeaders(response: ServerResponse): Readonly<Record<string, string>> {
-    if (this.server.stopping || !response.shouldKeepAlive) return { connection: 'close' };
+    if (!response.shouldKeepAlive) return { connection: 'close' };
     const seconds = this.limits.idleSeconds();
     return seconds === undefined ? {} : { connection: 'keep-alive', 'keep-alive': `timeout=${seconds}` };
   }
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -66,6 +66,8 @@
   unsentIsFree: boolean;
   /** Whether answers still running on weights whose time is over are cut. */
   cutsOldWeights: boolean;
+  /** An engine its steward has not seen for so long may be frozen, and what waits there under a setup that is gone is cut. */
+  silentMicroseconds: number;
   /** After so long from being named no order goes to an engine on the weights before. */
   weightsCutMicroseconds: number;
   /** Places of an engine that are given away, its own waiting ones included, in per mille of its places. */
@@ -102,6 +104,7 @@
   busySeconds: 1,
   unsentIsFree: false,
   cutsOldWeights: true,
+  silentMicroseconds: 900_000,
   weightsCutMicroseconds: WeightsClocks.cutMicroseconds,
   roomPerMille: 1000,
   workPlacement: WorkPlacementSettings.usual,
@@ -172,7 +175,6 @@
         pulses: this.pulses,
       },
       this.effects,
-      '',
     );
     this.feeders = new Feeders(settings.name, settings.agentAddress, () => this.view.agents());
     this.desk = new TakeDesk(
@@ -198,6 +200,7 @@
       moves,
       readSpeeds,
       cutsOldWeights: settings.cutsOldWeights,
+      silentMicroseconds: settings.silentMicroseconds,
       urgencyOf: ({ resolved }) => this.freshness.blueprint?.classes[resolved?.mapping.class ?? '']?.rank,
       busySeconds: settings.busySeconds,
       unsentIsFree: settings.unsentIsFree,
--- a/source/edge-proxy/fleetBounds.ts
+++ b/source/edge-proxy/fleetBounds.ts
@@ -40,6 +40,8 @@
     busySeconds,
     unsentIsFree: true,
     cutsOldWeights: false,
+    // Why never: such engines drop an order whose caller is gone, and a drained one still answers what it has.
+    silentMicroseconds: Infinity,
     roomPerMille,
   }),
 } as const;
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -44,13 +44,12 @@
   tell: (notes: readonly DirectoryNote[]) => void;
   mostSends: number;
   stillGood: (fetch: FetchPlan) => boolean;
+  /** An engine its steward has not seen for so long may be frozen; Infinity: silence is no reason to end a send. */
+  silentMicroseconds: number;
   /** How long ago the engine was last seen to answer its steward. */
   seenAgeMicroseconds: (engine: string) => number;
 }>;
 
-/** Starting value, ours: an engine its steward has not seen for so long may be frozen. */
-const silentMicroseconds = 900_000;
-
 /** Starting value, ours: so many engines in a row may turn out not to be there before it counts. */
 const mostUnsent = 4;
 
@@ -159,7 +158,7 @@
     if (
       this.state.kind === 'opening' &&
       service.kind === 'pool' &&
-      this.parts.seenAgeMicroseconds(this.placed.engine) > silentMicroseconds
+      this.parts.seenAgeMicroseconds(this.placed.engine) > this.parts.silentMicroseconds
     ) {
       // Why: a frozen engine would find the order in its conn when it wakes, long after what it was taken under is gone.
       const stands = this.parts.identifier.stillStands(this.context.order, this.resolved);
@@ -246,7 +245,8 @@
     if (meaning.notRun !== undefined) {
       this.step({ kind: 'notRun' });
       this.parts.tell(this.fetch.notSent);
-      this.cutSend();
+      // Why left to end where conns are kept: the answer is short, and the conn may be used again.
+      if (this.parts.words.namesInstance) this.cutSend();
       const refusal = Refusals.make(503, 'notRun', 'engineBusy', 'The engine is busy.', this.parts.busySeconds);
       if (meaning.notRun === 'busy') {
         // Why back to holding: the next place should come from fresher counts, not from guessing again.
