The callers' door under strain: bare conns, half orders, rows of orders, planned stops

Red first: with a broken chunk or a stop the first answer of a row said close, and whole orders behind it were lost.

--- a/source/edge-proxy/door/callersDoor.ts
+++ b/source/edge-proxy/door/callersDoor.ts
@@ -115,10 +115,11 @@
     const { proxy, words, clock } = this;
     const arrivedMicroseconds = clock.nowMicroseconds();
     const answer = new HttpAnswer(response, words, () => this.connHeaders(response));
-    const refuse = (refusal: Refusal): void => {
+    const refuse = (refusal: Refusal, readOn = true): void => {
       proxy.metrics.count('postdrum_refusals_total', { code: refusal.code, verdict: refusal.verdict });
       // Why not close the conn: a caller still writing its body would see a reset instead of this answer. What is
       // left of the body is thrown away as it comes, bounded by the time that a body may take.
+      if (readOn && !order.complete) response.shouldKeepAlive = true;
       answer.refuse(refusal);
     };
     if (this.server.crowded(order))
@@ -139,7 +140,7 @@
       return refuse(Refusals.make(413, 'notRun', 'tooLarge', `A body has at most ${most} bytes.`));
     if (body.kind === 'broken') {
       if (body.status === undefined) return answer.cut();
-      return refuse(Refusals.make(body.status, 'notRun', 'badBody', 'The body cannot be read.'));
+      return refuse(Refusals.make(body.status, 'notRun', 'badBody', 'The body cannot be read.'), false);
     }
     await proxy.handle(
       {
--- a/source/shared/http/httpServer.ts
+++ b/source/shared/http/httpServer.ts
@@ -55,10 +55,6 @@
     this.server.on('clientError', (error: Error & { code?: string }, socket) => this.onBroken(error, socket));
   }
 
-  public get stopping(): boolean {
-    return this.draining;
-  }
-
   public get address(): string {
     const bound = this.server.address() as AddressInfo;
     return `${bound.address}:${bound.port}`;
@@ -78,6 +74,7 @@
   /** Resolves when all that was read has been answered. */
   public async drain(plan: DrainPlan = DrainPlans.atOnce, clock?: Clock): Promise<void> {
     this.draining = true;
+    for (const conn of this.conns.values()) HttpServer.endWithLast(conn);
     if (clock !== undefined && plan.mostMicroseconds > 0) {
       this.clock = clock;
       const began = clock.nowMicroseconds();
@@ -131,11 +128,11 @@
 
   private onOrder(order: IncomingMessage, response: ServerResponse): void {
     this.apply();
-    if (this.draining) response.shouldKeepAlive = false;
     const conn = this.conns.get(order.socket);
     if (conn === undefined) return;
     const exchange = { order, response };
     conn.exchanges.add(exchange);
+    if (this.draining) HttpServer.endWithLast(conn);
     // Why at this number: answers go out in the order of their orders, and what waits behind a long one takes memory.
     if (conn.exchanges.size > rowMost) response.shouldKeepAlive = false;
     response.once('close', () => {
@@ -146,6 +143,15 @@
     });
   }
 
+  /** The conn ends with the last answer on it. Why not with one before: the orders behind that were read whole. */
+  private static endWithLast({ exchanges }: Conn): void {
+    const row = [...exchanges].map(({ response }) => response).filter(({ headersSent }) => !headersSent);
+    const last = row.pop();
+    if (last === undefined) return;
+    for (const response of row) response.shouldKeepAlive = true;
+    last.shouldKeepAlive = false;
+  }
+
   /** Too many orders stand on this conn for one more. */
   public crowded(order: IncomingMessage): boolean {
     return (this.conns.get(order.socket)?.exchanges.size ?? 0) > rowMost;
@@ -162,11 +168,9 @@
     conn.spoilt = true;
     const status = reasons[error.code ?? ''] ?? 400;
     if (conn.exchanges.size > 0) {
-      for (const { order, response } of conn.exchanges) {
-        // Why not a bare line on the conn: it would be taken for the answer to the first order on it.
-        if (!response.headersSent) response.shouldKeepAlive = false;
-        if (!order.complete) order.emit(brokenOff, status);
-      }
+      // Why not a bare line on the conn: it would be taken for the answer to the first order on it.
+      HttpServer.endWithLast(conn);
+      for (const { order } of [...conn.exchanges]) if (!order.complete) order.emit(brokenOff, status);
       return;
     }
     // Why silent: nothing was asked on it, so nothing is answered.
--- a/tests/support/rawCaller.ts
+++ b/tests/support/rawCaller.ts
@@ -4,7 +4,7 @@
 export class RawCaller {
   public text = '';
   public closed = false;
-  private waiting: (() => void)[] = [];
+  private readonly waiting: (() => void)[] = [];
 
   private constructor(public readonly socket: net.Socket) {
     socket.on('error', () => undefined);
