--- a/source/core-keeper/ledger/ledger.ts
+++ b/source/core-keeper/ledger/ledger.ts
@@ -25,6 +25,7 @@
   private waiting: Waiting[] = [];
   private writingSince: number | undefined;
   private broken = false;
+  private toldFull = false;
   private syncedState: KeeperState = KeeperStates.start;
   private pendingState: KeeperState = KeeperStates.start;
 
@@ -113,6 +114,8 @@
       // Why end: after a failed sync nobody knows what is on the disk; a later sync may lie.
       return this.breakDown(`A sync failed: ${DiskFaults.of(error).text}.`);
     }
+    if (this.toldFull) this.log('The disk takes writes again.');
+    this.toldFull = false;
     this.length += record.length;
     this.syncedState = events.reduce(KeeperStates.reduce, this.syncedState);
     void this.news.emit('synced', events);
@@ -129,7 +132,9 @@
     } catch (second) {
       return this.breakDown(`A full disk could not be tidied: ${DiskFaults.of(second).text}.`);
     }
-    this.log('The disk is full. Changes are refused.');
+    // Why once: each writing tries again, and a line for each says nothing new.
+    if (!this.toldFull) this.log('The disk is full. Changes are refused.');
+    this.toldFull = true;
     return 'full';
   }
 
