A keeper says 'as you know it' instead of the same words several times a second

Cause: bytes between zones are priced, and nine agents asked three keepers for 1.2 KB each five times a second. The answer is still one of now; only the ages go on, counted by the asker. Who asks is said with every tenth reading.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -14,6 +14,7 @@
 import { Ledger } from './ledger/ledger';
 import { KeeperStates, type Standing } from './ledger/keeperState';
 import { Acceptor } from './register/acceptor';
+import { Digests } from './register/changes';
 import { KeeperCore } from './register/keeperCore';
 import type { Accept, ChangeOrder, ChangeOutcome, OwnerWord, Prepare } from './register/messages';
 import { Ownership } from './register/ownership';
@@ -369,19 +370,7 @@
         for (const [key, { owner }] of this.heard) if (owner === message['owner']) this.heard.delete(key);
         return { kind: 'heard' };
       case 'words':
-        // Why here: agents read several times a second, so an operator who asks finds them all.
-        this.hearAsker(message['own']);
-        // Why silent without a voice: an answer of a keeper still catching up could hide what was taken.
-        return this.core.votes() && (message['fleet'] === '' || message['fleet'] === this.core.state.fleet)
-          ? {
-              kind: 'words',
-              stamp: this.core.stamp(),
-              membersRevision: this.core.members().revision,
-              view: this.core.members(),
-              words: this.words(),
-            }
-          : // Why name the members: who was led to a keeper that only stands by finds the others through it.
-            { kind: 'noVote', led: this.standing.ledMembers().map(({ address }) => address) };
+        return this.wordsFor(message);
       case 'body':
         return this.body(message);
       case 'ballots':
@@ -446,6 +435,27 @@
     }
   }
 
+  private wordsFor(message: Message): Message {
+    // Why here: agents read several times a second, so an operator who asks finds them all.
+    this.hearAsker(message['own']);
+    // Why silent without a voice: an answer of a keeper still catching up could hide what was taken.
+    if (!this.core.votes() || (message['fleet'] !== '' && message['fleet'] !== this.core.state.fleet))
+      // Why name the members: who was led to a keeper that only stands by finds the others through it.
+      return { kind: 'noVote', led: this.standing.ledMembers().map(({ address }) => address) };
+    const answer = {
+      kind: 'words',
+      stamp: this.core.stamp(),
+      membersRevision: this.core.members().revision,
+      view: this.core.members(),
+      words: this.words(),
+    };
+    // Why without the ages: they go on by themselves, and the asker counts them on.
+    const known = Digests.of(
+      JSON.stringify(answer, (field, value: unknown) => (field === 'ageMicroseconds' ? value === null : value)),
+    );
+    return message['known'] === known ? { kind: 'wordsSame', known } : { ...answer, known };
+  }
+
   private ownership(key: DocumentKey): Ownership {
     const ownership = this.ownerships.get(key);
     if (ownership === undefined) throw new Error(`no such key ${String(key)}`);
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -1,14 +1,19 @@
 import type { CoreMember, DocumentKey } from '../../shared/blueprint/types';
 import type { Effects } from '../../shared/effects/effects';
+import type { Message } from '../../shared/effects/transport/transport';
 import type { Freshness } from '../../shared/freshness/freshness';
 import { Statements } from '../../shared/freshness/freshness';
 import { FleetVotes, type FleetName } from '../../shared/fleet/fleetName';
 import { Logs, type Log } from '../../shared/log/log';
+import { KeptWords } from './keptWords';
 import { MajorityReads, type WordsAnswer } from './majorityRead';
 
 /** What one address said: the fleet it leads to, and a keeper's words. */
 type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined; led: readonly string[] }>;
 
+/** Starting value, ours: with how many readings of the keepers one also says who one is. */
+const ownWordEvery = 10;
+
 /** Most addresses that one keeper without a voice may name. */
 const mostLed = 16;
 
@@ -28,6 +33,8 @@
   private readonly notice = Logs.part('agent:notice');
   private view: WordsAnswer['view'] | undefined;
   private led: readonly string[] = [];
+  private readonly kept = new KeptWords();
+  private reading = 0;
 
   public constructor(
     private readonly effects: Effects,
@@ -53,7 +60,9 @@
   public async read(): Promise<void> {
     const asked = this.effects.clock.nowMicroseconds();
     const addresses = this.addresses();
+    this.kept.only(addresses);
     const said = await Promise.all(addresses.map((address) => this.words(address)));
+    this.reading += 1;
     // Why only until a list is known: keepers that stand by lead to the members, and no further.
     if (this.view === undefined) this.led = said.flatMap(({ led }) => led);
     if (this.fleetName.name === '') this.chooseFleet(said.filter((_, index) => this.isSeed(addresses[index] ?? '')));
@@ -99,17 +108,28 @@
   }
 
   private async words(address: string): Promise<Said> {
+    // Why the own word only now and then: it is for operators and newcomers, and hardly ever changes.
+    const own = this.reading % ownWordEvery === 0 ? { own: this.own() } : {};
     const answer = await this.effects.transport.ask(
       address,
-      { kind: 'words', own: this.own() },
+      { kind: 'words', ...own, known: this.kept.known(address) },
       this.settings.askMicroseconds,
     );
     if (answer.kind !== 'answered') return { fleet: '', words: undefined, led: [] };
     const { message } = answer;
-    const words = message.kind === 'words' ? (message as unknown as WordsAnswer) : undefined;
+    const words = this.wordsIn(address, message);
     return { fleet: words?.stamp.fleet ?? String(message['fleet'] ?? ''), words, led: addressesIn(message['led']) };
   }
 
+  private wordsIn(address: string, message: Message): WordsAnswer | undefined {
+    const now = this.effects.clock.nowMicroseconds();
+    if (message.kind === 'wordsSame') return this.kept.again(address, message['known'], now);
+    if (message.kind !== 'words') return undefined;
+    const words = message as unknown as WordsAnswer;
+    this.kept.keep(address, words, message['known'], now);
+    return words;
+  }
+
   private async fetchBodies(): Promise<void> {
     for (const wanted of this.freshness.wanted().filter(({ key }) => this.reads(key))) {
       for (const address of this.addresses()) {
