Long documents travel packed and in parts that let short answers through

Cause: a grown fleet has thin links (7 Mbit/s) and documents of 400 to 900 KB; a body took longer than the limit of its ask, and any short ask that waited behind it closed the conn.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -6,6 +6,7 @@
 import type { Effects } from '../shared/effects/effects';
 import { FleetTransport } from '../shared/fleet/fleetTransport';
 import type { Answer, Listener, Message } from '../shared/effects/transport/transport';
+import { BodyPacker } from '../shared/freshness/bodies';
 import { Logs, type Log } from '../shared/log/log';
 import { FactLimits, Facts, type Fact } from '../shared/news/facts';
 import { Rendezvous } from '../shared/rendezvous/rendezvous';
@@ -87,6 +88,7 @@
   private readonly decided = new Map<DocumentKey, OwnerWord>();
   private readonly ages: WeightsAges;
   private readonly watch: MemberWatch;
+  private readonly packer = new BodyPacker();
   private readonly telling = new Set<string>();
   private takingIn = false;
   private readonly tickers: readonly Ticker[];
@@ -609,10 +611,12 @@
       return { kind: 'noBody' };
     return {
       kind: 'body',
-      key,
-      revision: accepted.entry.revision,
-      digest: accepted.entry.digest,
-      text: accepted.entry.text,
+      ...this.packer.sent({
+        key,
+        revision: accepted.entry.revision,
+        digest: accepted.entry.digest,
+        text: accepted.entry.text,
+      }),
       fleet: this.core.state.fleet,
     };
   }
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -14,6 +14,9 @@
 /** Starting value, ours: with how many readings of the keepers one also says who one is. */
 const ownWordEvery = 10;
 
+/** Starting value, ours: how much longer than for its words a keeper may take for a whole document. */
+const bodyPatience = 5;
+
 /** Most addresses that one keeper without a voice may name. */
 const mostLed = 16;
 
@@ -23,6 +26,10 @@
 export type CoreLinkSettings = Readonly<{
   seeds: readonly string[];
   askMicroseconds: number;
+  /** What colleagues have read not longer ago than this need not be read again; 0: each reads for itself. */
+  sharedReadMicroseconds: number;
+  /** At the latest after this it is read all the same. */
+  ownReadMicroseconds: number;
   /** Whether the keepers are where the list of engines comes from. */
   readsEngines: boolean;
 }>;
@@ -30,6 +37,7 @@
 /** The agent's link to the core: a majority read several times a second, and the bodies it finds to be missing. */
 export class CoreLink {
   private toldApart = false;
+  private readMicroseconds = -Infinity;
   private readonly notice = Logs.part('agent:notice');
   private view: WordsAnswer['view'] | undefined;
   private led: readonly string[] = [];
@@ -59,6 +67,12 @@
 
   public async read(): Promise<void> {
     const asked = this.effects.clock.nowMicroseconds();
+    // Why: a statement tells its age, whoever read it; so a few reads serve all, and the youngest spread by themselves.
+    if (
+      this.freshness.ageMicroseconds('blueprint') < this.settings.sharedReadMicroseconds &&
+      asked - this.readMicroseconds < this.settings.ownReadMicroseconds
+    )
+      return;
     const addresses = this.addresses();
     this.kept.only(addresses);
     const said = await Promise.all(addresses.map((address) => this.words(address)));
@@ -73,6 +87,7 @@
     const read = MajorityReads.judge([...byKeeper.values()], this.fleetName.name, (key) => this.freshness.applied(key));
     if (read.view !== undefined && (this.view === undefined || read.view.revision >= this.view.revision))
       this.view = read.view;
+    if (read.statements.length > 0) this.readMicroseconds = asked;
     const now = this.effects.clock.nowMicroseconds();
     for (const statement of read.statements.filter(({ key }) => this.reads(key)))
       this.freshness.hear({ ...statement, ageMicroseconds: now - asked }, now);
@@ -136,7 +151,8 @@
         const answer = await this.effects.transport.ask(
           address,
           { kind: 'body', key: wanted.key, digest: wanted.digest },
-          this.settings.askMicroseconds,
+          // Why longer: a long document over a thin link takes its time, and asking anew only makes it later.
+          this.settings.askMicroseconds * bodyPatience,
         );
         // Why compare the digest only: a keeper may hold the same text under a revision of its own view.
         if (
--- a/source/shared/effects/transport/tcpTransport.ts
+++ b/source/shared/effects/transport/tcpTransport.ts
@@ -18,6 +18,7 @@
 class AskingConn {
   private readonly open = new Map<number, Open>();
   private nextNumber = 1;
+  private heardMicroseconds = -Infinity;
   private readonly socket: net.Socket;
   public closed = false;
 
@@ -30,6 +31,7 @@
     this.socket = net.connect({ host, port, noDelay: true });
     const reader = new FrameReader();
     this.socket.on('data', (chunk: Buffer) => {
+      this.heardMicroseconds = this.clock.nowMicroseconds();
       try {
         for (const whole of reader.read(chunk)) this.answered(whole.number, whole.bytes);
       } catch {
@@ -51,10 +53,12 @@
         this.open.delete(number);
         resolve(answer);
       };
+      const askedMicroseconds = this.clock.nowMicroseconds();
       const cancel = this.clock.after(limitMicroseconds, () => {
         settle({ kind: 'silent', reason: 'limit passed' });
-        // Why close: a frozen side or a cut link leaves a conn that looks open; the next ask dials anew.
-        this.close('limit passed');
+        // Why close: a frozen side or a cut link leaves a conn that looks open; the next ask dials anew. Why not when
+        // something came since: the conn lives, and a long answer is on its way to another ask.
+        if (this.heardMicroseconds < askedMicroseconds) this.close('limit passed');
       });
       this.open.set(number, { settle, cancel });
       for (const part of Framing.split('ask', number, pack(message))) this.socket.write(part);
@@ -134,6 +138,17 @@
   };
 }
 
+const drained = (socket: net.Socket): Promise<void> =>
+  new Promise((resolve) => {
+    const over = (): void => {
+      socket.off('drain', over);
+      socket.off('close', over);
+      resolve();
+    };
+    socket.on('drain', over);
+    socket.on('close', over);
+  });
+
 const serve = (socket: net.Socket, handler: Handler): void => {
   const reader = new FrameReader();
   let open = 0;
@@ -145,7 +160,9 @@
       const message: unknown = unpack(bytes);
       if (!Messages.is(message)) throw new Error('not a message');
       const answer = await handler(message);
-      if (!socket.destroyed) for (const part of Framing.split('answer', number, pack(answer))) socket.write(part);
+      // Why wait between parts: a short answer must get through while a long one fills a thin link.
+      for (const part of Framing.split('answer', number, pack(answer)))
+        if (!socket.destroyed && !socket.write(part)) await drained(socket);
     } catch {
       socket.destroy();
     } finally {
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -4,6 +4,9 @@
 import type { Blueprint, CoreMembers, DocumentKey, EngineList } from '../blueprint/types';
 import { isDocumentKey } from '../blueprint/types';
 import type { Clock } from '../effects/clock/clock';
+import { Bodies, BodyPacker, type Body, type SentBody } from './bodies';
+
+export type { Body, SentBody } from './bodies';
 
 export type WeightsSince = Readonly<{ weights: string; previous: string | null; sinceMicroseconds: number | null }>;
 
@@ -18,8 +21,6 @@
   >;
 }>;
 
-export type Body = Readonly<{ key: DocumentKey; revision: number; digest: string; text: string }>;
-
 type Confirmed = Readonly<{ revision: number; digest: string; asOfMicroseconds: number }>;
 type Applied<Value> = Readonly<{
   revision: number;
@@ -48,17 +49,7 @@
         typeof statement.weights === 'object'
       );
     }),
-  isBody: (value: unknown): value is Body => {
-    const body = value as Partial<Body> | null;
-    return (
-      typeof body === 'object' &&
-      body !== null &&
-      isDocumentKey(body.key) &&
-      Number.isSafeInteger(body.revision) &&
-      typeof body.digest === 'string' &&
-      typeof body.text === 'string'
-    );
-  },
+  isBody: Bodies.is,
 } as const;
 
 /** What one daemon applies of one key, and how long ago that was known to be current. Never goes back. */
@@ -90,18 +81,20 @@
   }
 
   /** A body counts only when its revision is known to be decided. */
-  public give(body: Body): boolean {
+  public give(body: SentBody): boolean {
     const wanted = this.wanted;
     if (wanted === undefined || body.revision !== wanted.revision || body.digest !== wanted.digest) return false;
-    if (createHash('sha256').update(body.text).digest('hex').slice(0, 32) !== wanted.digest) return false;
+    const text = Bodies.text(body);
+    if (text === undefined) return false;
+    if (createHash('sha256').update(text).digest('hex').slice(0, 32) !== wanted.digest) return false;
     // Why trusted: the digest is that of a text which keepers have checked and taken.
     const checked: Checked<DocumentValue> =
-      this.key === 'blueprint' ? this.dialect.trusted(body.text) : Blueprints.checkText(this.key, body.text);
+      this.key === 'blueprint' ? this.dialect.trusted(text) : Blueprints.checkText(this.key, text);
     if (checked.kind === 'faulty') return false;
     this.applied = {
       revision: wanted.revision,
       digest: wanted.digest,
-      text: body.text,
+      text,
       value: checked.value,
       asOfMicroseconds: wanted.asOfMicroseconds,
     };
@@ -118,6 +111,7 @@
   private readonly keys: Readonly<Record<DocumentKey, KeyFreshness>>;
   private since: Readonly<Record<string, WeightsSince>> = {};
   private sinceRevision = -1;
+  private readonly packer = new BodyPacker();
 
   public constructor(
     private readonly clock: Clock,
@@ -153,6 +147,12 @@
       : { key, revision: applied.revision, digest: applied.digest, text: applied.text };
   }
 
+  /** What is applied, as it travels to others. */
+  public sent(key: DocumentKey): SentBody | undefined {
+    const body = this.applied(key);
+    return body === undefined ? undefined : this.packer.sent(body);
+  }
+
   /** How long ago the applied blueprint and engine list were both known to be current. */
   public ageMicroseconds(): number {
     return Math.max(this.keys.blueprint.ageMicroseconds(), this.keys.engines.ageMicroseconds());
@@ -191,7 +191,7 @@
     this.since = same ? { ...this.since, ...next } : next;
   }
 
-  public give(body: Body): boolean {
+  public give(body: SentBody): boolean {
     return this.keys[body.key].give(body);
   }
 
