Clocks go by the monotonic time where the boot clock tells another world's

Ruled out: keepers' ages, statements without weights, revisions going back (logged: since and previous were right).

--- a/source/edge-agent/agentProgram.ts
+++ b/source/edge-agent/agentProgram.ts
@@ -1,5 +1,6 @@
 import type { BackEndDoor } from '../shared/back-end/protocol';
 import type { Dialect } from '../shared/blueprint/dialect';
+import type { Clock } from '../shared/effects/clock/clock';
 import { realClock } from '../shared/effects/clock/realClock';
 import { realRandom } from '../shared/effects/random/random';
 import { TcpTransport } from '../shared/effects/transport/tcpTransport';
@@ -11,6 +12,8 @@
 type Closable = Readonly<{ close: () => Promise<void> | void }>;
 
 export type AgentParts = Readonly<{
+  /** Missing: one that counts suspension. */
+  clock?: Clock;
   settings: AgentSettings;
   door: BackEndDoor & Closable;
   lister?: EngineLister & Closable;
@@ -27,14 +30,9 @@
   /** One agent on a real machine, from its start to its planned stop; the protocols it speaks are given to it. */
   start: async (parts: AgentParts): Promise<void> => {
     const { settings, door, lister } = parts;
-    const transport = new TcpTransport(realClock);
-    const agent = new EdgeAgent(
-      { clock: realClock, random: realRandom, transport },
-      door,
-      settings,
-      lister,
-      parts.dialect,
-    );
+    const { clock = realClock } = parts;
+    const transport = new TcpTransport(clock);
+    const agent = new EdgeAgent({ clock, random: realRandom, transport }, door, settings, lister, parts.dialect);
     const address = await agent.start();
     const pages = await parts.openPages?.(agent);
     Logs.part('agent:notice')(`Agent ${settings.name} listens on ${address}.`);
--- a/source/edge-proxy/proxyProgram.ts
+++ b/source/edge-proxy/proxyProgram.ts
@@ -1,6 +1,7 @@
 import { ConnShares } from '../shared/back-end/keptConns/connShares';
 import { KeptConnSender, type ConnBound } from '../shared/back-end/keptConns/keptConnSender';
 import type { BackEndSender } from '../shared/back-end/protocol';
+import type { Clock } from '../shared/effects/clock/clock';
 import { realClock } from '../shared/effects/clock/realClock';
 import { realRandom } from '../shared/effects/random/random';
 import { TcpTransport } from '../shared/effects/transport/tcpTransport';
@@ -14,6 +15,8 @@
 import { EdgeProxy, type ProxySettings, type ProxyWords } from './edgeProxy';
 
 export type ProxyParts = Readonly<{
+  /** Missing: one that counts suspension. */
+  clock?: Clock;
   settings: ProxySettings;
   address: string;
   limits: HttpLimits;
@@ -59,7 +62,8 @@
   /** One proxy on a real machine, from its start to its planned stop; the protocols it speaks are given to it. */
   start: async (parts: ProxyParts): Promise<void> => {
     const { settings, words } = parts;
-    const transport = new TcpTransport(realClock);
+    const { clock = realClock } = parts;
+    const transport = new TcpTransport(clock);
     const shares = new ConnShares(
       () => proxy.freshness.engines,
       () => proxy.freshness.blueprint,
@@ -67,13 +71,13 @@
     );
     const sender = parts.makeSender(shares.of);
     const proxy: EdgeProxy = new EdgeProxy(
-      { clock: realClock, random: realRandom, transport },
+      { clock, random: realRandom, transport },
       sender,
       settings,
       ...(words === undefined ? [] : [words]),
     );
     let stopping = false;
-    const door = await CallersDoor.open(proxy, parts.address, parts.limits, parts.bodyBytes, realClock, realRandom, {
+    const door = await CallersDoor.open(proxy, parts.address, parts.limits, parts.bodyBytes, clock, realRandom, {
       words: parts.callers ?? ChatCallerWords,
       limits: () => proxy.freshness.blueprint?.limits,
     });
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -370,6 +370,7 @@
 
   /** A failure after bytes may have left: only a resumable order whose answer has not begun is sent again. */
   private broken(refusal: Refusal): void {
+    this.parts.log(`An answer of ${this.placed.engine} broke off: ${refusal.text}`);
     if (!this.attested) this.parts.tell(this.fetch.abandoned);
     if (this.context.answer.begun() && !this.mayGoOnAfter()) {
       this.parts.metrics.count('postdrum_answers_total', { service: this.resolved.mapping.service, end: 'cut' });
@@ -381,6 +382,7 @@
 
   private abandon(refusal: Refusal): void {
     if (!this.step({ kind: 'cut' })) return;
+    this.parts.log(`A send to ${this.placed.engine} is given up: ${refusal.code}.`);
     if (!this.attested) this.parts.tell(this.fetch.abandoned);
     this.cutSend();
     this.finish({ kind: 'refuse', refusal });
--- a/source/shared/effects/clock/realClock.ts
+++ b/source/shared/effects/clock/realClock.ts
@@ -20,11 +20,15 @@
 const steadyMicroseconds = (): number => Number(process.hrtime.bigint() / 1000n);
 const elapsed = new ElapsedTime({ monotonicMicroseconds: steadyMicroseconds, bootMicroseconds });
 
-export const realClock: Clock = {
-  nowMicroseconds: elapsed.nowMicroseconds,
-  steadyMicroseconds,
-  after: (delayMicroseconds, act) => {
-    const timer = setTimeout(act, Math.max(0, Math.ceil(delayMicroseconds / 1000)));
-    return () => clearTimeout(timer);
-  },
+const after: Clock['after'] = (delayMicroseconds, act) => {
+  const timer = setTimeout(act, Math.max(0, Math.ceil(delayMicroseconds / 1000)));
+  return () => clearTimeout(timer);
 };
+
+export const realClock: Clock = { nowMicroseconds: elapsed.nowMicroseconds, steadyMicroseconds, after };
+
+/**
+ * For machines whose monotonic clock keeps running whatever happens to them. Why at all: where the boot clock tells
+ * the time of another machine than this one, it runs ahead, and all ages and leases with it.
+ */
+export const steadyClock: Clock = { nowMicroseconds: steadyMicroseconds, steadyMicroseconds, after };
