News by sums of kinds, reads of the core shared among agents, the list read alone when nobody has the duty

After a loss of all power the list was known only when keepers voted on duties again (2.5 s lease); an agent that knows none now reads it alone after 0.2 to 0.4 s. Ruled out: letting a restarted keeper vote at once for the former holder (a keeper that rejoined by frames could give a duty twice).

--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -43,6 +43,7 @@
   private led: readonly string[] = [];
   private readonly kept = new KeptWords();
   private reading = 0;
+  private fetching = false;
 
   public constructor(
     private readonly effects: Effects,
@@ -69,7 +70,7 @@
     const asked = this.effects.clock.nowMicroseconds();
     // Why: a statement tells its age, whoever read it; so a few reads serve all, and the youngest spread by themselves.
     if (
-      this.freshness.ageMicroseconds('blueprint') < this.settings.sharedReadMicroseconds &&
+      this.freshness.ageOf('blueprint') < this.settings.sharedReadMicroseconds &&
       asked - this.readMicroseconds < this.settings.ownReadMicroseconds
     )
       return;
@@ -91,7 +92,9 @@
     const now = this.effects.clock.nowMicroseconds();
     for (const statement of read.statements.filter(({ key }) => this.reads(key)))
       this.freshness.hear({ ...statement, ageMicroseconds: now - asked }, now);
-    await this.fetchBodies();
+    // Why only those that just answered: one that is gone would cost the whole patience. Why not waited for: the age of
+    // what is applied goes on meanwhile, and readings keep it young.
+    void this.fetchBodies(addresses.filter((_, index) => said[index]?.words !== undefined));
   }
 
   private reads(key: DocumentKey): boolean {
@@ -145,9 +148,19 @@
     return words;
   }
 
-  private async fetchBodies(): Promise<void> {
+  private async fetchBodies(addresses: readonly string[]): Promise<void> {
+    if (this.fetching) return;
+    this.fetching = true;
+    try {
+      await this.fetchFrom(addresses);
+    } finally {
+      this.fetching = false;
+    }
+  }
+
+  private async fetchFrom(addresses: readonly string[]): Promise<void> {
     for (const wanted of this.freshness.wanted().filter(({ key }) => this.reads(key))) {
-      for (const address of this.addresses()) {
+      for (const address of addresses) {
         const answer = await this.effects.transport.ask(
           address,
           { kind: 'body', key: wanted.key, digest: wanted.digest },
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -37,8 +37,13 @@
   listenAddress: string;
   readMicroseconds: number;
   readAskMicroseconds: number;
+  /** What colleagues read so lately is not read again from the core; 0: each reads for itself. */
+  sharedReadMicroseconds: number;
+  ownReadMicroseconds: number;
   newsMicroseconds: number;
   newsAskMicroseconds: number;
+  /** Of so many exchanges one goes to a colleague in any zone, the others stay in the own one. */
+  farEvery: number;
   tendMicroseconds: number;
   tendAskMicroseconds: number;
   ballotMicroseconds: number;
@@ -51,6 +56,8 @@
   rankMicroseconds: number;
   settleMicroseconds: number;
   giveBackMicroseconds: number;
+  /** How often the holder of a duty says that it goes on; 0: at each ballot. */
+  heartbeatMicroseconds: number;
   /** `kept`: the operators keep the list of engines at the keepers. `listed`: something outside keeps it, and it is read. */
   engineList: 'kept' | 'listed';
   listMicroseconds: number;
@@ -70,8 +77,11 @@
   listenAddress: '',
   readMicroseconds: 200_000,
   readAskMicroseconds: 300_000,
+  sharedReadMicroseconds: 0,
+  ownReadMicroseconds: 1_000_000,
   newsMicroseconds: 120_000,
   newsAskMicroseconds: 400_000,
+  farEvery: 1,
   tendMicroseconds: 150_000,
   tendAskMicroseconds: 1_000_000,
   ballotMicroseconds: 400_000,
@@ -84,6 +94,7 @@
   rankMicroseconds: 250_000,
   settleMicroseconds: 1_200_000,
   giveBackMicroseconds: 10_000_000,
+  heartbeatMicroseconds: 0,
   engineList: 'kept',
   listMicroseconds: 500_000,
   listAskMicroseconds: EngineListDefaults.askMicroseconds,
@@ -131,7 +142,7 @@
     const effects = { ...given, transport: new FleetTransport(given.transport, () => this.fleet.name) };
     this.effects = effects;
     this.log = Logs.part(`agent:${settings.name}`);
-    this.freshness = new Freshness(clock, dialect);
+    this.freshness = new Freshness(clock, dialect, settings.engineList);
     this.pulses = new Pulses(clock);
     this.link = new CoreLink(
       effects,
@@ -140,6 +151,8 @@
       {
         seeds: settings.seeds,
         askMicroseconds: settings.readAskMicroseconds,
+        sharedReadMicroseconds: settings.sharedReadMicroseconds,
+        ownReadMicroseconds: settings.ownReadMicroseconds,
         readsEngines: settings.engineList === 'kept',
       },
       () => this.facts.get(FactKeys.member(settings.name)) ?? null,
@@ -163,7 +176,6 @@
         pulses: this.pulses,
       },
       effects,
-      FactKeys.member(settings.name),
     );
     this.duties = new DutyHolder(settings.name, this.link, effects, {
       leaseMicroseconds: settings.leaseMicroseconds,
@@ -203,7 +215,9 @@
             this.freshness,
             () => this.stewardship.listTerm(),
             clock,
+            random,
             { ...EngineListDefaults, askMicroseconds: settings.listAskMicroseconds },
+            () => this.membership.present().length,
             this.log,
           );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
@@ -213,9 +227,14 @@
       [settings.newsMicroseconds * 2, () => this.watch()],
       [settings.ballotMicroseconds, () => this.stewardship.ballot()],
       [settings.tendMicroseconds, () => this.stewardship.tend()],
-      ...(engineList === undefined ? [] : [[settings.listMicroseconds, () => engineList.read()] as const]),
     ];
-    this.tickers = tickers.map(([pause, work]) => new Ticker(clock, () => pause, work, failed));
+    // Why often where the duty is another's: it only looks whether there is a list.
+    const listPause = (): number =>
+      this.stewardship.listTerm() === undefined ? settings.tendMicroseconds : settings.listMicroseconds;
+    this.tickers = [
+      ...tickers.map(([pause, work]) => new Ticker(clock, () => pause, work, failed)),
+      ...(engineList === undefined ? [] : [new Ticker(clock, listPause, () => engineList.read(), failed)]),
+    ];
   }
 
   public async start(): Promise<string> {
@@ -265,11 +284,17 @@
     // Why seeds too: until a colleague is known, and now and then after, so that two halves find each other again.
     const useSeed = colleagues.length === 0 || this.turn % 25 === 24;
     const others = this.settings.seeds.filter((seed) => seed !== this.settings.address);
+    // Why seldom far: links between zones are long and paid for, and one exchange brings what the whole other zone has.
+    const isFar = this.turn % this.settings.farEvery === 0;
+    const neighbours = isFar ? [] : this.membership.neighbours();
+    const partners = neighbours.length > 0 ? neighbours : colleagues;
     const address = useSeed
       ? others[Math.floor(this.turn / 25 + this.turn) % Math.max(1, others.length)]
-      : colleagues[this.turn % colleagues.length]?.address;
+      : partners[Math.floor(this.turn / (isFar ? this.settings.farEvery : 1)) % partners.length]?.address;
     this.turn += 1;
-    if (address !== undefined) await this.exchange.ask(address, this.settings.newsAskMicroseconds);
+    // Why the own entry in full: a keeper asked as a seed keeps no versions, and names the askers to each other.
+    const extra = useSeed ? { own: this.facts.get(FactKeys.member(this.settings.name)) ?? null } : {};
+    if (address !== undefined) await this.exchange.ask(address, this.settings.newsAskMicroseconds, extra);
   }
 
   /** Looks after those it is a watcher of; before anybody is suspected another daemon has tried too. */
--- a/source/edge-agent/engine-list/engineListKeeper.ts
+++ b/source/edge-agent/engine-list/engineListKeeper.ts
@@ -2,14 +2,33 @@
 import { Blueprints } from '../../shared/blueprint/check';
 import type { Engine, EngineList } from '../../shared/blueprint/types';
 import type { Clock } from '../../shared/effects/clock/clock';
+import type { Random } from '../../shared/effects/random/random';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { Log } from '../../shared/log/log';
 import type { EngineLister, ListedEngine } from './engineLister';
 
-export type EngineListSettings = Readonly<{ askMicroseconds: number; mostPages: number; emptyReads: number }>;
+export type EngineListSettings = Readonly<{
+  askMicroseconds: number;
+  mostPages: number;
+  /** Reads in a row that must say that there are no engines at all. */
+  emptyReads: number;
+  /** Who knows no list so long after its start reads it alone. */
+  lonelyMicroseconds: number;
+  /** Who knows a list that nobody has read for so long reads it alone too. */
+  staleMicroseconds: number;
+}>;
 
-/** Starting values, ours: pages of one list, and reads in a row that must say that there are no engines at all. */
-export const EngineListDefaults = { askMicroseconds: 1_000_000, mostPages: 64, emptyReads: 3 } as const;
+/** Starting values, ours. */
+export const EngineListDefaults = {
+  askMicroseconds: 1_000_000,
+  mostPages: 64,
+  emptyReads: 3,
+  lonelyMicroseconds: 200_000,
+  staleMicroseconds: 3_000_000,
+} as const;
+
+/** Starting value, ours: so many calls a second all that read alone make together, about. */
+const callsAlonePerSecond = 5;
 
 /** Revisions of one term; a later term's are all higher, so no daemon goes back when the duty changes hands. */
 const revisionsPerTerm = 2 ** 20;
@@ -25,6 +44,7 @@
   /** Engines that the last read did not bring. */
   private missed = new Set<string>();
   private reads = 0;
+  private aloneFrom: number;
 
   public constructor(
     private readonly lister: EngineLister,
@@ -32,18 +52,23 @@
     /** The term under which the duty is held at this very moment. */
     private readonly held: () => number | undefined,
     private readonly clock: Clock,
+    private readonly random: Random,
     private readonly settings: EngineListSettings,
+    /** How many agents there are, as far as known. */
+    private readonly agents: () => number,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.aloneFrom = clock.nowMicroseconds() + Math.floor(settings.lonelyMicroseconds * (1 + random.fraction()));
+  }
 
   /** One read of the whole list. What is no sound answer says nothing: the list before goes on, and gets older. */
   public async read(): Promise<void> {
     const term = this.held();
-    if (term === undefined) return;
+    if (term === undefined && !this.readsAlone()) return;
     const asked = this.clock.nowMicroseconds();
-    const pages = await this.pages();
+    const pages = await this.pages(term);
     // Why look again: another may hold the duty by now, and one author speaks at a time.
-    if (pages === undefined || this.held() !== term) return;
+    if (pages === undefined || this.held() !== term || (term === undefined && !this.isStale())) return;
     const listed = pages.flatMap(({ engines }) => engines);
     if (!this.believes(listed)) return;
     this.reads += 1;
@@ -52,16 +77,34 @@
       this.log('The list of engines makes no sense and is let be.');
       return;
     }
-    this.say(term, text, asked);
+    this.publish(term === undefined ? this.revisionAlone(text) : this.revisionOf(term, text), text, asked);
+  }
+
+  /**
+   * While nobody has the duty, as when the core is away or all have just started, each agent reads for itself, seldom and
+   * by chance. Why at all: without a list nothing is served, and reading it changes nothing that another relies on.
+   */
+  private readsAlone(): boolean {
+    const now = this.clock.nowMicroseconds();
+    if (now < this.aloneFrom || !this.isStale()) return false;
+    const pause = ((1 + this.random.fraction()) * this.agents() * 1_000_000) / callsAlonePerSecond;
+    this.aloneFrom = now + Math.max(1_000_000, Math.floor(pause));
+    return true;
+  }
+
+  private isStale(): boolean {
+    return this.freshness.ageOf('engines') >= this.settings.staleMicroseconds;
   }
 
-  private async pages(): Promise<readonly Readonly<{ engines: readonly ListedEngine[] }>[] | undefined> {
+  private async pages(
+    term: number | undefined,
+  ): Promise<readonly Readonly<{ engines: readonly ListedEngine[] }>[] | undefined> {
     const pages: Readonly<{ engines: readonly ListedEngine[] }>[] = [];
     let from: string | undefined;
     for (;;) {
       const page = await this.lister.page(from, this.settings.askMicroseconds);
       // Why nothing from a part: engines on the pages that did not come would look as if they were gone.
-      if (page === undefined || this.held() === undefined) return undefined;
+      if (page === undefined || this.held() !== term) return undefined;
       pages.push(page);
       if (page.next === undefined) return pages;
       if (page.next === from || pages.length >= this.settings.mostPages) return undefined;
@@ -104,15 +147,24 @@
     this.missed = missed;
   }
 
-  private say(term: number, text: string, asked: number): void {
-    const now = this.clock.nowMicroseconds();
+  private revisionOf(term: number, text: string): number {
     // Why anew under each term: a holder before may have said something that did not get here.
     if (term !== this.term) [this.term, this.sequence, this.text] = [term, 0, ''];
     if (text !== this.text) {
       this.sequence += 1;
       this.text = text;
     }
-    const revision = term * revisionsPerTerm + this.sequence;
+    return term * revisionsPerTerm + this.sequence;
+  }
+
+  /** Why just above what is known: whoever gets the duty goes before it with its term. */
+  private revisionAlone(text: string): number {
+    const applied = this.freshness.applied('engines');
+    return applied === undefined ? 1 : applied.text === text ? applied.revision : applied.revision + 1;
+  }
+
+  private publish(revision: number, text: string, asked: number): void {
+    const now = this.clock.nowMicroseconds();
     const digest = createHash('sha256').update(text).digest('hex').slice(0, 32);
     this.freshness.hear({ key: 'engines', revision, digest, ageMicroseconds: now - asked, weights: {} }, now);
     if (this.freshness.revision('engines') === revision) return;
--- a/source/edge-agent/membership/membership.ts
+++ b/source/edge-agent/membership/membership.ts
@@ -70,6 +70,18 @@
     );
   }
 
+  /** As many again within its own zone: what is said there crosses no link between zones. */
+  public neighbours(): readonly MemberFact[] {
+    const near = this.present().filter(({ zone }) => zone === this.self.zone);
+    return this.named(
+      Rendezvous.colleagues(
+        this.self.name,
+        near.map(({ name }) => name),
+        this.settings.colleagues,
+      ),
+    );
+  }
+
   /** Those for whom this daemon is one of the watchers; each daemon is watched by the same number of others. */
   public watched(): readonly MemberFact[] {
     const names = this.present().map(({ name }) => name);
--- a/source/edge-agent/stewards/dutyHolder.ts
+++ b/source/edge-agent/stewards/dutyHolder.ts
@@ -91,9 +91,16 @@
 
   /** A round of ballots for each duty named, renewals and new ones together; one message a keeper. */
   public async ballot(wanted: readonly string[]): Promise<void> {
+    const outdated = await this.round(wanted);
+    // Why at once: who has just started knows no terms, and has learned them by now.
+    if (outdated.length > 0) await this.round(outdated);
+  }
+
+  /** Returns the duties whose ballots were refused for their low term alone. */
+  private async round(wanted: readonly string[]): Promise<readonly string[]> {
     const asked = this.effects.clock.nowMicroseconds();
     const duties = wanted.filter((duty) => this.term(duty) !== undefined || asked >= (this.notBefore.get(duty) ?? 0));
-    if (duties.length === 0) return;
+    if (duties.length === 0) return [];
     const ballots = duties.map((duty) => {
       const held = this.term(duty);
       const term = held ?? (this.highestTerms.get(duty) ?? 0) + 1;
@@ -101,6 +108,7 @@
       return { duty, candidate: this.self, term, leaseMicroseconds: this.settings.leaseMicroseconds };
     });
     const votes = new Map<string, string[]>();
+    const outdated = new Set<string>();
     const keepers = Object.entries(this.link.keepers());
     await Promise.all(
       keepers.map(async ([keeper, { address }]) => {
@@ -112,11 +120,13 @@
         if (answer.kind !== 'answered' || answer.message.kind !== 'ballots') return;
         for (const vote of answer.message['answers'] as readonly BallotAnswer[]) {
           this.sawTerm(vote.duty, vote.term);
+          if (!vote.granted && vote.waitMicroseconds === 0) outdated.add(vote.duty);
           if (vote.granted) votes.set(vote.duty, [...(votes.get(vote.duty) ?? []), keeper]);
         }
       }),
     );
     const missed: typeof ballots = [];
+    const again: string[] = [];
     for (const ballot of ballots) {
       const { duty, term } = ballot;
       if (this.givenBack.get(duty) === term) continue;
@@ -130,6 +140,11 @@
       else if (this.term(duty) === undefined) {
         this.step(duty, { kind: 'ended' });
         missed.push(ballot);
+        // Why not for those that were granted somewhere: a split vote is ended by chance, not in haste.
+        if (outdated.has(duty) && (votes.get(duty) ?? []).length === 0) {
+          again.push(duty);
+          continue;
+        }
         // Why by chance: candidates that split the votes once would split them again in step.
         this.notBefore.set(
           duty,
@@ -139,6 +154,7 @@
       } else this.notBefore.delete(duty);
     }
     if (missed.length > 0) await this.withdraw(missed);
+    return again;
   }
 
   private async withdraw(
--- a/source/edge-agent/stewards/dutyLine.ts
+++ b/source/edge-agent/stewards/dutyLine.ts
@@ -19,6 +19,8 @@
   rankMicroseconds: number;
   settleMicroseconds: number;
   giveBackMicroseconds: number;
+  /** How often a holder that goes on says so; 0: at each ballot. */
+  heartbeatMicroseconds: number;
 }>;
 
 /** Who is next in line for a duty: when to stand for one that seems vacant, when to hand one over. */
@@ -27,6 +29,7 @@
   private readonly misplacedSince = new Map<string, number>();
   private readonly heartbeats = new Map<string, Readonly<{ mark: string; atMicroseconds: number }>>();
   private readonly startedMicroseconds: number;
+  private readonly said = new Map<string, number>();
   private minor = 0;
 
   public constructor(
@@ -44,7 +47,17 @@
     return this.facts.value<StewardFact>(subject.factKey);
   }
 
+  /** What goes on is said again only so often: others need it to see that the holder is there, and no more. */
+  public saySometimes(subject: DutySubject, term: number, holder: string): void {
+    const now = this.clock.nowMicroseconds();
+    const known = this.facts.value<StewardFact>(subject.factKey);
+    const said = this.said.get(subject.duty) ?? -Infinity;
+    if (known?.holder !== holder || known.term !== term || now - said >= this.settings.heartbeatMicroseconds)
+      this.say(subject, term, holder);
+  }
+
   public say(subject: DutySubject, term: number, holder: string): void {
+    this.said.set(subject.duty, this.clock.nowMicroseconds());
     this.minor += 1;
     const value: StewardFact = { engine: subject.name, holder, term };
     this.facts.put({ key: subject.factKey, version: [term, this.minor], value });
--- a/source/edge-agent/stewards/eventReader.ts
+++ b/source/edge-agent/stewards/eventReader.ts
@@ -48,7 +48,7 @@
     private readonly settings: EventReaderSettings,
     /** The weights that the holder is known to be on; empty where it has none. */
     private readonly weights: () => string,
-    private readonly changed: (askedMicroseconds: number) => void,
+    private readonly changed: () => void,
     private readonly log: Log,
   ) {}
 
@@ -88,7 +88,7 @@
     this.sightNow = { kind: 'there' };
     if (read === 'later') this.nextMicroseconds = this.clock.nowMicroseconds() + mostBackOffMicroseconds;
     else await this.take(address, read, after);
-    if (this.holds() && !this.stopped) this.changed(asked);
+    if (this.holds() && !this.stopped) this.changed();
   }
 
   private miss(): void {
@@ -103,7 +103,7 @@
     this.sightNow = { kind: 'away' };
     const backOff = this.settings.pauseMicroseconds * 2 ** (this.missed - this.settings.unreachableAfter);
     this.nextMicroseconds = now + Math.min(mostBackOffMicroseconds, backOff);
-    this.changed(now);
+    this.changed();
   }
 
   private async take(address: string, read: KvEvents, after: number): Promise<void> {
--- a/source/edge-agent/stewards/heldSteward.ts
+++ b/source/edge-agent/stewards/heldSteward.ts
@@ -8,7 +8,6 @@
 import type { Log } from '../../shared/log/log';
 import type { FactBook } from '../../shared/news/facts';
 import { FactKeys, type EngineFact } from '../../shared/news/factTypes';
-import type { Pulses } from '../../shared/news/pulses';
 import { EngineWord } from './engineWord';
 import { EventReader, type EventReaderSettings } from './eventReader';
 import type { LiveSalts } from './liveSalts';
@@ -73,7 +72,6 @@
     private readonly facts: FactBook,
     private readonly shards: ShardBook,
     private readonly freshness: Freshness,
-    private readonly pulses: Pulses,
     private readonly clock: Clock,
     private readonly settings: HeldStewardSettings,
     private readonly liveSalts: LiveSalts,
@@ -99,7 +97,7 @@
       clock,
       settings.events,
       () => this.status()?.weights ?? '',
-      (asked) => this.heard(asked),
+      () => this.heard(),
       log,
     );
     // Why by the steady time: it is never ahead, and the steward before must have ended by then.
@@ -164,13 +162,12 @@
   }
 
   /** An events call came back, or the holder went away. */
-  private heard(askedMicroseconds: number): void {
+  private heard(): void {
     const { kind } = this.reader.sight;
     if (kind === 'there') {
       // Why only now: what the steward before knew is better than nothing, and no worse than what is known here.
       if (!this.known) this.shards.set(this.name, this.shard.news);
       this.known = true;
-      if (!this.changing) this.pulses.saw(this.name, this.term, this.shard.epoch, askedMicroseconds);
     }
     this.say();
   }
@@ -205,7 +202,7 @@
       this.say();
       return;
     }
-    if (this.clock.steadyMicroseconds() - this.sinceMicroseconds < this.waitMicroseconds()) return;
+    if (this.stillWaitsMicroseconds() > 0) return;
     if (!this.changing) {
       this.changing = true;
       this.markedMicroseconds = this.clock.steadyMicroseconds();
@@ -216,9 +213,10 @@
     if (status.busy !== true && this.mayDirect(wanted.weights)) await this.direct(wanted);
   }
 
-  /** Why none for a first holder: nobody gave directives before it. */
-  private waitMicroseconds(): number {
-    return this.term <= 1 ? 0 : this.settings.directiveWaitMicroseconds;
+  /** Why none for a first holder: nobody gave directives before it. Negative: so long it has been free to. */
+  private stillWaitsMicroseconds(): number {
+    const wait = this.term <= 1 ? 0 : this.settings.directiveWaitMicroseconds;
+    return this.sinceMicroseconds + wait - this.clock.steadyMicroseconds();
   }
 
   private lookIsDue(): boolean {
@@ -251,8 +249,9 @@
     if (status.weights === intended.weights || status.weights === '') return undefined;
     const limit = this.settings.weightsWithinMicroseconds;
     const now = this.clock.nowMicroseconds();
+    const mayFrom = now + this.stillWaitsMicroseconds();
     // Why go on: what was begun is seen through, whatever the others do meanwhile.
-    if (!this.changing && !WeightsRounds.isDue(this.name, intended, this.poolFacts(), service, now, limit))
+    if (!this.changing && !WeightsRounds.isDue(this.name, intended, this.poolFacts(), service, now, limit, mayFrom))
       return undefined;
     return {
       kind: 'loadWeights',
--- a/source/edge-agent/stewards/stewardship.ts
+++ b/source/edge-agent/stewards/stewardship.ts
@@ -89,7 +89,7 @@
     }
     await this.duties.ballot(wanted);
     const listTerm = this.listTerm();
-    if (listTerm !== undefined) this.line.say(DutySubjects.list, listTerm, this.self);
+    if (listTerm !== undefined) this.line.saySometimes(DutySubjects.list, listTerm, this.self);
     for (const [name, engine] of engines) if (!this.leaving.has(name)) this.settle(name, engine);
   }
 
@@ -154,7 +154,7 @@
       this.stewards.set(engine, this.made(engine, term, holds, listed));
       this.log(`Steward of ${engine} under term ${term}.`);
     }
-    this.line.say(DutySubjects.engine(engine), term, this.self);
+    this.line.saySometimes(DutySubjects.engine(engine), term, this.self);
   }
 
   private made(name: string, term: number, holds: () => boolean, engine: Engine): Steward {
@@ -170,7 +170,6 @@
         facts,
         shards,
         freshness,
-        pulses,
         clock,
         settings.held,
         this.salts,
--- a/source/edge-agent/stewards/weightsRounds.ts
+++ b/source/edge-agent/stewards/weightsRounds.ts
@@ -23,6 +23,8 @@
     service: string,
     nowMicroseconds: number,
     limitMicroseconds: number,
+    /** When this steward may give directives; stewards that all had to wait must not then all begin at once. */
+    mayFromMicroseconds = -Infinity,
   ): boolean => {
     const engines = Object.keys(pool);
     if (!engines.includes(engine)) return false;
@@ -30,8 +32,9 @@
     if (intended.sinceMicroseconds === null) return true;
     const rounds = Math.ceil(engines.length / WeightsRounds.width(engines.length));
     const round = WeightsRounds.roundOf(engine, service, intended.weights, engines);
-    const roundMicroseconds = (limitMicroseconds * roundsPerMille) / 1000 / rounds;
-    if (nowMicroseconds - intended.sinceMicroseconds >= round * roundMicroseconds) return true;
+    const begin = Math.max(intended.sinceMicroseconds, mayFromMicroseconds);
+    const until = intended.sinceMicroseconds + (limitMicroseconds * roundsPerMille) / 1000;
+    if (nowMicroseconds - begin >= (round * Math.max(0, until - begin)) / rounds) return true;
     return engines.every((other) => {
       const fact = pool[other];
       return (
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -33,6 +33,7 @@
 import { EngineView } from './placement/engineView';
 import { EngineWork } from './placement/engineWork';
 import { PlacePolicies } from './placement/placePolicies';
+import { Lanes, LaneSettings } from './placement/lanes';
 import { placementNamed, type PlacementName } from './placement/placements';
 import { ReadSpeeds } from './placement/readSpeeds';
 import { WorkPlacer } from './placement/workPlacer';
@@ -73,6 +74,7 @@
   /** Places of an engine that are given away, its own waiting ones included, in per mille of its places. */
   roomPerMille: number;
   workPlacement: WorkPlacementSettings;
+  lanes: LaneSettings;
   moves: MoveSettings;
   /** How long a part that was read counts as kept before the holder's events say so. */
   latelyMicroseconds: number;
@@ -108,6 +110,7 @@
   weightsCutMicroseconds: WeightsClocks.cutMicroseconds,
   roomPerMille: 1000,
   workPlacement: WorkPlacementSettings.usual,
+  lanes: LaneSettings.usual,
   moves: MoveSettings.usual,
   latelyMicroseconds: 3_000_000,
 } as const;
@@ -231,7 +234,15 @@
           placement: placementNamed(settings.placement),
           random,
           metrics: this.metrics,
-          byWork: new WorkPlacer(this.view, moves, readSpeeds, random, settings.zone, settings.workPlacement),
+          byWork: new WorkPlacer(
+            this.view,
+            moves,
+            readSpeeds,
+            random,
+            settings.zone,
+            new Lanes(clock, settings.lanes),
+            settings.workPlacement,
+          ),
         }),
         planner.policy(),
         this.sends,
--- a/source/shared/directory/shardBook.ts
+++ b/source/shared/directory/shardBook.ts
@@ -28,10 +28,33 @@
     return Object.fromEntries([...this.shards].map(([holder, shard]) => [holder, ShardMarks.of(shard.present)]));
   }
 
-  public since(marks: ShardMarkBook, mostEntries: number): readonly ShardChange[] {
+  /** Marks of those shards of which the other side knows more. */
+  public marksBehind(theirs: ShardMarkBook): ShardMarkBook {
+    const nowhere: ShardMark = [-1, 0, 0];
+    return Object.fromEntries(
+      Object.entries(theirs).flatMap(([holder, mark]): readonly (readonly [string, ShardMark])[] => {
+        const shard = this.shards.get(holder);
+        const own = shard === undefined ? nowhere : ShardMarks.of(shard.present);
+        return ShardMarks.compare(own, mark) < 0 ? [[holder, own]] : [];
+      }),
+    );
+  }
+
+  /** As `since`, of the marked shards alone. */
+  public sinceOf(marks: ShardMarkBook, mostEntries: number): readonly ShardChange[] {
+    return this.since(marks, mostEntries, Object.keys(marks));
+  }
+
+  public since(
+    marks: ShardMarkBook,
+    mostEntries: number,
+    holders: Iterable<string> = this.shards.keys(),
+  ): readonly ShardChange[] {
     const changes: ShardChange[] = [];
     let room = mostEntries;
-    for (const [holder, shard] of this.shards) {
+    for (const holder of holders) {
+      const shard = this.shards.get(holder);
+      if (shard === undefined) continue;
       const change = shard.since(marks[holder]);
       if (change === undefined) continue;
       const size = change.put.length + change.gone.length;
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -116,6 +116,7 @@
   public constructor(
     private readonly clock: Clock,
     dialect: Dialect = ownDialect,
+    private readonly engineList: 'kept' | 'listed' = 'kept',
   ) {
     this.keys = {
       blueprint: new KeyFreshness('blueprint', clock, dialect),
@@ -153,8 +154,15 @@
     return body === undefined ? undefined : this.packer.sent(body);
   }
 
+  /** How long ago what is applied of one key was known to be current. */
+  public ageOf(key: DocumentKey): number {
+    return this.keys[key].ageMicroseconds();
+  }
+
   /** How long ago the applied blueprint and engine list were both known to be current. */
   public ageMicroseconds(): number {
+    // Why the blueprint alone: a list that something outside keeps may be away, and engines go on being used.
+    if (this.engineList === 'listed') return this.keys.blueprint.ageMicroseconds();
     return Math.max(this.keys.blueprint.ageMicroseconds(), this.keys.engines.ageMicroseconds());
   }
 
--- a/source/shared/news/facts.ts
+++ b/source/shared/news/facts.ts
@@ -3,7 +3,9 @@
 /** A piece of news with one author at a time and a version that rises. The higher version stands. */
 export type FactVersion = readonly [major: number, minor: number];
 export type Fact = Readonly<{ key: string; version: FactVersion; value: unknown }>;
-export type FactDigest = Readonly<Record<string, FactVersion>>;
+/** By kind, and within a kind by the rest of the key. */
+export type FactDigest = Readonly<Record<string, Readonly<Record<string, FactVersion>>>>;
+export type FactSums = Readonly<Record<string, string>>;
 
 export const FactLimits = { facts: 20_000, perMessage: 2000 } as const;
 
@@ -11,9 +13,17 @@
   compare: (left: FactVersion, right: FactVersion): number => left[0] - right[0] || left[1] - right[1],
 } as const;
 
+/** What a fact tells of: the first word of its key. */
+const kindOf = (key: string): string => key.slice(0, Math.max(0, key.indexOf('/')));
+/** The rest of the key; all of it where it names no kind. */
+const nameOf = (key: string, kind: string): string => (kind === '' ? key : key.slice(kind.length + 1));
+const keyOf = (kind: string, name: string): string => (kind === '' ? name : `${kind}/${name}`);
+
 export class FactBook {
   private readonly facts = new Map<string, Fact>();
-  private sumNow: string | undefined;
+  /** The facts of each kind, so that what is at rest is neither told nor summed again. */
+  private readonly kinds = new Map<string, Map<string, Fact>>();
+  private readonly sumsNow = new Map<string, string>();
 
   public get(key: string): Fact | undefined {
     return this.facts.get(key);
@@ -24,7 +34,8 @@
   }
 
   public withPrefix(prefix: string): readonly Fact[] {
-    return [...this.facts.values()].filter(({ key }) => key.startsWith(prefix));
+    const kind = this.kinds.get(kindOf(prefix));
+    return [...(kind ?? this.facts).values()].filter(({ key }) => key.startsWith(prefix));
   }
 
   /** True when the fact was newer than what was known. */
@@ -34,42 +45,94 @@
     // Why a bound: news of strangers must not fill the memory.
     if (known === undefined && this.facts.size >= FactLimits.facts) return false;
     this.facts.set(fact.key, fact);
-    this.sumNow = undefined;
+    const kind = kindOf(fact.key);
+    const others = this.kinds.get(kind) ?? new Map<string, Fact>();
+    others.set(fact.key, fact);
+    this.kinds.set(kind, others);
+    this.sumsNow.delete(kind);
     return true;
   }
 
   public forget(key: string): void {
-    if (this.facts.delete(key)) this.sumNow = undefined;
+    if (!this.facts.delete(key)) return;
+    const kind = kindOf(key);
+    this.kinds.get(kind)?.delete(key);
+    this.sumsNow.delete(kind);
   }
 
   public get size(): number {
     return this.facts.size;
   }
 
-  public digest(): FactDigest {
-    return Object.fromEntries([...this.facts.values()].map(({ key, version }) => [key, version]));
+  /** One short sum over the versions of each kind: what has equal sums needs no digest. */
+  public sums(): FactSums {
+    return Object.fromEntries([...this.kinds].map(([kind, facts]) => [kind, this.sumOf(kind, facts)]));
   }
 
-  /** One short sum over all versions: equal sums need no digest. */
   public sum(): string {
-    if (this.sumNow === undefined) {
-      const lines = [...this.facts.values()].map(({ key, version }) => `${key}@${version[0]}.${version[1]}`).sort();
-      this.sumNow = createHash('sha256').update(lines.join('\n')).digest('hex').slice(0, 16);
-    }
-    return this.sumNow;
+    return createHash('sha256')
+      .update(JSON.stringify(Object.entries(this.sums()).sort()))
+      .digest('hex')
+      .slice(0, 16);
+  }
+
+  /** The versions of those kinds whose sums differ. */
+  public digest(theirs: FactSums = {}): FactDigest {
+    const differing = [...this.kinds].filter(([kind, facts]) => this.sumOf(kind, facts) !== theirs[kind]);
+    return Object.fromEntries(
+      // Why those without facts too: the other side has some, and must be told that they are unknown here.
+      [
+        ...Object.keys(theirs)
+          .filter((kind) => !this.kinds.has(kind))
+          .map((kind) => [kind, {}] as const),
+      ].concat(
+        differing.map(([kind, facts]) => [
+          kind,
+          Object.fromEntries([...facts.values()].map(({ key, version }) => [nameOf(key, kind), version])),
+        ]),
+      ),
+    );
   }
 
-  public newerThan(digest: FactDigest): readonly Fact[] {
+  /** What this book has that the digest lacks; `kinds`: those that it tells of, if it is not of all. */
+  public newerThan(digest: FactDigest, kinds: Iterable<string> = this.kinds.keys()): readonly Fact[] {
     const newer: Fact[] = [];
-    for (const fact of this.facts.values()) {
-      const known = digest[fact.key];
-      if (known === undefined || FactVersions.compare(fact.version, known) > 0) newer.push(fact);
-      if (newer.length >= FactLimits.perMessage) break;
-    }
+    for (const kind of kinds)
+      for (const fact of this.kinds.get(kind)?.values() ?? []) {
+        const known = digest[kind]?.[nameOf(fact.key, kind)];
+        if (known === undefined || FactVersions.compare(fact.version, known) > 0) newer.push(fact);
+        if (newer.length >= FactLimits.perMessage) return newer;
+      }
     return newer;
   }
+
+  /** What the digest has that this book lacks. */
+  public lacks(digest: FactDigest): readonly string[] {
+    const keys = Object.entries(digest).flatMap(([kind, versions]) =>
+      Object.entries(versions).flatMap(([name, version]) => {
+        const key = keyOf(kind, name);
+        const known = this.facts.get(key);
+        return known === undefined || FactVersions.compare(version, known.version) > 0 ? [key] : [];
+      }),
+    );
+    return keys.slice(0, FactLimits.perMessage);
+  }
+
+  private sumOf(kind: string, facts: ReadonlyMap<string, Fact>): string {
+    const known = this.sumsNow.get(kind);
+    if (known !== undefined) return known;
+    const lines = [...facts.values()].map(({ key, version }) => `${key}@${version[0]}.${version[1]}`).sort();
+    const sum = createHash('sha256').update(lines.join('\n')).digest('hex').slice(0, 12);
+    this.sumsNow.set(kind, sum);
+    return sum;
+  }
 }
 
+const isVersion = (value: unknown): value is FactVersion =>
+  Array.isArray(value) && value.length === 2 && value.every((part) => Number.isSafeInteger(part));
+const isRecord = (value: unknown): value is Readonly<Record<string, unknown>> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
 export const Facts = {
   isList: (value: unknown): value is readonly Fact[] =>
     Array.isArray(value) &&
@@ -81,9 +144,14 @@
         fact !== null &&
         typeof fact.key === 'string' &&
         fact.key.length <= 256 &&
-        Array.isArray(fact.version) &&
-        fact.version.length === 2 &&
-        fact.version.every((part) => Number.isSafeInteger(part))
+        isVersion(fact.version)
       );
     }),
+  isSums: (value: unknown): value is FactSums =>
+    isRecord(value) && Object.values(value).every((sum) => typeof sum === 'string'),
+  isDigest: (value: unknown): value is FactDigest =>
+    isRecord(value) &&
+    Object.values(value).every((versions) => isRecord(versions) && Object.values(versions).every(isVersion)),
+  isKeys: (value: unknown): value is readonly string[] =>
+    Array.isArray(value) && value.length <= FactLimits.perMessage && value.every((key) => typeof key === 'string'),
 } as const;
--- a/tests/agent-engine-list.test.ts
+++ b/tests/agent-engine-list.test.ts
@@ -44,7 +44,9 @@
     known,
     () => term,
     world.clock,
+    world.random,
     { ...EngineListDefaults, mostPages: 4 },
+    () => 3,
     () => undefined,
   );
   return {
@@ -175,7 +177,9 @@
     freshness,
     () => term,
     new World(2).clock,
+    new World(2).random,
     EngineListDefaults,
+    () => 3,
     () => undefined,
   );
   await slow.read();
@@ -210,6 +214,7 @@
     await fleet.start();
     const { world, engines } = fleet;
     assert.ok(await world.runUntil(() => known(fleet).every((all) => all.length === 3), 12_000_000));
+    assert.ok(await world.runUntil(() => fleet.settled(names), 12_000_000));
     const revisions = new Map<string, number>();
     const neverBack = (): void => {
       for (const { name, process, agent } of fleet.agents) {
