Lanes for short orders, homes for unknown parts, imports by guess

Proxies cannot know each other's reading in time, so which engines are kept for short orders, and which reads an unknown part first, all work out alike.

--- a/source/edge-proxy/fetch/partsPlanner.ts
+++ b/source/edge-proxy/fetch/partsPlanner.ts
@@ -35,6 +35,7 @@
     const move = this.moves.best(engine, service, parts, placed.matched, lookUp);
     const names = parts.map(({ name }) => name);
     const store = this.storeFor(parts);
+    const guess = move === undefined ? this.guess(placed, parts, store) : undefined;
     if (move !== undefined) this.metrics.count('postdrum_imports_total', { from: this.kindOf(move.holder) });
     return {
       ...noFetch,
@@ -42,7 +43,7 @@
       target: store === undefined ? undefined : { store: store.address, keys: names },
       source:
         move === undefined
-          ? undefined
+          ? guess
           : {
               holder: move.holder,
               address: move.address,
@@ -55,6 +56,23 @@
     };
   }
 
+  /**
+   * Where parts that nobody is known to keep may be all the same. Why guess: news of a part comes after it was read,
+   * some never comes, and a guess that is wrong costs a millisecond where reading costs hundreds.
+   */
+  private guess(
+    { home, matched, engine }: Placed,
+    parts: readonly PartKey[],
+    store: Store | undefined,
+  ): FetchPlan['source'] {
+    if (matched >= parts.length - 1) return undefined;
+    const address = home === undefined ? store?.address : this.view.addressOf(home);
+    const holder = home ?? store?.name;
+    if (address === undefined || holder === undefined || holder === engine) return undefined;
+    this.metrics.count('postdrum_imports_total', { from: 'guess' });
+    return { holder, address, bootEpoch: '', at: matched, keys: parts.slice(matched, -1).map(({ name }) => name) };
+  }
+
   private kindOf(holder: string): string {
     return this.view.storeShape(holder) === undefined ? 'engine' : 'store';
   }
--- a/source/edge-proxy/path/order.ts
+++ b/source/edge-proxy/path/order.ts
@@ -71,6 +71,8 @@
   matched: number;
   /** Tokens it must read for this order, as far as known. */
   toRead?: number;
+  /** Another engine that would be the first to read its parts, and may have done so unseen. */
+  home?: string;
 }>;
 
 export type Context = Readonly<{
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -15,6 +15,8 @@
     tokensPerMillisecond: number;
     /** Tokens that running orders and kept parts share; 0: not known. */
     keptTokens: number;
+    /** Kept for short orders while there is room elsewhere. */
+    lane: boolean;
   }>;
 
 export type Demand = Readonly<{
@@ -23,6 +25,7 @@
   /** The names that the parts are kept under, the first one first. */
   parts: readonly PartKey[];
   zone: string;
+  isShort: boolean;
 }>;
 
 export type WorkPlacementSettings = Readonly<{
@@ -37,6 +40,9 @@
   /** What bytes between zones are worth, for an order of so many tokens. */
   zoneMicroseconds: number;
   zoneMicrosecondsPerThousand: number;
+  /** What keeps long orders out of engines that are kept for short ones, and short ones out of the others. */
+  longInLaneMicroseconds: number;
+  shortOutsideMicroseconds: number;
   /** What a part's first reader is drawn to its own engine by. */
   homeMicroseconds: number;
 }>;
@@ -49,7 +55,9 @@
     memoryPerMille: 800,
     zoneMicroseconds: 2_000,
     zoneMicrosecondsPerThousand: 1_000,
-    homeMicroseconds: 15_000,
+    longInLaneMicroseconds: 250_000,
+    shortOutsideMicroseconds: 60_000,
+    homeMicroseconds: 60_000,
   } satisfies WorkPlacementSettings,
 } as const;
 
@@ -65,8 +73,15 @@
       offer.zone === demand.zone
         ? 0
         : settings.zoneMicroseconds + (settings.zoneMicrosecondsPerThousand * demand.tokens) / 1000;
+    const apart =
+      demand.isShort === offer.lane
+        ? 0
+        : demand.isShort
+          ? settings.shortOutsideMicroseconds
+          : settings.longInLaneMicroseconds;
     return (
       reading +
+      apart +
       offer.moveMicroseconds +
       inFlight * settings.sendMicroseconds +
       turns * settings.turnMicroseconds +
@@ -76,21 +91,29 @@
     );
   },
 
+  /**
+   * The engine that reads a part nobody is known to keep. Why one for all: two proxies that both find it nowhere then
+   * choose the same, and one of them reads it.
+   */
+  homeOf: (
+    parts: readonly PartKey[],
+    offers: readonly Readonly<{ name: string; lane: boolean }>[],
+  ): string | undefined => {
+    const first = parts[0];
+    if (first === undefined) return undefined;
+    const outside = offers.filter(({ lane }) => !lane);
+    const names = (outside.length > 0 ? outside : offers).map(({ name }) => name);
+    return Rendezvous.order(first.name, names)[0];
+  },
+
   choose: (
     offers: readonly Offer[],
     demand: Demand,
     random: Random,
     settings: WorkPlacementSettings,
   ): Offer | undefined => {
-    const first = demand.parts[0];
-    // Why a home at all: two proxies that both find a part nowhere then choose the same engine, and one reads it.
-    const home =
-      first === undefined || offers.some(({ matched }) => matched > 0)
-        ? undefined
-        : Rendezvous.order(
-            first.name,
-            offers.map(({ name }) => name),
-          )[0];
+    const known = offers.some(({ matched, moveMicroseconds }) => matched > 0 || moveMicroseconds > 0);
+    const home = known ? undefined : ByWork.homeOf(demand.parts, offers);
     let best: Readonly<{ offer: Offer; cost: number }> | undefined;
     for (const offer of offers) {
       // Why a little chance: proxies that see the same numbers must not all choose the same engine.
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -4,6 +4,7 @@
 import type { Order, Placed, Resolved } from '../path/order';
 import { ByWork, type Offer, type WorkPlacementSettings } from './byWork';
 import type { Candidate, EngineView } from './engineView';
+import type { Lanes } from './lanes';
 import type { PromptKeys } from './placePolicies';
 import type { ReadSpeeds } from './readSpeeds';
 
@@ -18,16 +19,21 @@
     private readonly speeds: ReadSpeeds,
     private readonly random: Random,
     private readonly zone: string,
+    private readonly lanes: Lanes,
     private readonly settings: WorkPlacementSettings,
   ) {}
 
   public place(
     candidates: readonly Candidate[],
     order: Order,
-    { service }: Resolved,
+    { service, mapping }: Resolved,
     keys: PromptKeys,
     lookUp: (weights: string) => LookUp,
   ): Placed | undefined {
+    const lanes = this.lanes.of(
+      mapping.service,
+      candidates.map(({ name }) => name),
+    );
     const prompt = order.promptTokens ?? (order.parts ?? []).reduce((sum, { size }) => sum + size, 0);
     const offers = candidates.map((candidate): Offer => {
       const parts = keys.parts(candidate.weights);
@@ -61,6 +67,7 @@
         moveMicroseconds: move?.microseconds ?? 0,
         tokensPerMillisecond: engine.tokensPerMillisecond,
         keptTokens: service.kind === 'pool' ? (service.shape?.keptTokens ?? 0) : 0,
+        lane: lanes.has(candidate.name),
       };
     });
     const first = candidates[0];
@@ -68,17 +75,26 @@
       tokens: prompt + (order.mostTokens ?? usualOutput),
       parts: first === undefined ? [] : keys.parts(first.weights),
       zone: this.zone,
+      isShort: this.lanes.isShort((prompt * 1000) / (first === undefined ? 1 : this.speeds.of(first.name))),
     };
     const chosen = ByWork.choose(offers, demand, this.random, this.settings);
-    return chosen === undefined
-      ? undefined
-      : {
-          engine: chosen.name,
-          address: chosen.address,
-          bootEpoch: chosen.bootEpoch,
-          weights: chosen.weights,
-          matched: chosen.matched,
-          toRead: chosen.toRead,
-        };
+    if (chosen === undefined) return undefined;
+    this.lanes.saw(
+      mapping.service,
+      ((demand.isShort ? prompt : chosen.toRead) * 1000) / chosen.tokensPerMillisecond,
+      order.mostTokens ?? usualOutput,
+      chosen.capacity,
+      demand.isShort,
+    );
+    const home = demand.parts.length === 0 ? undefined : ByWork.homeOf(demand.parts, offers);
+    return {
+      engine: chosen.name,
+      address: chosen.address,
+      bootEpoch: chosen.bootEpoch,
+      weights: chosen.weights,
+      matched: chosen.matched,
+      toRead: chosen.toRead,
+      ...(home === undefined || home === chosen.name ? {} : { home }),
+    };
   }
 }
