--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -4,7 +4,7 @@
 import type { Freshness } from '../../shared/freshness/freshness';
 import { Statements } from '../../shared/freshness/freshness';
 import { FleetVotes, type FleetName } from '../../shared/fleet/fleetName';
-import { Logs, type Log } from '../../shared/log/log';
+import { Logs } from '../../shared/log/log';
 import { KeptWords } from './keptWords';
 import { MajorityReads, type WordsAnswer } from './majorityRead';
 
@@ -51,7 +51,6 @@
     private readonly freshness: Freshness,
     private readonly settings: CoreLinkSettings,
     private readonly own: () => unknown,
-    private readonly log: Log,
   ) {}
 
   public get fleet(): string {
@@ -110,7 +109,7 @@
     const chosen = FleetVotes.judge(names, this.settings.seeds.length);
     if (chosen !== '') {
       this.fleetName.learn(chosen);
-      this.log(`This agent belongs to the fleet ${chosen}.`);
+      this.notice(`This agent belongs to the fleet ${chosen}.`);
     } else if (!this.toldApart && new Set(names.filter((name) => name !== '')).size > 1) {
       this.toldApart = true;
       this.notice('The seeds lead to different fleets. The setting fleet says which one is meant.');
@@ -173,7 +172,7 @@
           Statements.isBody(answer.message) &&
           this.freshness.give({ ...answer.message, revision: wanted.revision })
         ) {
-          this.log(`Applied ${wanted.key} revision ${wanted.revision}.`);
+          this.notice(`Applied ${wanted.key} revision ${wanted.revision}.`);
           break;
         }
       }
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -4,6 +4,7 @@
 import { ShardBook } from '../shared/directory/shardBook';
 import type { DirectoryNote, GrantAnswer } from '../shared/directory/shardDirectory';
 import { Clocks } from '../shared/effects/clock/clock';
+import { DeskMessages } from '../shared/desk/messages';
 import { Ticker } from '../shared/effects/clock/ticker';
 import type { Effects } from '../shared/effects/effects';
 import { FleetName } from '../shared/fleet/fleetName';
@@ -19,6 +20,7 @@
 import { EngineListDefaults, EngineListKeeper } from './engine-list/engineListKeeper';
 import type { EngineLister } from './engine-list/engineLister';
 import { Membership } from './membership/membership';
+import { WorkDesk } from './desk/workDesk';
 import { DutyHolder } from './stewards/dutyHolder';
 import { EventReaderDefaults } from './stewards/eventReader';
 import { HeldStewardDefaults } from './stewards/heldSteward';
@@ -121,6 +123,7 @@
   public readonly stewardship: Stewardship;
   private readonly exchange: NewsExchange;
   private readonly duties: DutyHolder;
+  private readonly desk: WorkDesk;
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
   private readonly effects: Effects;
@@ -156,7 +159,6 @@
         readsEngines: settings.engineList === 'kept',
       },
       () => this.facts.get(FactKeys.member(settings.name)) ?? null,
-      this.log,
     );
     const self = {
       name: settings.name,
@@ -166,6 +168,7 @@
       pagesAddress: settings.pagesAddress,
       boot: random.name(),
     };
+    this.desk = new WorkDesk(clock);
     this.membership = new Membership(self, this.facts, clock, settings, this.log);
     this.exchange = new NewsExchange(
       {
@@ -218,7 +221,7 @@
             random,
             { ...EngineListDefaults, askMicroseconds: settings.listAskMicroseconds },
             () => this.membership.present().length,
-            this.log,
+            Logs.part('agent:notice'),
           );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     const tickers: readonly (readonly [number, () => Promise<void>])[] = [
@@ -280,6 +283,7 @@
   private async news(): Promise<void> {
     this.membership.defend();
     this.membership.tick();
+    this.desk.keepOnly(Object.keys(this.freshness.engines?.engines ?? {}));
     const colleagues = this.membership.colleagues();
     // Why seeds too: until a colleague is known, and now and then after, so that two halves find each other again.
     const useSeed = colleagues.length === 0 || this.turn % 25 === 24;
@@ -345,6 +349,16 @@
         );
         return { kind: 'probed', reached: answer.kind === 'answered' };
       }
+      case 'reserve': {
+        // Why only with the duty: two desks would not know of each other's orders.
+        const order = message['order'];
+        return this.stewardship.listTerm() === undefined || !DeskMessages.isOrder(order)
+          ? { kind: 'noDesk' }
+          : { kind: 'reserved', word: this.desk.reserve(order) };
+      }
+      case 'readDone':
+        this.desk.done(String(message['engine']), String(message['order']), message['good'] === true);
+        return { kind: 'heard' };
       case 'grant':
         return { kind: 'grantAnswer', answer: await this.grant(message) };
       case 'notes': {
--- a/source/edge-agent/engine-list/engineListKeeper.ts
+++ b/source/edge-agent/engine-list/engineListKeeper.ts
@@ -12,7 +12,7 @@
   mostPages: number;
   /** Reads in a row that must say that there are no engines at all. */
   emptyReads: number;
-  /** Who knows no list so long after its start reads it alone. */
+  /** Who knows no list so long after its start reads it alone. Why so soon: it is one call, and orders wait for it. */
   lonelyMicroseconds: number;
   /** Who knows a list that nobody has read for so long reads it alone too. */
   staleMicroseconds: number;
@@ -23,7 +23,7 @@
   askMicroseconds: 1_000_000,
   mostPages: 64,
   emptyReads: 3,
-  lonelyMicroseconds: 200_000,
+  lonelyMicroseconds: 40_000,
   staleMicroseconds: 3_000_000,
 } as const;
 
--- a/source/edge-agent/stewards/dutyLine.ts
+++ b/source/edge-agent/stewards/dutyLine.ts
@@ -11,7 +11,7 @@
 export const DutySubjects = {
   engine: (name: string): DutySubject => ({ duty: `engine/${name}`, factKey: FactKeys.steward(name), name }),
   /** Reading the list of engines, where something outside the fleet keeps it. */
-  list: { duty: 'list', factKey: 'duty/list', name: 'list' } satisfies DutySubject,
+  list: { duty: 'list', factKey: FactKeys.listDuty, name: 'list' } satisfies DutySubject,
 } as const;
 
 export type DutyLineSettings = Readonly<{
