A desk places long orders for all proxies, one after the other

Cause: proxies learn of each other's reading some 0.3 s late, so long orders queued at one engine while others were idle (first events after 900 ms behind 'nothing'), and the same part was read twice at once. The agent with the list duty now keeps each engine's reading time and which prefix is being read where; without its word within 60 ms a proxy chooses alone. Reading again has a price in choosing; lanes are narrower. Ruled out: asking for short orders too (ten times the messages), more lanes (long orders waited).

--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -33,6 +33,7 @@
 import { EngineView } from './placement/engineView';
 import { EngineWork } from './placement/engineWork';
 import { PlacePolicies } from './placement/placePolicies';
+import { DeskLink } from './placement/deskLink';
 import { Lanes, LaneSettings } from './placement/lanes';
 import { placementNamed, type PlacementName } from './placement/placements';
 import { ReadSpeeds } from './placement/readSpeeds';
@@ -75,6 +76,8 @@
   roomPerMille: number;
   workPlacement: WorkPlacementSettings;
   lanes: LaneSettings;
+  /** How long an order waits for the desk's word before its proxy places it alone. */
+  deskMicroseconds: number;
   moves: MoveSettings;
   /** How long a part that was read counts as kept before the holder's events say so. */
   latelyMicroseconds: number;
@@ -111,6 +114,7 @@
   roomPerMille: 1000,
   workPlacement: WorkPlacementSettings.usual,
   lanes: LaneSettings.usual,
+  deskMicroseconds: 60_000,
   moves: MoveSettings.usual,
   latelyMicroseconds: 3_000_000,
 } as const;
@@ -168,6 +172,12 @@
     // Why a start of a thousand: these are ratios of what a move takes to what it should, in thousandths.
     const moves = new PartMoves(this.view, new LinkSpeeds(1000, 4096), settings.moves);
     this.readSpeeds = readSpeeds;
+    const desk = new DeskLink(
+      this.effects.transport,
+      clock,
+      () => this.view.listHolder()?.address,
+      settings.deskMicroseconds,
+    );
     this.speeds = new LinkSpeeds(settings.importMicrosecondsPerBlock, 4096);
     this.exchange = new NewsExchange(
       {
@@ -202,6 +212,7 @@
       words: backEnds,
       moves,
       readSpeeds,
+      desk,
       cutsOldWeights: settings.cutsOldWeights,
       silentMicroseconds: settings.silentMicroseconds,
       urgencyOf: ({ resolved }) => this.freshness.blueprint?.classes[resolved?.mapping.class ?? '']?.rank,
@@ -214,6 +225,7 @@
       clock,
       metrics: this.metrics,
       log: this.log,
+      logRead: Logs.isOn('reads') ? Logs.part('reads') : undefined,
       budgetOf: (service) => this.budgetOf(service),
       holdingLeft: ({ order, resolved }) =>
         this.desk.holdingLeft(resolved?.mapping.class ?? '', order.arrivedMicroseconds),
@@ -241,6 +253,7 @@
             random,
             settings.zone,
             new Lanes(clock, settings.lanes),
+            desk,
             settings.workPlacement,
           ),
         }),
--- a/source/edge-proxy/fetch/partMoves.ts
+++ b/source/edge-proxy/fetch/partMoves.ts
@@ -1,4 +1,4 @@
-import type { Pool } from '../../shared/blueprint/types';
+import type { Pool, Service } from '../../shared/blueprint/types';
 import type { LookUp } from '../../shared/directory/lookup';
 import type { PartKey } from '../../shared/directory/promptParts';
 import type { EngineView } from '../placement/engineView';
@@ -13,8 +13,8 @@
   tokenBytes: number;
   /** How many times as long a move takes between zones. */
   zoneFactor: number;
-  /** What reading must save over moving, in per mille of the move's own time. */
-  marginPerMille: number;
+  /** What reading a thousand tokens again is worth beyond its own time, which moving them saves. */
+  rereadMicrosecondsPerThousand: number;
 }>;
 
 export const MoveSettings = {
@@ -24,7 +24,7 @@
     linkBytesPerSecond: 12_500_000_000,
     tokenBytes: 163_840,
     zoneFactor: 2,
-    marginPerMille: 1_500,
+    rereadMicrosecondsPerThousand: 60_000,
   } satisfies MoveSettings,
 } as const;
 
@@ -69,8 +69,9 @@
       if (address === undefined) continue;
       const tokens = tokensIn(keys, matched, found.matched);
       const microseconds = this.moveMicroseconds(found.holder, engine, pool, tokens);
-      const gain = (tokens * 1000) / engine.tokensPerMillisecond - microseconds;
-      if (gain * 1000 < microseconds * (this.settings.marginPerMille - 1000)) continue;
+      const again = (tokens * this.settings.rereadMicrosecondsPerThousand) / 1000;
+      const gain = (tokens * 1000) / engine.tokensPerMillisecond + again - microseconds;
+      if (gain <= 0) continue;
       if (best !== undefined && best.gain >= gain) continue;
       const { holder, bootEpoch } = found;
       best = {
@@ -81,6 +82,16 @@
     return best?.move;
   }
 
+  /** How long so many tokens take between two engines of the pool in one zone, where nothing is in the way. */
+  public usualMicroseconds(pool: Service, tokens: number): number {
+    const shape = pool.kind === 'pool' ? pool.shape : undefined;
+    const bytes = tokens * (shape?.tokenBytes || this.settings.tokenBytes);
+    return (
+      this.settings.setupMicroseconds +
+      (bytes * 1_000_000) / (shape?.linkBytesPerSecond || this.settings.linkBytesPerSecond)
+    );
+  }
+
   /** An answer whose order had an import: how long that seems to have taken. */
   public measured(engine: string, move: Move, microseconds: number): void {
     const expected = this.settings.setupMicroseconds + move.microseconds / this.ratio(move.holder, engine);
--- a/source/edge-proxy/path/order.ts
+++ b/source/edge-proxy/path/order.ts
@@ -73,6 +73,8 @@
   toRead?: number;
   /** Another engine that would be the first to read its parts, and may have done so unseen. */
   home?: string;
+  /** The desk keeps the engine's time for it, and waits to hear when it was read. */
+  reserved?: boolean;
 }>;
 
 export type Context = Readonly<{
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -57,15 +57,23 @@
     zoneMicrosecondsPerThousand: 1_000,
     longInLaneMicroseconds: 250_000,
     shortOutsideMicroseconds: 60_000,
-    homeMicroseconds: 60_000,
+    homeMicroseconds: 300_000,
   } satisfies WorkPlacementSettings,
 } as const;
 
 /** Which engine an order of named parts goes to: the one whose answer begins soonest, all costs counted as time. */
 export const ByWork = {
   cost: (offer: Offer, demand: Demand, home: string | undefined, settings: WorkPlacementSettings): number => {
-    const { work, toRead, tokensPerMillisecond, capacity, inFlight, keptTokens } = offer;
+    const { work, toRead, tokensPerMillisecond } = offer;
     const reading = ((work.reading + toRead) * 1000) / tokensPerMillisecond;
+    return (
+      reading + ByWork.costBesides(offer, demand, settings) - (offer.name === home ? settings.homeMicroseconds : 0)
+    );
+  },
+
+  /** All that speaks against an offer but reading and waiting for what others have read. */
+  costBesides: (offer: Offer, demand: Demand, settings: WorkPlacementSettings): number => {
+    const { work, capacity, inFlight, keptTokens } = offer;
     const turns = Math.max(0, inFlight + 1 - capacity) / Math.max(1, capacity);
     const room = (keptTokens * settings.memoryPerMille) / 1000;
     const crowd = keptTokens === 0 ? 0 : Math.max(0, (work.tokens + demand.tokens - room) / keptTokens);
@@ -80,14 +88,12 @@
           ? settings.shortOutsideMicroseconds
           : settings.longInLaneMicroseconds;
     return (
-      reading +
       apart +
       offer.moveMicroseconds +
       inFlight * settings.sendMicroseconds +
       turns * settings.turnMicroseconds +
       crowd * settings.crowdMicroseconds +
-      away -
-      (offer.name === home ? settings.homeMicroseconds : 0)
+      away
     );
   },
 
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -2,7 +2,14 @@
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { FactBook } from '../../shared/news/facts';
-import { FactKeys, MemberStates, type EngineFact, type LoadFact, type MemberFact } from '../../shared/news/factTypes';
+import {
+  FactKeys,
+  MemberStates,
+  type EngineFact,
+  type LoadFact,
+  type MemberFact,
+  type StewardFact,
+} from '../../shared/news/factTypes';
 import type { Fence } from '../fence/fence';
 import type { EngineWork, WorkSum } from './engineWork';
 
@@ -116,6 +123,12 @@
     });
   }
 
+  /** The agent that reads the list of engines, as far as known. */
+  public listHolder(): MemberFact | undefined {
+    const holder = this.facts.value<StewardFact>(FactKeys.listDuty)?.holder;
+    return holder === undefined || holder === '' ? undefined : this.facts.value<MemberFact>(FactKeys.member(holder));
+  }
+
   /** All that are known to have belonged to the fleet lately, in whatever state: doubt about one must not shrink it. */
   public daemonsEverSeen(): number {
     return this.facts.withPrefix('member/').length;
--- a/source/edge-proxy/placement/lanes.ts
+++ b/source/edge-proxy/placement/lanes.ts
@@ -6,7 +6,7 @@
   shortMicroseconds: number;
   /** Over so long the mix of short and long orders is looked back at. */
   lookBackMicroseconds: number;
-  /** Engines kept for short orders beyond their part of the work, in per mille of it. */
+  /** Engines kept for short orders, in per mille of their part of the work. Short orders wait little, and fill them well. */
   headroomPerMille: number;
   /** Work of one token that is put out, where an engine runs one order alone. */
   outputMicroseconds: number;
@@ -16,7 +16,7 @@
   usual: {
     shortMicroseconds: 30_000,
     lookBackMicroseconds: 6_000_000,
-    headroomPerMille: 1_200,
+    headroomPerMille: 700,
     outputMicroseconds: 4_000,
   } satisfies LaneSettings,
 } as const;
--- a/source/edge-proxy/placement/placePolicies.ts
+++ b/source/edge-proxy/placement/placePolicies.ts
@@ -5,7 +5,7 @@
 import type { Random } from '../../shared/effects/random/random';
 import type { Metrics } from '../../shared/metrics/metrics';
 import { Refusals } from '../../shared/verdict/verdict';
-import type { Context, Order, Placed, Policy, Resolved } from '../path/order';
+import type { Context, Order, Placed, Policy, Resolved, Step } from '../path/order';
 import type { Candidate, EngineView } from './engineView';
 import type { Placement, Scored } from './placements';
 import { Salts } from './salts';
@@ -110,7 +110,7 @@
 
   place: ({ view, shards, placement, random, metrics, byWork }: PlaceParts): Policy => ({
     name: 'place',
-    apply: (context: Context) => {
+    apply: async (context: Context): Promise<Step> => {
       const { resolved, keys, order } = context;
       if (resolved === undefined || keys === undefined) throw new Error('no keys looked up');
       const service = resolved.mapping.service;
@@ -128,21 +128,21 @@
       const placed =
         order.parts === undefined
           ? byPrefix(candidates, keys, lookUp, view, placement, random)
-          : byWork.place(candidates, order, resolved, keys, lookUp);
+          : await byWork.place(candidates, order, resolved, keys, lookUp);
       if (placed === undefined)
         // Why held: another engine may be back in a moment, and its limit goes on.
-        return Promise.resolve({
+        return {
           kind: 'hold',
           context,
           refusal: Refusals.make(503, 'notRun', 'noEngine', 'No engine can take it now.', 1),
-        });
+        };
       const found = lookUp(placed.weights);
       if (keys.blocks > 0 && context.sends === 0)
         metrics.count(
           'postdrum_lookups_total',
           found.kind === 'miss' ? { result: 'miss', reason: found.reason } : { result: found.kind },
         );
-      return Promise.resolve({ kind: 'onward', context: { ...context, placed, lookUp: found } });
+      return { kind: 'onward', context: { ...context, placed, lookUp: found } };
     },
   }),
 } as const;
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -1,9 +1,13 @@
+import type { Service } from '../../shared/blueprint/types';
+import type { DeskWord } from '../../shared/desk/messages';
+import type { PartKey } from '../../shared/directory/promptParts';
 import type { LookUp } from '../../shared/directory/lookup';
 import type { Random } from '../../shared/effects/random/random';
 import { tokensIn, type PartMoves } from '../fetch/partMoves';
 import type { Order, Placed, Resolved } from '../path/order';
-import { ByWork, type Offer, type WorkPlacementSettings } from './byWork';
+import { ByWork, type Demand, type Offer, type WorkPlacementSettings } from './byWork';
 import type { Candidate, EngineView } from './engineView';
+import type { DeskLink } from './deskLink';
 import type { Lanes } from './lanes';
 import type { PromptKeys } from './placePolicies';
 import type { ReadSpeeds } from './readSpeeds';
@@ -20,16 +24,17 @@
     private readonly random: Random,
     private readonly zone: string,
     private readonly lanes: Lanes,
+    private readonly desk: DeskLink,
     private readonly settings: WorkPlacementSettings,
   ) {}
 
-  public place(
+  public async place(
     candidates: readonly Candidate[],
     order: Order,
     { service, mapping }: Resolved,
     keys: PromptKeys,
     lookUp: (weights: string) => LookUp,
-  ): Placed | undefined {
+  ): Promise<Placed | undefined> {
     const lanes = this.lanes.of(
       mapping.service,
       candidates.map(({ name }) => name),
@@ -77,24 +82,59 @@
       zone: this.zone,
       isShort: this.lanes.isShort((prompt * 1000) / (first === undefined ? 1 : this.speeds.of(first.name))),
     };
-    const chosen = ByWork.choose(offers, demand, this.random, this.settings);
+    const word = demand.isShort ? undefined : await this.askDesk(order, offers, demand, prompt, service);
+    const own = offers.find(({ name }) => name === word?.engine);
+    const chosen = own ?? ByWork.choose(offers, demand, this.random, this.settings);
     if (chosen === undefined) return undefined;
+    const joined = own !== undefined && word?.joined === true;
+    const matched = joined ? Math.max(chosen.matched, demand.parts.length - 1) : chosen.matched;
+    const comes = joined || (own !== undefined && word !== undefined && word.keeper !== '');
+    const toRead = comes ? Math.min(chosen.toRead, restOf(demand.parts, prompt)) : chosen.toRead;
     this.lanes.saw(
       mapping.service,
-      ((demand.isShort ? prompt : chosen.toRead) * 1000) / chosen.tokensPerMillisecond,
+      ((demand.isShort ? prompt : toRead) * 1000) / chosen.tokensPerMillisecond,
       order.mostTokens ?? usualOutput,
       chosen.capacity,
       demand.isShort,
     );
-    const home = demand.parts.length === 0 ? undefined : ByWork.homeOf(demand.parts, offers);
+    const keeper = word?.keeper === undefined || word.keeper === '' ? undefined : word.keeper;
+    const home = keeper ?? (demand.parts.length === 0 ? undefined : ByWork.homeOf(demand.parts, offers));
     return {
       engine: chosen.name,
       address: chosen.address,
       bootEpoch: chosen.bootEpoch,
       weights: chosen.weights,
-      matched: chosen.matched,
-      toRead: chosen.toRead,
+      matched,
+      toRead,
       ...(home === undefined || home === chosen.name ? {} : { home }),
+      ...(own === undefined ? {} : { reserved: true }),
     };
   }
+
+  /** Long orders of all proxies are placed one after the other, so that none is read twice or waits in vain. */
+  private askDesk(
+    order: Order,
+    offers: readonly Offer[],
+    demand: Demand,
+    prompt: number,
+    pool: Service,
+  ): Promise<DeskWord | undefined> {
+    if (offers.length < 2) return Promise.resolve(undefined);
+    const { parts } = demand;
+    return this.desk.reserve({
+      order: order.id,
+      prefix: parts.length < 2 ? '' : (parts[parts.length - 2]?.name ?? ''),
+      offers: offers.map((offer) => [
+        offer.name,
+        Math.round(ByWork.costBesides(offer, demand, this.settings)),
+        Math.round((offer.toRead * 1000) / offer.tokensPerMillisecond),
+        Math.round((Math.min(offer.toRead, restOf(parts, prompt)) * 1000) / offer.tokensPerMillisecond),
+        Math.round(this.moves.usualMicroseconds(pool, tokensIn(parts, 0, parts.length - 1))),
+      ]),
+    });
+  }
 }
+
+/** Tokens that are left to read where all shared parts are kept. */
+const restOf = (parts: readonly PartKey[], prompt: number): number =>
+  Math.max(0, prompt - tokensIn(parts, 0, parts.length - 1));
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -11,6 +11,7 @@
 import type { LinkSpeeds } from '../fetch/linkSpeeds';
 import type { PartMoves } from '../fetch/partMoves';
 import type { Context, Placed, Policy, Resolved, Step } from '../path/order';
+import type { DeskLink } from '../placement/deskLink';
 import type { EngineView } from '../placement/engineView';
 import type { ReadSpeeds } from '../placement/readSpeeds';
 import type { RetryBudget } from './retryBudget';
@@ -27,11 +28,14 @@
   /** What imports of named parts have taken, and how fast engines read. */
   moves: PartMoves;
   readSpeeds: ReadSpeeds;
+  desk: Pick<DeskLink, 'done'>;
   /** Whether answers still running on weights whose time is over are cut. */
   cutsOldWeights: boolean;
   clock: Clock;
   metrics: Metrics;
   log: Log;
+  /** Tells of each long prompt; undefined where nobody reads it. */
+  logRead: Log | undefined;
   budgetOf: (service: string) => RetryBudget;
   /** How long an order may still be held. */
   holdingLeft: (context: Context) => number;
@@ -66,6 +70,7 @@
   private readonly final = new FinalEvent();
   private readonly events = new WholeEvents();
   private attested = false;
+  private deskTold = false;
   private head: SendHead | undefined;
   private meaning: HeadMeaning | undefined;
   private begunWith: Begun = { reading: 0, inFlight: 0 };
@@ -132,6 +137,7 @@
       cancelLimit();
       parts.view.ended(placed.engine);
       parts.view.work.ended(placed.engine, order.id);
+      this.tellDesk(false);
     });
   }
 
@@ -311,6 +317,7 @@
     this.attested = true;
     const { parts, placed, fetch } = this;
     if (head.status === 200) parts.view.work.begun(placed.engine, this.context.order.id);
+    this.tellDesk(head.status === 200);
     const good = head.status === 200 && meaning.bootEpoch === placed.bootEpoch && meaning.weights === placed.weights;
     parts.tell(good ? fetch.attested : fetch.abandoned);
     if (head.status === 200) this.learn();
@@ -326,8 +333,10 @@
   private learn(): void {
     const { parts, placed, fetch } = this;
     const toRead = placed.toRead ?? 0;
-    if (toRead === 0 || this.begunWith.inFlight > fewBefore) return;
+    if (toRead === 0) return;
     const took = parts.clock.nowMicroseconds() - this.sentMicroseconds;
+    this.tellRead(took);
+    if (this.begunWith.inFlight > fewBefore) return;
     const { move } = fetch;
     if (move === undefined) parts.readSpeeds.saw(placed.engine, toRead + this.begunWith.reading, took);
     else {
@@ -336,6 +345,22 @@
     }
   }
 
+  private tellDesk(good: boolean): void {
+    if (this.placed.reserved !== true || this.deskTold) return;
+    this.deskTold = true;
+    this.parts.desk.done(this.placed.engine, this.context.order.id, good);
+  }
+
+  private tellRead(took: number): void {
+    if (this.parts.logRead === undefined || this.fetch.fills.length + this.placed.matched === 0) return;
+    const { placed, fetch, context } = this;
+    const { order } = context;
+    const tokens = order.parts?.map(({ size }) => size).join('+') ?? '';
+    this.parts.logRead(
+      `Order ${order.id} (${tokens}) at ${placed.engine}, weights ${placed.weights}, kept ${placed.matched}, ${fetch.fills[0] ?? ''}, from ${fetch.source?.holder ?? 'nobody'} ${fetch.move === undefined ? 'by guess' : `in ${Math.round(fetch.move.microseconds / 1000)}`}, to store ${fetch.target === undefined ? 'no' : 'yes'}, read ${placed.toRead} behind ${this.begunWith.reading}, ${this.begunWith.inFlight} running: first event after ${Math.round(took / 1000)} ms, ${Math.round((this.sentMicroseconds - order.arrivedMicroseconds) / 1000)} ms after it came.`,
+    );
+  }
+
   private onEnd(): void {
     if (!this.step({ kind: 'end' })) return;
     const { answer } = this.context;
--- a/source/shared/log/log.ts
+++ b/source/shared/log/log.ts
@@ -10,6 +10,8 @@
     const write = debug(`postdrum:${part}`);
     return (sentence) => write('%s', sentence);
   },
+  /** Whether anybody reads a part's sentences. For those that cost something to make. */
+  isOn: (part: string): boolean => debug.enabled(`postdrum:${part}`),
   /** What a person must see even where DEBUG is unset. Where no environment can be set, the flag `--log` says more. */
   enableDefault: (words: readonly string[] = process.argv): void => {
     const asked = words.find((word) => word.startsWith(logFlag))?.slice(logFlag.length);
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -40,6 +40,8 @@
   engine: (name: string): string => `engine/${name}`,
   steward: (name: string): string => `steward/${name}`,
   load: (agent: string): string => `load/${agent}`,
+  /** Who reads the list of engines, and places long orders for all. */
+  listDuty: 'duty/list',
 } as const;
 
 const ranks: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, gone: 2, left: 3 };
