Idle conns are counted alone, and a conn has 300 ms to come up

Under a release and new weights, 76 of 155 ends of conns were those over the bound of standing conns though none was idle: a burst of running orders closed what the next burst dialled anew. The bound for keeping now counts idle conns.

--- a/source/shared/back-end/keptConns/connShares.ts
+++ b/source/shared/back-end/keptConns/connShares.ts
@@ -3,7 +3,7 @@
 
 /** Starting values, ours: the part of an engine's conns that sends may take, and that idle ones may take, in per mille. */
 const mostPerMille = 800;
-const keptPerMille = 400;
+const keptPerMille = 700;
 /** Where operators do not say how many conns an engine takes. */
 const unsaid: ConnBound = { kept: 16, most: 1024 };
 
--- a/source/shared/back-end/keptConns/keptConnSender.ts
+++ b/source/shared/back-end/keptConns/keptConnSender.ts
@@ -15,11 +15,11 @@
     onceIdleMicroseconds: number;
   }>;
 
-/** Conns to one address: how many are kept for later, and how many may stand at once. */
+/** Conns to one address: how many may be idle, and how many may stand at once. */
 export type ConnBound = Readonly<{ kept: number; most: number }>;
 
 export const KeptConnDefaults: KeptConnSettings = {
-  connectMicroseconds: 1_000_000,
+  connectMicroseconds: 300_000,
   probeMicroseconds: 1_000_000,
   headBytes: 16_384,
   idleMicroseconds: 15_000_000,
@@ -170,7 +170,7 @@
     const book = this.bookOf(conn.address);
     const { marginMicroseconds, idleMicroseconds } = this.settings;
     const usable = KeepAlive.usableMicroseconds(hint, marginMicroseconds, idleMicroseconds);
-    if (this.closed || conn.closed || book.conns.size > this.boundOf(conn.address).kept || usable <= 0) {
+    if (this.closed || conn.closed || book.idle.length >= this.boundOf(conn.address).kept || usable <= 0) {
       conn.destroy('the conn is not kept');
       return;
     }
