--- /dev/null
+++ b/tests/agent-news.test.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict';
+import fc from 'fast-check';
+import { test } from 'node:test';
+import { SimNetwork } from '../source/fleet-simulator/world/simNetwork';
+import { SimProcess } from '../source/fleet-simulator/world/simProcess';
+import { World } from '../source/fleet-simulator/world/world';
+import { ShardBook } from '../source/shared/directory/shardBook';
+import { ShardNews } from '../source/shared/directory/shardNews';
+import type { Message, Transport } from '../source/shared/effects/transport/transport';
+import { FleetName } from '../source/shared/fleet/fleetName';
+import { FleetTransport } from '../source/shared/fleet/fleetTransport';
+import { Freshness } from '../source/shared/freshness/freshness';
+import { FactBook, type Fact } from '../source/shared/news/facts';
+import { NewsExchange } from '../source/shared/news/newsExchange';
+import { Pulses } from '../source/shared/news/pulses';
+import { HeldFleet, type HeldAgent } from './support/heldFleet';
+
+type Side = Readonly<{
+  facts: FactBook;
+  shards: ShardBook;
+  exchange: NewsExchange;
+  asked: Message[];
+  listen: () => void;
+}>;
+
+const sides = (): Readonly<{ world: World; one: Side; two: Side }> => {
+  const world = new World(1);
+  const network = new SimNetwork(world);
+  const side = (name: string): Side => {
+    const process = new SimProcess(world, name, name);
+    const fleet = new FleetName('f');
+    const inner = network.transportOf(process);
+    const asked: Message[] = [];
+    const noted: Transport = {
+      ...inner,
+      ask: (address, message, limit) => {
+        asked.push(message);
+        return inner.ask(address, message, limit);
+      },
+    };
+    const transport = new FleetTransport(noted, () => fleet.name);
+    const facts = new FactBook();
+    const shards = new ShardBook();
+    const exchange = new NewsExchange(
+      { fleet, facts, shards, freshness: new Freshness(world.clock), pulses: new Pulses(world.clock) },
+      { clock: world.clock, random: world.random, transport },
+    );
+    const listen = (): void =>
+      void transport.listen(`${name}:1`, (message) =>
+        Promise.resolve(message.kind === 'news' ? exchange.answer(message) : exchange.more(message)),
+      );
+    return { facts, shards, exchange, asked, listen };
+  };
+  const [one, two] = [side('one'), side('two')];
+  one.listen();
+  two.listen();
+  return { world, one, two };
+};
+
+const exchanged = async (world: World, from: Side, to: string): Promise<void> => {
+  const done = from.exchange.ask(`${to}:1`, 1_000_000);
+  await world.runFor(100_000);
+  assert.equal(await done, true);
+};
+const fact = (key: string, minor: number): Fact => ({ key, version: [1, minor], value: `${key}@${minor}` });
+const told = ({ facts }: Side): readonly string[] =>
+  ['a/', 'b/', 'c/'].flatMap((kind) => facts.withPrefix(kind).map(({ key, version }) => `${key}@${version[1]}`)).sort();
+
+test('one exchange brings both sides to the same news, whoever had what', async () => {
+  const items = fc.array(
+    fc.record({ kind: fc.constantFrom('a', 'b', 'c'), name: fc.constantFrom('x', 'y', 'z/deep'), minor: fc.nat(4) }),
+    { maxLength: 12 },
+  );
+  await fc.assert(
+    fc.asyncProperty(items, items, async (left, right) => {
+      const { world, one, two } = sides();
+      for (const { kind, name, minor } of left) one.facts.put(fact(`${kind}/${name}`, minor));
+      for (const { kind, name, minor } of right) two.facts.put(fact(`${kind}/${name}`, minor));
+      await exchanged(world, one, 'two');
+      assert.deepEqual(told(one), told(two));
+      assert.deepEqual(one.facts.sums(), two.facts.sums());
+      assert.equal(one.facts.sum(), two.facts.sum());
+    }),
+    { seed: 5, numRuns: 60 },
+  );
+});
+
+test('sides that agree say sums and no more, however much they know', async () => {
+  const { world, one, two } = sides();
+  for (let number = 0; number < 500; number += 1)
+    for (const side of [one, two]) side.facts.put(fact(`a/fact-${number}`, 1));
+  await exchanged(world, one, 'two');
+  assert.deepEqual(
+    one.asked.map(({ kind }) => kind),
+    ['news'],
+    'no second message',
+  );
+  assert.ok(JSON.stringify(one.asked).length < 300, JSON.stringify(one.asked));
+  two.facts.put(fact('b/new', 1));
+  await exchanged(world, one, 'two');
+  assert.ok(JSON.stringify(one.asked).length < 900, 'a kind that differs does not bring up the others');
+  assert.ok(one.facts.get('b/new') !== undefined);
+});
+
+test('changes of shards pass in both directions, and only where one side is behind', async () => {
+  const { world, one, two } = sides();
+  const shard = new ShardNews({ holder: 'e', term: 1, epoch: 1, bootEpoch: 'b', weights: 'w', version: 0 });
+  one.shards.set('e', shard);
+  shard.put({ physical: 's/a', logical: 'a', name: 's/a', size: 600 });
+  await exchanged(world, one, 'two');
+  assert.equal(two.shards.get('e')?.size, 1, 'the asker pushes');
+  shard.put({ physical: 's/b', logical: 'b', name: 's/b', size: 700 });
+  await exchanged(world, two, 'one');
+  assert.equal(two.shards.get('e')?.size, 2, 'and is given');
+  one.asked.length = 0;
+  await exchanged(world, one, 'two');
+  assert.deepEqual(
+    one.asked.map(({ kind }) => kind),
+    ['news'],
+  );
+});
+
+test('nonsense in the place of sums, versions and keys changes nothing and breaks nothing', () => {
+  const { one } = sides();
+  one.facts.put(fact('a/x', 1));
+  for (const strange of [null, 7, 'x', [], { a: 5 }, { a: { x: [1] } }, { a: null }]) {
+    const answer = one.exchange.answer({ kind: 'news', fleet: 'f', sums: strange, marks: {}, revisions: {} });
+    assert.equal(answer.kind, 'newsBack');
+    const more = one.exchange.more({ kind: 'newsMore', fleet: 'f', facts: strange, wants: strange, bodies: strange });
+    assert.equal(more.kind, 'heard');
+  }
+  assert.equal(one.facts.size, 1);
+});
+
+test('few agents read the core for all, and a change is still applied everywhere within a second', async () => {
+  const read = async (shared: number): Promise<number> => {
+    const fleet = new HeldFleet(new World(3), 9, { sharedReadMicroseconds: shared });
+    const names = fleet.addEngines(3);
+    await fleet.start();
+    assert.ok(await fleet.world.runUntil(() => fleet.settled(names), 12_000_000));
+    await fleet.world.runFor(2_000_000);
+    const { network } = fleet.keepers;
+    const bytes = network.bytes;
+    await fleet.world.runFor(5_000_000);
+    const cost = network.bytes - bytes;
+    for (const weights of ['w2', 'w3', 'w4']) {
+      await fleet.name(weights);
+      const applied = ({ agent }: HeldAgent): boolean => {
+        const pool = agent.freshness.blueprint?.services['pool'];
+        return pool?.kind === 'pool' && pool.weights === weights;
+      };
+      const everywhere = await fleet.world.runUntil(() => fleet.agents.every(applied), 1_000_000);
+      assert.ok(everywhere, weights);
+    }
+    assert.ok(fleet.agents.every(({ agent }) => agent.freshness.ageMicroseconds() < 1_000_000));
+    return cost;
+  };
+  const [shared, each] = [await read(350_000), await read(0)];
+  assert.ok(shared < each * 0.95, `${shared} of ${each} bytes`);
+});
