--- a/build/codeCache.mjs
+++ b/build/codeCache.mjs
@@ -8,7 +8,7 @@
 const askedFlag = '--keep-compiled';
 const warmMilliseconds = 1200;
 
-const starter = (name) => `'use strict';
+const starter = (name, encoding) => `'use strict';
 const fs = require('node:fs');
 const path = require('node:path');
 const vm = require('node:vm');
@@ -20,7 +20,7 @@
 } catch {
   // Why nothing: without it everything is compiled as usual.
 }
-const script = new vm.Script('(function (exports, require, module, __filename, __dirname) {' + fs.readFileSync(file, 'latin1') + '\\n})', {
+const script = new vm.Script('(function (exports, require, module, __filename, __dirname) {' + fs.readFileSync(file, '${encoding}') + '\\n})', {
   filename: file,
   cachedData,
 });
@@ -48,12 +48,12 @@
   for (const [place, name] of names.entries()) {
     const plain = path.join('target', `${name}.cjs`);
     const code = path.join('target', `${name}.code.cjs`);
-    // Why only then: the starter reads it as one byte a letter, which is shorter to do.
-    if (/[^\0-\x7f]/.test(readFileSync(plain, 'utf8'))) throw new Error(`${plain} holds more than ASCII`);
+    // Why: a file of ASCII alone is read as one byte a letter, which is shorter to do.
+    const encoding = /[^\0-\x7f]/.test(readFileSync(plain, 'utf8')) ? 'utf8' : 'latin1';
     // Why first: the machine knows the code by its length alone, and an old one must never pass for the new.
     rmSync(path.join('target', `${name}.compiled`), { force: true });
     renameSync(plain, code);
-    writeFileSync(plain, starter(name));
+    writeFileSync(plain, starter(name, encoding));
     const settings = path.join(folder, `${name}.yaml`);
     const port = firstPort + place * 10;
     mkdirSync(path.join(folder, name));
