--- /dev/null
+++ b/tests/agent-holders.test.ts
@@ -0,0 +1,69 @@
+import { createHash } from 'node:crypto';
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SimBlueprints } from '../source/fleet-simulator/machines/simFleet';
+import { World } from '../source/fleet-simulator/world/world';
+import type { EngineList } from '../source/shared/blueprint/types';
+import { Holders } from '../source/shared/directory/holders';
+import { Freshness } from '../source/shared/freshness/freshness';
+import { WeightsClocks } from '../source/shared/weights/weightsClocks';
+
+const engines: EngineList = {
+  engines: {
+    a: { kind: 'engine', service: 'pool', address: '10.0.0.1:1', zone: '', state: 'draining' },
+    b: { kind: 'app', service: 'slips', address: '10.0.0.2:1', zone: '', state: 'ready' },
+    s: { kind: 'store', service: '', address: '10.0.0.3:1', zone: '', state: 'ready' },
+  },
+};
+const store = (address: string): Readonly<Record<string, unknown>> => ({
+  address,
+  zone: 'hill',
+  keptTokens: 10,
+  linkBytesPerSecond: 1,
+  calls: 2,
+});
+
+test('holders are the listed engines and stores, and the stores that operators name; apps keep nothing', () => {
+  const blueprint = { ...SimBlueprints.first(), stores: { far: store('10.0.0.4:1'), s: store('10.0.0.5:1') } };
+  const holders = Holders.of(engines, blueprint as never);
+  assert.deepEqual(Object.keys(holders).sort(), ['a', 'far', 's']);
+  assert.deepEqual(holders['far'], {
+    kind: 'store',
+    service: 'far',
+    address: '10.0.0.4:1',
+    zone: 'hill',
+    state: 'ready',
+  });
+  assert.equal(holders['s']?.address, '10.0.0.3:1', 'a listed one goes first');
+  assert.deepEqual(Holders.of(undefined, undefined), {});
+});
+
+test('where the list of engines is kept outside, its age makes nobody refuse', () => {
+  const world = new World(1);
+  const kept = new Freshness(world.clock);
+  const listed = new Freshness(world.clock, undefined, 'listed');
+  const text = JSON.stringify(SimBlueprints.first());
+  const digest = createHash('sha256').update(text).digest('hex').slice(0, 32);
+  for (const freshness of [kept, listed]) {
+    assert.equal(freshness.ageMicroseconds(), Infinity);
+    freshness.hear({ key: 'blueprint', revision: 1, digest, ageMicroseconds: 5, weights: {} }, 0);
+    assert.equal(freshness.give({ key: 'blueprint', revision: 1, digest, text }), true);
+  }
+  assert.equal(kept.ageMicroseconds(), Infinity, 'in the own protocol it does');
+  assert.equal(listed.ageMicroseconds(), 5);
+  assert.equal(listed.ageOf('engines'), Infinity);
+});
+
+test('the clocks of new weights keep their usual times, and move with another promise', () => {
+  assert.deepEqual(WeightsClocks.usual, {
+    cutMicroseconds: 11_000_000,
+    drainUntilMicroseconds: 9_500_000,
+    secondRoundMicroseconds: 5_000_000,
+  });
+  assert.deepEqual(WeightsClocks.within(12_000_000), WeightsClocks.usual);
+  assert.deepEqual(WeightsClocks.within(8_000_000), {
+    cutMicroseconds: 7_000_000,
+    drainUntilMicroseconds: 5_500_000,
+    secondRoundMicroseconds: 3_333_333,
+  });
+});
--- a/tests/agent-stewards.test.ts
+++ b/tests/agent-stewards.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { Identities } from '../source/shared/directory/identity';
 import { PromptParts } from '../source/shared/directory/promptParts';
+import { SimProcess } from '../source/fleet-simulator/world/simProcess';
 import { World } from '../source/fleet-simulator/world/world';
 import { FactKeys, type EngineFact } from '../source/shared/news/factTypes';
 import { directiveFaults, HeldFleet, weightsWithinMicroseconds } from './support/heldFleet';
@@ -229,3 +230,41 @@
     assert.equal(agent.shards.get('engine-1')?.present.weights, 'w2');
   }
 });
+
+test('a planned stop: duties pass to others at once, the proxy goes on being fed, and the agent waits for it', async () => {
+  const fleet = await up(14, 4, 4);
+  const { world } = fleet;
+  await world.runFor(4_000_000);
+  const leaving = fleet.lister();
+  assert.ok(leaving !== undefined);
+  const proxy = new SimProcess(world, 'proxy', leaving.machine);
+  const transport = fleet.keepers.network.transportOf(proxy);
+  const fed: string[] = [];
+  const load = { engines: { 'engine-1': 2 }, classes: {}, waiting: {}, tenants: {} };
+  const feed = (): void =>
+    void transport
+      .ask(`${leaving.machine}:1`, { kind: 'news', fleet: leaving.agent.link.fleet, sums: {}, load }, 500_000)
+      .then((answer) => fed.push(answer.kind === 'answered' ? answer.message.kind : answer.kind));
+  feed();
+  await world.runFor(100_000);
+  const begun = world.nowMicroseconds;
+  let over = Infinity;
+  void leaving.agent
+    .resign()
+    .then(() => leaving.agent.linger(5_000_000))
+    .then(() => {
+      over = world.nowMicroseconds;
+    });
+  let vacant = 0;
+  for (let turn = 0; turn < 20; turn += 1) {
+    feed();
+    await world.runFor(100_000);
+    assert.equal(leaving.agent.stewardship.held().length, 0, 'it takes up nothing again');
+    if (!fleet.settled(['engine-1', 'engine-2', 'engine-3', 'engine-4'])) vacant += 100_000;
+  }
+  assert.ok(vacant <= 1_500_000, `${vacant} us without a steward or a reader of the list`);
+  assert.equal(over, Infinity, 'it stays while its proxy asks');
+  assert.ok(fed.every((kind) => kind === 'newsBack'));
+  await world.runFor(1_000_000);
+  assert.ok(over - begun < 3_000_000, 'and goes soon after that one has stopped');
+});
