--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -44,6 +44,8 @@
 export type ProxySettings = Readonly<{
   name: string;
   agentAddress: string;
+  /** `listed`: something outside the fleet keeps the list of engines, and its age makes nobody refuse. */
+  engineList?: 'kept' | 'listed';
   freshMicroseconds: number;
   feedMicroseconds: number;
   feedAskMicroseconds: number;
@@ -155,7 +157,7 @@
     const { clock, random } = effects;
     this.effects = { ...effects, transport: new FleetTransport(effects.transport, () => this.fleet.name) };
     this.log = Logs.part(`proxy:${settings.name}`);
-    this.freshness = new Freshness(clock, dialect);
+    this.freshness = new Freshness(clock, dialect, settings.engineList);
     this.pulses = new Pulses(clock);
     this.fence = new Fence(this.freshness, clock, settings.freshMicroseconds, settings.weightsCutMicroseconds);
     this.identifier = new Identifier(this.fence, settings.retryAfterSeconds);
