--- a/source/edge-agent/stewards/eventReader.ts
+++ b/source/edge-agent/stewards/eventReader.ts
@@ -16,16 +16,19 @@
   listMicroseconds: number;
 }>;
 
+/** Starting values, ours. Why held no longer: an engine that says nothing any more is only seen when the call should be back. */
 export const EventReaderDefaults: EventReaderSettings = {
-  askMicroseconds: 700_000,
-  holdMicroseconds: 1_000_000,
+  askMicroseconds: 350_000,
+  holdMicroseconds: 400_000,
   firstHoldMicroseconds: 200_000,
   pauseMicroseconds: 250_000,
   unreachableAfter: 2,
   listMicroseconds: 3_000_000,
 };
 
-const mostBackOffMicroseconds = 1_000_000;
+const mostBackOffMicroseconds = 500_000;
+/** A list may be long. */
+const listMicroseconds = 700_000;
 
 export type HolderSight = Readonly<{ kind: 'unknown' | 'there' | 'away' }>;
 
@@ -121,7 +124,7 @@
     // Why rationed: a list holds up the holder's work, and what it would mend costs only a reading.
     if (!this.listNeeded || now - this.listedMicroseconds < this.settings.listMicroseconds) return;
     this.listedMicroseconds = now;
-    const list = await this.door.list(address, this.settings.askMicroseconds);
+    const list = await this.door.list(address, listMicroseconds);
     if (list === undefined || !this.holds() || this.stopped) return;
     this.listNeeded = false;
     this.shard.list(list);
