An engine no steward has spoken of is taken at the list's word, where that names weights

Cause: after all machines lost power the list was known 0.75 s after the return, but orders waited for the first steward (a lease later), and then all went to the one engine that had one ('no conn is free'). Each send names instance and weights, so the list's word is safe; own protocol's lists name none and nothing changes there.

--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -158,8 +158,7 @@
             work,
           },
         ];
-      const fact = this.facts.value<EngineFact>(FactKeys.engine(name));
-      // Why the steward's word is needed: an engine nobody has confirmed may run on any weights.
+      const fact = this.wordOf(service, name, engine);
       if (fact === undefined || !fact.reachable || !fact.accepting || fact.changing || fact.address !== engine.address)
         return [];
       if (this.fence.weights(service, fact.weights) === 'forbidden') return [];
@@ -240,6 +239,31 @@
     return this.stores()[0];
   }
 
+  /**
+   * What is known of an engine: its steward's word. Where there is none yet, what the list itself says of it. Why that
+   * is enough: each send names the instance and the weights that it is meant for, and another engine does not run it.
+   * A list that says nothing of weights is not enough: an engine nobody has confirmed may run on any.
+   */
+  private wordOf(service: string, name: string, engine: Engine): EngineFact | undefined {
+    const fact = this.facts.value<EngineFact>(FactKeys.engine(name));
+    if (fact !== undefined || engine.weights === undefined || engine.capacity === undefined) return fact;
+    const pool = this.freshness.blueprint?.services[service];
+    const weights = pool?.kind === 'pool' ? engine.weights[pool.model] : undefined;
+    if (weights === undefined) return undefined;
+    return {
+      engine: name,
+      kind: 'engine',
+      address: engine.address,
+      bootEpoch: '',
+      weights,
+      capacity: engine.capacity,
+      inFlight: 0,
+      accepting: true,
+      changing: false,
+      reachable: true,
+    };
+  }
+
   private isOther(engine: string): boolean {
     const said = this.other.get(engine);
     if (said === undefined) return false;
