--- a/build/codeCache.mjs
+++ b/build/codeCache.mjs
@@ -60,7 +60,7 @@
     writeFileSync(
       settings,
       sample
-        .replace(/\{(\d)\}/g, (_, offset) => String(port + Number(offset)))
+        .replace(/\{ ?(\d) ?\}/g, (_, offset) => String(port + Number(offset)))
         .replace('{folder}', path.join(folder, name)),
     );
     const ran = spawnSync(process.execPath, [...flagsOf(name), plain, askedFlag], {
