--- a/source/edge-agent/stewards/eventReader.ts
+++ b/source/edge-agent/stewards/eventReader.ts
@@ -39,6 +39,8 @@
   private calling = false;
   private stopped = false;
   private nextMicroseconds = 0;
+  /** Another one answers in its place: whatever that says is not about this one. */
+  private replaced = false;
   private listNeeded = false;
   private listedMicroseconds = -Infinity;
 
@@ -49,6 +51,8 @@
     private readonly door: BackEndDoor,
     private readonly clock: Clock,
     private readonly settings: EventReaderSettings,
+    /** Whether its name is that of one life, so that another boot is another engine. */
+    private readonly namesLife: boolean,
     /** The weights that the holder is known to be on; empty where it has none. */
     private readonly weights: () => string,
     private readonly changed: () => void,
@@ -84,9 +88,15 @@
     this.nextMicroseconds = asked + this.settings.pauseMicroseconds;
     const { bootEpoch } = this.shard.news.present;
     const after = this.shard.after ?? 0;
-    const read = await this.door.events(address, after, bootEpoch, hold + this.settings.askMicroseconds, hold);
+    const limit = hold + this.settings.askMicroseconds;
+    const read = await this.door.events(address, after, bootEpoch, limit, hold, this.meant());
     if (!this.holds() || this.stopped) return;
-    if (read === undefined) return this.miss();
+    if (this.namesLife && read !== undefined && read !== 'later' && bootEpoch !== '' && read.bootEpoch !== bootEpoch) {
+      // Why for good: a life that is over does not come back, and orders for it would all be turned away.
+      this.replaced = true;
+      this.missed = this.settings.unreachableAfter;
+    }
+    if (read === undefined || this.replaced) return this.miss();
     this.missed = 0;
     this.sightNow = { kind: 'there' };
     if (read === 'later') this.nextMicroseconds = this.clock.nowMicroseconds() + mostBackOffMicroseconds;
@@ -94,6 +104,10 @@
     if (this.holds() && !this.stopped) this.changed();
   }
 
+  private meant(): string | undefined {
+    return this.namesLife ? this.name : undefined;
+  }
+
   private miss(): void {
     this.missed += 1;
     const now = this.clock.nowMicroseconds();
@@ -124,7 +138,7 @@
     // Why rationed: a list holds up the holder's work, and what it would mend costs only a reading.
     if (!this.listNeeded || now - this.listedMicroseconds < this.settings.listMicroseconds) return;
     this.listedMicroseconds = now;
-    const list = await this.door.list(address, listMicroseconds);
+    const list = await this.door.list(address, listMicroseconds, this.meant());
     if (list === undefined || !this.holds() || this.stopped) return;
     this.listNeeded = false;
     this.shard.list(list);
--- a/source/edge-agent/stewards/heldSteward.ts
+++ b/source/edge-agent/stewards/heldSteward.ts
@@ -100,6 +100,7 @@
       door,
       clock,
       settings.events,
+      engine.kind === 'engine',
       () => this.status()?.weights ?? '',
       () => this.heard(),
       log,
@@ -242,7 +243,7 @@
 
   private async look(): Promise<void> {
     const asked = this.clock.nowMicroseconds();
-    const status = await this.door.status(this.engine.address, this.settings.askMicroseconds);
+    const status = await this.door.status(this.engine.address, this.settings.askMicroseconds, this.name);
     this.nextLookMicroseconds = asked + this.settings.changingLookMicroseconds;
     if (status !== undefined && this.holds()) this.looked = { status, atMicroseconds: asked };
   }
--- a/source/shared/back-end/protocol.ts
+++ b/source/shared/back-end/protocol.ts
@@ -189,7 +189,12 @@
 export interface BackEndDoor {
   /** Missing: the usual ones. */
   readonly traits?: DoorTraits;
-  readonly status: (address: string, limitMicroseconds: number) => Promise<EngineStatus | undefined>;
+  readonly status: (
+    address: string,
+    limitMicroseconds: number,
+    /** The engine that is meant, and no other at that address; missing: whichever it is. */
+    engine?: string,
+  ) => Promise<EngineStatus | undefined>;
   readonly events: (
     address: string,
     after: number,
@@ -197,8 +202,9 @@
     limitMicroseconds: number,
     /** How long the call may be held until there are events; missing: it is answered at once. */
     holdMicroseconds?: number,
+    engine?: string,
   ) => Promise<KvEvents | 'later' | undefined>;
-  readonly list: (address: string, limitMicroseconds: number) => Promise<KvList | undefined>;
+  readonly list: (address: string, limitMicroseconds: number, engine?: string) => Promise<KvList | undefined>;
   readonly directive: (address: string, directive: Directive, limitMicroseconds: number) => Promise<DirectiveOutcome>;
 }
 
--- a/tests/agent-doors.test.ts
+++ b/tests/agent-doors.test.ts
@@ -276,6 +276,14 @@
     assert.equal(await door.directive(address, { ...directive, weights: '3' }, limit), 'otherUnderWay');
     assert.equal(await door.directive(address, { ...directive, engine: 'i-8' }, limit), 'failed');
     assert.equal(engine.orders.length, 2);
+    for (const [meant, answers] of [
+      ['i-7', true],
+      ['i-8', false],
+    ] as const) {
+      assert.equal((await door.status(address, limit, meant)) !== undefined, answers);
+      assert.equal((await door.events(address, 0, '', limit, 0, meant)) !== undefined, answers);
+      assert.equal((await door.list(address, limit, meant)) !== undefined, answers);
+    }
   });
 });
 
--- a/tests/agent-stewards.test.ts
+++ b/tests/agent-stewards.test.ts
@@ -150,6 +150,31 @@
   assert.ok(await fleet.world.runUntil(() => seen('engine-4', true), 1_500_000), 'back');
 });
 
+for (const hears of [true, false])
+  test(`another engine at the address of one that is gone does not bring that one back (events ${hears ? 'say so' : 'do not say so'})`, async () => {
+    const fleet = await up(15, 4, 4);
+    const listed = fleet.engines.listed();
+    fleet.engines.eventsHearMeant = hears;
+    fleet.engines.listAnswer = () => ({ engines: listed, next: undefined });
+    const seen = (): boolean => fleet.agents.every((_, index) => factAt(fleet, index, 'engine-3')?.reachable === false);
+    fleet.engines.crash('engine-3');
+    assert.ok(await fleet.world.runUntil(seen, 1_800_000));
+    fleet.engines.add('engine-9', fleet.engines.get('engine-3').machine, 'w1');
+    for (let turn = 0; turn < 30; turn += 1) {
+      await fleet.world.runFor(100_000);
+      assert.ok(seen(), 'orders for it would all be turned away');
+    }
+    // Only the boot tells then, and a steward that comes later does not know it.
+    if (!hears) return;
+    // A steward that comes later has never seen the one that is gone.
+    const steward = fleet.stewardOf('engine-3');
+    assert.ok(steward !== undefined);
+    fleet.kill(steward);
+    await fleet.world.runFor(6_000_000);
+    const alive = fleet.agents.findIndex(({ process }) => process.alive);
+    assert.equal(factAt(fleet, alive, 'engine-3')?.reachable, false);
+  });
+
 test('at rest: few held calls, no looks, one author of the list', async () => {
   const fleet = await up(10, 4, 5);
   const before = { ...fleet.engines.calls };
--- a/tests/support/heldEngines.ts
+++ b/tests/support/heldEngines.ts
@@ -50,6 +50,8 @@
   public readonly calls = { status: 0, list: 0, events: 0, pages: 0 };
   /** What the list answers besides the truth; undefined: the truth. */
   public listAnswer: ((from: string | undefined) => ListPage | undefined) | undefined;
+  /** Whether calls for events look at which engine is meant. */
+  public eventsHearMeant = true;
   public pageSize = 50;
   /** Who asked for a page of the list, and when. */
   public readonly pageCalls: { agent: string; atMicroseconds: number }[] = [];
@@ -133,41 +135,56 @@
   public doorOf(agent: SimProcess): BackEndDoor {
     const at = (address: string): HeldEngine | undefined =>
       [...this.engines.values()].filter(({ machine }) => `${machine}:1` === address).at(-1);
+    const meantIs = (engine: HeldEngine | undefined, meant: string | undefined): boolean =>
+      engine?.alive === true && (meant === undefined || meant === engine.name);
     const ask = <Result>(
       address: string,
       limit: number,
       act: (engine: HeldEngine) => Result,
+      meant?: string,
     ): Promise<Result | undefined> =>
       this.call(agent, address.split(':', 1)[0] ?? '', limit, () => {
         const engine = at(address);
-        return engine?.alive === true ? act(engine) : undefined;
+        return engine !== undefined && meantIs(engine, meant) ? act(engine) : undefined;
       });
     return {
       traits: { drains: false, holdsEvents: true, derivedNames: true, storesHaveStatus: false },
-      status: (address, limit) =>
-        ask(address, limit, (engine): EngineStatus => {
-          this.calls.status += 1;
-          return {
-            bootEpoch: '',
-            weights: engine.weights,
-            capacity: 0,
-            inFlight: 0,
-            accepting: true,
-            models: { [model]: engine.weights },
-            busy: engine.loading !== undefined,
-          };
-        }),
-      list: (address, limit) =>
-        ask(address, limit, (engine): KvList => {
-          this.calls.list += 1;
-          const { bootEpoch, sequence, kept } = engine;
-          return { bootEpoch, sequence, keys: [...kept.keys()], sizes: [...kept.values()] };
-        }),
-      events: (address, after, _boot, limit, hold = 0) =>
+      status: (address, limit, meant) =>
+        ask(
+          address,
+          limit,
+          (engine): EngineStatus => {
+            this.calls.status += 1;
+            return {
+              bootEpoch: '',
+              weights: engine.weights,
+              capacity: 0,
+              inFlight: 0,
+              accepting: true,
+              models: { [model]: engine.weights },
+              busy: engine.loading !== undefined,
+            };
+          },
+          meant,
+        ),
+      list: (address, limit, meant) =>
+        ask(
+          address,
+          limit,
+          (engine): KvList => {
+            this.calls.list += 1;
+            const { bootEpoch, sequence, kept } = engine;
+            return { bootEpoch, sequence, keys: [...kept.keys()], sizes: [...kept.values()] };
+          },
+          meant,
+        ),
+      events: (address, after, _boot, limit, hold = 0, meant = undefined) =>
         this.call(agent, address.split(':', 1)[0] ?? '', limit, () => {
           this.calls.events += 1;
           const engine = at(address);
-          return engine?.alive === true ? this.held(engine, after, hold) : undefined;
+          return engine !== undefined && meantIs(engine, this.eventsHearMeant ? meant : undefined)
+            ? this.held(engine, after, hold)
+            : undefined;
         }),
       directive: async (address, directive, limit) => {
         if (directive.kind !== 'loadWeights') return 'failed';
