--- a/source/shared/back-end/keptConns/answerReader.ts
+++ b/source/shared/back-end/keptConns/answerReader.ts
@@ -23,6 +23,11 @@
 const headerLine = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[\t ]*([\t\x20-\x7e\x80-\xff]*)$/;
 const chunkLine = /^([0-9A-Fa-f]{1,8})[\t ]*(?:;[\t\x20-\x7e\x80-\xff]*)?$/;
 const chunkLineMost = 1024;
+/** The worth of each letter as a hex digit; -1: it is none. */
+const hexDigits: readonly number[] = Array.from({ length: 256 }, (_, letter) => {
+  const text = String.fromCharCode(letter);
+  return /[0-9A-Fa-f]/.test(text) ? Number.parseInt(text, 16) : -1;
+});
 /** Heads that come before the answer's own; more of them are no answer. */
 const interimMost = 8;
 const lineEnd = Buffer.from('\r\n');
@@ -123,6 +128,11 @@
           break;
         }
         case 'chunkSize': {
+          const plain = this.plainSize();
+          if (plain !== undefined) {
+            this.place = plain === 0 ? { kind: 'trailers', bytes: 0 } : { kind: 'chunk', left: plain };
+            break;
+          }
           const line = this.line(chunkLineMost);
           if (line.kind === 'more') return undefined;
           const found = line.kind === 'line' ? chunkLine.exec(line.text) : null;
@@ -151,6 +161,23 @@
     }
   }
 
+  /** The size alone, as nearly all chunks have it; undefined: it is not so simple, or not all there. */
+  private plainSize(): number | undefined {
+    const { bytes } = this;
+    let size = 0;
+    for (let at = 0; at < 8; at += 1) {
+      const letter = bytes[at] ?? 0;
+      const digit = hexDigits[letter] ?? -1;
+      if (digit >= 0) size = size * 16 + digit;
+      else {
+        if (at === 0 || letter !== 13 || bytes[at + 1] !== 10) return undefined;
+        this.bytes = bytes.subarray(at + 2);
+        return size;
+      }
+    }
+    return undefined;
+  }
+
   private part(most: number): Extract<AnswerEvent, { kind: 'part' }> | undefined {
     if (this.bytes.length === 0) return undefined;
     const bytes = this.bytes.subarray(0, most);
--- a/source/shared/back-end/keptConns/keptConn.ts
+++ b/source/shared/back-end/keptConns/keptConn.ts
@@ -34,6 +34,8 @@
 export class KeptConn {
   public idleSinceMicroseconds = 0;
   public usableMicroseconds = 0;
+  /** The back end has said how long it keeps the conn. */
+  public isTimeNamed = false;
   private readonly socket: net.Socket;
   private run: Run | undefined;
   private over = false;
@@ -92,7 +94,8 @@
   }
 
   /** To be called while no order is on it: the conn waits so long for the next. */
-  public idle(usableMicroseconds: number): void {
+  public idle(usableMicroseconds: number, isTimeNamed: boolean): void {
+    this.isTimeNamed = isTimeNamed;
     this.idleSinceMicroseconds = this.clock.nowMicroseconds();
     this.usableMicroseconds = usableMicroseconds;
     this.cancelTimer();
--- a/source/shared/back-end/keptConns/keptConnSender.ts
+++ b/source/shared/back-end/keptConns/keptConnSender.ts
@@ -11,8 +11,10 @@
     idleMicroseconds: number;
     /** How much sooner than its back end says a conn is given up. */
     marginMicroseconds: number;
-    /** An order that may run once goes only on a conn that was idle for less than this. */
+    /** An order that may run once goes only on a conn that was idle for less than this, */
     onceIdleMicroseconds: number;
+    /** or than this where the back end has named a longer time for which it keeps the conn. */
+    onceNamedIdleMicroseconds: number;
   }>;
 
 /** Conns to one address: how many may be idle, and how many may stand at once. */
@@ -25,6 +27,7 @@
   idleMicroseconds: 15_000_000,
   marginMicroseconds: 1_000_000,
   onceIdleMicroseconds: 3_000_000,
+  onceNamedIdleMicroseconds: 6_000_000,
 };
 
 type Book = { readonly conns: Set<KeptConn>; /** The one used last stands last. */ idle: readonly KeptConn[] };
@@ -94,7 +97,8 @@
         continue;
       }
       // Why not the others: they were idle for longer.
-      if (once && idle >= this.settings.onceIdleMicroseconds) return undefined;
+      const { onceIdleMicroseconds, onceNamedIdleMicroseconds } = this.settings;
+      if (once && idle >= (conn.isTimeNamed ? onceNamedIdleMicroseconds : onceIdleMicroseconds)) return undefined;
       book.idle = book.idle.slice(0, -1);
       return conn;
     }
@@ -174,7 +178,7 @@
       conn.destroy('the conn is not kept');
       return;
     }
-    conn.idle(usable);
+    conn.idle(usable, hint !== undefined);
     book.idle = [...book.idle, conn];
   }
 }
--- a/source/shared/http/hopHeaders.ts
+++ b/source/shared/http/hopHeaders.ts
@@ -16,10 +16,15 @@
 export const HopHeaders = {
   /** Names are in lower case. What `connection` names is left out too. */
   without: (headers: Headers): Headers => {
-    const named = new Set((headers['connection'] ?? '').split(',').map((name) => name.trim().toLowerCase()));
-    // Why not the length: a conn header may not hide how long a body is.
-    return Object.fromEntries(
-      Object.entries(headers).filter(([name]) => !hop.has(name) && (name === 'content-length' || !named.has(name))),
-    );
+    const { connection } = headers;
+    const named = connection === undefined ? [] : connection.split(',').map((name) => name.trim().toLowerCase());
+    const passed: Record<string, string> = {};
+    for (const name in headers) {
+      const value = headers[name];
+      // Why not the length: a conn header may not hide how long a body is.
+      if (value !== undefined && !hop.has(name) && (name === 'content-length' || !named.includes(name)))
+        passed[name] = value;
+    }
+    return passed;
   },
 } as const;
--- a/tests/doors-sender.test.ts
+++ b/tests/doors-sender.test.ts
@@ -329,6 +329,22 @@
       },
     ));
 
+  test('where a back end names how long it keeps a conn, such an order may go on it for longer', () =>
+    withEngine(
+      (socket) => socket.write(answer('a', 'keep-alive: timeout=60\r\n')),
+      async (engine) => {
+        const clock = new HandClock();
+        const sender = kept(clock);
+        await sendRaw(sender, engine.address);
+        clock.pass(KeptConnDefaults.onceNamedIdleMicroseconds - 1);
+        await sendRaw(sender, engine.address, { runsOnce: true });
+        assert.equal(engine.conns, 1);
+        clock.pass(KeptConnDefaults.onceNamedIdleMicroseconds);
+        await sendRaw(sender, engine.address, { runsOnce: true });
+        assert.equal(engine.conns, 2);
+      },
+    ));
+
   test('a conn that the back end closed or reset while idle is never used', async () => {
     for (const how of ['end', 'resetAndDestroy'] as const)
       await withEngine(
