npm run measure: what grows with the fleet, its slope and spread, figures and plots

Ten named measurements over sizes and seeds: hollow agents over real conns, one exchange of news, what an agent works out each turn, the index and its events, a document, a placement, a change and ballots at the keepers, the proxy's path. Plots are drawn by vega, which loads only there: its canvas part cannot be bundled, so it is external in the bundle.

--- a/build/bundle.mjs
+++ b/build/bundle.mjs
@@ -13,7 +13,7 @@
   target: 'node20',
   format: 'cjs',
   outExtension: { '.js': '.cjs' },
-  external: ['msgpackr-extract', 'esbuild'],
+  external: ['msgpackr-extract', 'esbuild', 'vega'],
   logLevel: 'warning',
   sourcemap: 'linked',
   mainFields: ['module', 'main'],
--- /dev/null
+++ b/source/measure/measurements/exchange.ts
@@ -0,0 +1,115 @@
+import { pack, unpack } from 'msgpackr';
+import type { Effects } from '../../shared/effects/effects';
+import type { Answer, Message } from '../../shared/effects/transport/transport';
+import { seededRandom } from '../../shared/effects/random/random';
+import { ShardBook } from '../../shared/directory/shardBook';
+import { realClock } from '../../shared/effects/clock/realClock';
+import { FleetName } from '../../shared/fleet/fleetName';
+import { Freshness } from '../../shared/freshness/freshness';
+import { FactKeys } from '../../shared/news/factTypes';
+import { FactBook } from '../../shared/news/facts';
+import { NewsExchange } from '../../shared/news/newsExchange';
+import { Pulses } from '../../shared/news/pulses';
+import { Costs } from '../hollow/costs';
+import { Made } from '../hollow/made';
+import type { Measurement } from './measurement';
+
+type Side = Readonly<{ facts: FactBook; exchange: NewsExchange }>;
+
+const sideOf = (daemons: number, seed: number, effects: Effects): Side => {
+  const facts = new FactBook();
+  Made.fill(facts, Made.facts(daemons, Made.engines(daemons), seededRandom(seed)));
+  const freshness = new Freshness(realClock);
+  Made.give(freshness, realClock, 'blueprint', JSON.stringify(Made.blueprint(23, 10, 23)));
+  const parts = {
+    fleet: new FleetName('measured'),
+    facts,
+    shards: new ShardBook(),
+    freshness,
+    pulses: new Pulses(realClock),
+  };
+  return { facts, exchange: new NewsExchange(parts, effects) };
+};
+
+export const exchange: Measurement = {
+  name: 'exchange',
+  text: 'One exchange of news between two daemons of a fleet, both sides together, packed and unpacked.',
+  sizeUnit: 'daemons',
+  sizes: [9, 27, 81, 243, 410],
+  leastSize: 2,
+  mostSize: 1000,
+  target: 410,
+  hollow: 'No conn: what is packed on one side is unpacked on the other. Facts are made up, 2.02 engines a daemon.',
+  figures: {
+    restBytes: { unit: 'bytes', text: 'one exchange while both know the same' },
+    restProcessor: { unit: 'us', text: 'both sides of it' },
+    oneBytes: { unit: 'bytes', text: 'one exchange after one load has changed' },
+    oneProcessor: { unit: 'us', text: 'both sides of it' },
+    allBytes: { unit: 'bytes', text: 'one exchange after all loads have changed' },
+    allProcessor: { unit: 'us', text: 'both sides of it' },
+    factBytes: { unit: 'bytes', text: 'memory of all facts in one daemon' },
+  },
+  take: async (daemons, seed) => {
+    const random = seededRandom(seed);
+    const engines = Made.engines(daemons);
+    const before = Costs.heldBytes();
+    const kept = new FactBook();
+    Made.fill(kept, unpack(pack(Made.facts(daemons, engines, random))) as never);
+    const factBytes = Costs.heldBytes() - before;
+    let bytes = 0;
+    const sides: Side[] = [];
+    const carry = (message: Message): Message => {
+      const packed = pack(message);
+      bytes += packed.length;
+      return unpack(packed) as Message;
+    };
+    const transport = {
+      ask: (_address: string, message: Message): Promise<Answer> => {
+        const heard = carry({ fleet: 'measured', ...message });
+        const far = sides[1]?.exchange;
+        const answer = heard.kind === 'news' ? far?.answer(heard) : far?.more(heard);
+        if (answer === undefined) return Promise.resolve({ kind: 'silent', reason: 'nobody' });
+        return Promise.resolve({ kind: 'answered', message: carry({ fleet: 'measured', ...answer }) });
+      },
+      listen: () => Promise.reject(new Error('nobody listens here')),
+      close: () => Promise.resolve(),
+    };
+    const effects: Effects = { clock: realClock, random, transport };
+    const asker = sideOf(daemons, seed, effects);
+    const far = sideOf(daemons, seed, effects);
+    sides.push(asker, far);
+    const loads = Array.from({ length: 4 }, () =>
+      Array.from({ length: daemons }, (_, index) => Made.load(index + 1, engines, random)),
+    );
+    let version = 1;
+    const change = (count: number): void => {
+      version += 1;
+      for (let index = 0; index < count; index += 1) {
+        const value = loads[version % 4]?.[index];
+        far.facts.put({ key: FactKeys.load(Made.daemon(index + 1)), version: [1, version], value });
+      }
+    };
+    const cost = async (changes: number): Promise<readonly [bytes: number, processor: number]> => {
+      let asks = 0;
+      bytes = 0;
+      const processor = await Costs.each(async () => {
+        change(changes);
+        asks += 1;
+        await asker.exchange.ask('there', 1_000_000);
+      });
+      return [bytes / asks, processor];
+    };
+    const [restBytes, restProcessor] = await cost(0);
+    const [oneBytes, oneProcessor] = await cost(1);
+    const [allBytes, allProcessor] = await cost(daemons);
+    return {
+      restBytes,
+      restProcessor,
+      oneBytes,
+      oneProcessor,
+      allBytes,
+      allProcessor,
+      factBytes: kept.size > 0 ? factBytes : 0,
+    };
+  },
+};
--- /dev/null
+++ b/source/measure/measurements/placement.ts
@@ -0,0 +1,182 @@
+import { pack, unpack } from 'msgpackr';
+import { WorkDesk } from '../../edge-agent/desk/workDesk';
+import { Fence } from '../../edge-proxy/fence/fence';
+import { LinkSpeeds } from '../../edge-proxy/fetch/linkSpeeds';
+import { MoveSettings, PartMoves } from '../../edge-proxy/fetch/partMoves';
+import type { Order, Resolved } from '../../edge-proxy/path/order';
+import { WorkPlacementSettings } from '../../edge-proxy/placement/byWork';
+import { DeskLink } from '../../edge-proxy/placement/deskLink';
+import { EngineView } from '../../edge-proxy/placement/engineView';
+import { EngineWork } from '../../edge-proxy/placement/engineWork';
+import { Lanes, LaneSettings } from '../../edge-proxy/placement/lanes';
+import { PromptKeys } from '../../edge-proxy/placement/placePolicies';
+import { ReadSpeeds } from '../../edge-proxy/placement/readSpeeds';
+import { WorkPlacer } from '../../edge-proxy/placement/workPlacer';
+import { DeskMessages } from '../../shared/desk/messages';
+import { LookUps } from '../../shared/directory/lookup';
+import { ShardBook } from '../../shared/directory/shardBook';
+import { ShardNews } from '../../shared/directory/shardNews';
+import type { Clock } from '../../shared/effects/clock/clock';
+import { seededRandom } from '../../shared/effects/random/random';
+import type { Answer, Message } from '../../shared/effects/transport/transport';
+import { Freshness } from '../../shared/freshness/freshness';
+import { FactBook } from '../../shared/news/facts';
+import { Costs } from '../hollow/costs';
+import { Made } from '../hollow/made';
+import type { Measurement, Taken } from './measurement';
+
+const models = 23;
+const blocksPerHolder = 50;
+
+const orderOf = (turn: number): Order => ({
+  id: `order-${turn}`,
+  method: 'POST',
+  path: '/v1/chat/completions',
+  key: 'key-of-tenant-1-first',
+  contentType: 'application/json',
+  body: '',
+  arrivedMicroseconds: 0,
+  model: 'model-1',
+  parts: [
+    { name: `rules-${turn % 40}`, size: 1200 },
+    { name: `tariff-${turn % 200}`, size: 900 },
+    { name: `own-${turn}`, size: 700 },
+  ],
+  promptTokens: 2800,
+  mostTokens: 300,
+});
+
+/** One proxy's view of a fleet, with the clock in the hand of who measures. */
+const placing = async (engines: number, services: number, seed: number): Promise<Taken> => {
+  const random = seededRandom(seed);
+  let now = 1_000_000;
+  const clock: Clock = { nowMicroseconds: () => now, steadyMicroseconds: () => now, after: () => () => undefined };
+  const daemons = Made.daemonsOf(engines);
+  const facts = new FactBook();
+  Made.fill(facts, Made.facts(daemons, engines, random));
+  facts.put({ key: 'duty/list', version: [1, 1], value: { engine: 'list', holder: Made.daemon(1), term: 1 } });
+  const freshness = new Freshness(clock, undefined, 'listed');
+  Made.give(freshness, clock, 'blueprint', JSON.stringify(Made.blueprint(services, 10, services)));
+  Made.give(freshness, clock, 'engines', JSON.stringify(Made.list(engines, services)));
+  const work = new EngineWork(clock, { latelyMicroseconds: 3_000_000 });
+  const fence = new Fence(freshness, clock, Infinity);
+  const view = new EngineView(Made.daemon(1), freshness, facts, fence, clock, work);
+  const shards = new ShardBook();
+  const text = freshness.blueprint;
+  const service = text?.services[Made.service(1)];
+  const mapping = text?.mappings['mapping-1'];
+  if (text === undefined || service === undefined || mapping === undefined) throw new Error('no blueprint is in force');
+  const resolved: Resolved = {
+    mappingName: 'mapping-1',
+    mapping,
+    tenant: 'tenant-1',
+    trustDomain: '',
+    service,
+    under: text,
+  };
+  for (let number = 1; number <= engines; number += 1) {
+    const holder = Made.engine(number);
+    const shard = new ShardNews({ holder, term: 1, epoch: 1, bootEpoch: `boot-${number}`, weights: '', version: 0 });
+    for (let block = 0; block < blocksPerHolder; block += 1) {
+      const turn = Math.floor(random.fraction() * 200);
+      for (const key of new PromptKeys(resolved, orderOf(turn)).parts('w1').slice(0, 2)) shard.put(key);
+    }
+    shards.set(holder, shard);
+  }
+  const desk = new WorkDesk(clock);
+  const used = { desk: 0, bytes: 0, asks: 0 };
+  const transport = {
+    ask: (_address: string, message: Message): Promise<Answer> => {
+      const begun = Costs.processorMicroseconds();
+      const packed = pack(message);
+      const order = (unpack(packed) as Message)['order'];
+      const word = DeskMessages.isOrder(order) ? desk.reserve(order) : undefined;
+      used.desk += Costs.processorMicroseconds() - begun;
+      used.bytes += packed.length;
+      used.asks += 1;
+      return Promise.resolve({ kind: 'answered', message: { kind: 'reserved', word } });
+    },
+    listen: () => Promise.reject(new Error('nobody listens here')),
+    close: () => Promise.resolve(),
+  };
+  const speeds = new ReadSpeeds();
+  const placer = new WorkPlacer(
+    view,
+    new PartMoves(view, new LinkSpeeds(1000, 4096), MoveSettings.usual),
+    speeds,
+    random,
+    Made.zone(1),
+    new Lanes(clock, LaneSettings.usual),
+    new DeskLink(transport, clock, () => view.listHolder()?.address, 1_000_000),
+    WorkPlacementSettings.usual,
+  );
+  view.candidates(Made.service(1));
+  const candidates = await Costs.each(() => view.candidates(Made.service(1)));
+  const afterNews = await Costs.each(() => {
+    now += 25_000;
+    return view.candidates(Made.service(1));
+  });
+  const lookUp = await Costs.each((turn) =>
+    LookUps.find(shards, new PromptKeys(resolved, orderOf(turn)).parts('w1'), (holder) => view.bootEpochOf(holder)),
+  );
+  used.asks = used.bytes = used.desk = 0;
+  let placed = 0;
+  const all = await Costs.each(async (turn) => {
+    // Why on by a hundredth of a second: at the letter's peak a proxy places some 14 orders a second, the desk all.
+    now += 170;
+    const order = orderOf(turn);
+    const keys = new PromptKeys(resolved, order);
+    const found = new Map<string, ReturnType<typeof LookUps.find>>();
+    const chosen = await placer.place(view.candidates(Made.service(1)), order, resolved, keys, (weights) => {
+      const known =
+        found.get(weights) ?? LookUps.find(shards, keys.parts(weights), (holder) => view.bootEpochOf(holder));
+      found.set(weights, known);
+      return known;
+    });
+    if (chosen !== undefined) placed += 1;
+    if (chosen !== undefined && turn % 4 !== 0) desk.done(chosen.engine, order.id, true);
+  });
+  if (placed === 0 || used.asks === 0) throw new Error('nothing was placed');
+  const deskEach = used.desk / used.asks;
+  return {
+    candidates,
+    sums: Math.max(0, afterNews - candidates),
+    lookUp,
+    place: Math.max(0, all - deskEach),
+    desk: deskEach,
+    deskBytes: used.bytes / used.asks,
+  };
+};
+
+export const placement: Measurement = {
+  name: 'placement',
+  text: 'One order gets its engine: what the proxy weighs, and what the desk does that places long orders for all.',
+  sizeUnit: 'engines',
+  sizes: [46, 115, 230, 460, 830],
+  leastSize: models,
+  mostSize: 2000,
+  target: 830,
+  hollow:
+    'No conns: the desk is asked in process, packed and unpacked. 2.02 engines a daemon; 23 equal pools, and once one pool with all engines.',
+  figures: {
+    sums: { unit: 'us', text: 'summing the loads of all other proxies, at most each 20 ms' },
+    lookUp: { unit: 'us', text: 'one look-up of the parts of a prompt over all holders' },
+    candidates: { unit: 'us', text: 'engines of one of 23 pools that an order may go to' },
+    place: { unit: 'us', text: 'one placement in one of 23 pools, without the desk' },
+    desk: { unit: 'us', text: "the desk's part of it, packing and unpacking included" },
+    deskBytes: { unit: 'bytes', text: 'what the desk is asked' },
+    placeInOne: { unit: 'us', text: 'one placement where one pool has all engines' },
+    deskInOne: { unit: 'us', text: "the desk's part of it" },
+    deskBytesInOne: { unit: 'bytes', text: 'what the desk is asked there' },
+  },
+  take: async (engines, seed) => {
+    const many = await placing(engines, models, seed);
+    const one = await placing(engines, 1, seed);
+    return {
+      ...many,
+      placeInOne: one['place'] ?? 0,
+      deskInOne: one['desk'] ?? 0,
+      deskBytesInOne: one['deskBytes'] ?? 0,
+    };
+  },
+};
