--- a/source/edge-proxy/fetch/partsPlanner.ts
+++ b/source/edge-proxy/fetch/partsPlanner.ts
@@ -66,8 +66,10 @@
     store: Store | undefined,
   ): FetchPlan['source'] {
     if (matched >= parts.length - 1) return undefined;
-    const address = home === undefined ? store?.address : this.view.addressOf(home);
-    const holder = home ?? store?.name;
+    // Why the store first where nothing is known of it: it outlives a restart of all daemons, and has what was ever read.
+    const byStore = store !== undefined && (home === undefined || this.shards.get(store.name) === undefined);
+    const holder = byStore ? store.name : home;
+    const address = holder === undefined ? undefined : this.view.addressOf(holder);
     if (address === undefined || holder === undefined || holder === engine) return undefined;
     this.metrics.count('postdrum_imports_total', { from: 'guess' });
     return { holder, address, bootEpoch: '', at: matched, keys: parts.slice(matched, -1).map(({ name }) => name) };
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -231,7 +231,9 @@
     );
     return [...listed, ...named].flatMap(([name, address]) => {
       const bootEpoch = this.bootEpochOf(name);
-      return bootEpoch === undefined ? [] : [{ name, address, bootEpoch }];
+      // Why one that nobody has spoken of: who has just started knows no stewards yet, and a store outlives daemons.
+      const unheard = bootEpoch === undefined && this.facts.get(FactKeys.engine(name)) === undefined;
+      return bootEpoch === undefined && !unheard ? [] : [{ name, address, bootEpoch: bootEpoch ?? '' }];
     });
   }
 
