Candidates are worked out once a moment; a 421 of the very engine meant is one of weights

They stand for 1 ms if no fact, list, blueprint or own send changes. Policies, named parts and fleet behaviour pass as before.

--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -1,4 +1,4 @@
-import type { Engine, EngineList, Store as StoreShape } from '../../shared/blueprint/types';
+import type { Blueprint, Engine, EngineList, Store as StoreShape } from '../../shared/blueprint/types';
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { FactBook } from '../../shared/news/facts';
@@ -45,12 +45,23 @@
 
 /** So long one sum over the loads of all other proxies is used: they are older than that when they come. */
 const sumsMicroseconds = 20_000;
+/** So long the candidates of a service stand, if nothing changes before. */
+const workedMicroseconds = 1_000;
+type WorkedOut = Readonly<{
+  at: number;
+  mark: string;
+  list: EngineList | undefined;
+  blueprint: Blueprint | undefined;
+  candidates: readonly Candidate[];
+}>;
 const noneElsewhere: Elsewhere = { sends: 0, work: { reading: 0, tokens: 0 } };
 
 /** What this proxy knows of the back ends: the platform's list, the stewards' word, loads here and elsewhere. */
 export class EngineView {
   private readonly own = new Map<string, number>();
   private readonly full = new Map<string, Full>();
+  private readonly worked = new Map<string, WorkedOut>();
+  private ownChanges = 0;
   private readonly other = new Map<string, Readonly<{ version: string; at: number }>>();
   private readonly begins = new Map<string, readonly number[]>();
   private others: Others | undefined;
@@ -67,6 +78,7 @@
   ) {}
 
   public began(engine: string): void {
+    this.ownChanges += 1;
     this.own.set(engine, this.ownInFlight(engine) + 1);
     const now = this.clock.nowMicroseconds();
     const fresh = (this.begins.get(engine) ?? []).filter((at) => now - at < hintMicroseconds);
@@ -80,6 +92,7 @@
   }
 
   public ended(engine: string): void {
+    this.ownChanges += 1;
     const left = this.ownInFlight(engine) - 1;
     if (left > 0) this.own.set(engine, left);
     else this.own.delete(engine);
@@ -91,6 +104,7 @@
 
   /** The engine's own word that it has no room. It stands until there is fresher news of that engine. */
   public saidFull(engine: string): void {
+    this.ownChanges += 1;
     this.full.set(engine, {
       version: this.versionOf(engine),
       own: this.ownInFlight(engine),
@@ -100,6 +114,7 @@
 
   /** At its address nobody is there, or another one. It stands as long as the word that an engine is full. */
   public saidOther(engine: string): void {
+    this.ownChanges += 1;
     this.other.set(engine, { version: this.versionOf(engine), at: this.clock.nowMicroseconds() });
   }
 
@@ -136,6 +151,25 @@
 
   /** Engines of a service that new work may go to. */
   public candidates(service: string): readonly Candidate[] {
+    const now = this.clock.nowMicroseconds();
+    const { engines: list, blueprint } = this.freshness;
+    const mark = `${this.facts.changes}/${this.ownChanges}/${this.work.changes}`;
+    const known = this.worked.get(service);
+    // Why for a moment: one order asks several times on its way, and nothing has changed since.
+    if (
+      known !== undefined &&
+      now - known.at < workedMicroseconds &&
+      known.mark === mark &&
+      known.list === list &&
+      known.blueprint === blueprint
+    )
+      return known.candidates;
+    const candidates = this.workOut(service);
+    this.worked.set(service, { at: now, mark, list, blueprint, candidates });
+    return candidates;
+  }
+
+  private workOut(service: string): readonly Candidate[] {
     const { engines } = this.othersNow();
     return this.listed(service).flatMap(([name, engine]) => {
       const elsewhere = engines.get(name) ?? noneElsewhere;
--- a/source/edge-proxy/placement/engineWork.ts
+++ b/source/edge-proxy/placement/engineWork.ts
@@ -38,13 +38,20 @@
  */
 export class EngineWork {
   private readonly books = new Map<string, EngineBook>();
+  private changeCount = 0;
 
   public constructor(
     private readonly clock: Clock,
     private readonly settings: WorkSettings,
   ) {}
 
+  /** Rises with every change of what engines have to do. */
+  public get changes(): number {
+    return this.changeCount;
+  }
+
   public began(engine: string, bootEpoch: string, work: Work): void {
+    this.changeCount += 1;
     const book = this.bookOf(engine, bootEpoch);
     book.running.set(work.order, { work, begun: false });
     if (work.fills.length > 0)
@@ -61,6 +68,7 @@
     const book = this.books.get(engine);
     const running = book?.running.get(order);
     if (book === undefined || running === undefined || running.begun) return;
+    this.changeCount += 1;
     book.running.set(order, { ...running, begun: true });
     this.endFill(book, order, 'finished');
     const now = this.clock.nowMicroseconds();
@@ -75,6 +83,7 @@
   public ended(engine: string, order: string): void {
     const book = this.books.get(engine);
     if (book === undefined) return;
+    this.changeCount += 1;
     book.running.delete(order);
     this.endFill(book, order, 'failed');
   }
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -239,6 +239,7 @@
     const meaning = this.parts.words.read(
       head,
       this.resolved.service.kind === 'pool' ? this.resolved.service.model : '',
+      this.placed.engine,
     );
     this.meaning = meaning;
     // Why first: an answer to another order says nothing of this one, and may not be believed in anything.
--- a/source/shared/news/facts.ts
+++ b/source/shared/news/facts.ts
@@ -20,6 +20,7 @@
 const keyOf = (kind: string, name: string): string => (kind === '' ? name : `${kind}/${name}`);
 
 export class FactBook {
+  private changeCount = 0;
   private readonly facts = new Map<string, Fact>();
   /** The facts of each kind, so that what is at rest is neither told nor summed again. */
   private readonly kinds = new Map<string, Map<string, Fact>>();
@@ -38,6 +39,11 @@
     return [...(kind ?? this.facts).values()].filter(({ key }) => key.startsWith(prefix));
   }
 
+  /** Rises with every change, so that what was worked out from the facts need not be worked out again. */
+  public get changes(): number {
+    return this.changeCount;
+  }
+
   /** True when the fact was newer than what was known. */
   public put(fact: Fact): boolean {
     const known = this.facts.get(fact.key);
@@ -45,6 +51,7 @@
     // Why a bound: news of strangers must not fill the memory.
     if (known === undefined && this.facts.size >= FactLimits.facts) return false;
     this.facts.set(fact.key, fact);
+    this.changeCount += 1;
     const kind = kindOf(fact.key);
     const others = this.kinds.get(kind) ?? new Map<string, Fact>();
     others.set(fact.key, fact);
@@ -55,6 +62,7 @@
 
   public forget(key: string): void {
     if (!this.facts.delete(key)) return;
+    this.changeCount += 1;
     const kind = kindOf(key);
     this.kinds.get(kind)?.delete(key);
     this.sumsNow.delete(kind);
