--- a/source/measure/hollow/hollowAgents.ts
+++ b/source/measure/hollow/hollowAgents.ts
@@ -1,5 +1,4 @@
 import { AgentDefaults, EdgeAgent, type AgentSettings } from '../../edge-agent/edgeAgent';
-import type { EngineLister } from '../../edge-agent/engine-list/engineLister';
 import type { BackEndDoor } from '../../shared/back-end/protocol';
 import { Clocks, type Clock } from '../../shared/effects/clock/clock';
 import type { Effects } from '../../shared/effects/effects';
@@ -57,17 +56,4 @@
     },
     directive: () => Promise.resolve('done'),
   }),
-
-  lister: (engines: number, services: number): EngineLister => {
-    const listed = Object.entries(Made.list(engines, services).engines).map(([name, engine]) => ({
-      name,
-      service: engine.service,
-      address: engine.address,
-      zone: engine.zone,
-      state: engine.state,
-      capacity: engine.capacity ?? 0,
-      weights: engine.weights ?? {},
-    }));
-    return { page: () => Promise.resolve({ engines: listed, next: undefined }) };
-  },
 } as const;
--- a/source/measure/measurements/exchange.ts
+++ b/source/measure/measurements/exchange.ts
@@ -1,4 +1,5 @@
 import { pack, unpack } from 'msgpackr';
+import { AgentDefaults } from '../../edge-agent/edgeAgent';
 import type { Effects } from '../../shared/effects/effects';
 import type { Answer, Message } from '../../shared/effects/transport/transport';
 import { seededRandom } from '../../shared/effects/random/random';
@@ -14,6 +15,9 @@
 import { Made } from '../hollow/made';
 import type { Measurement } from './measurement';
 
+/** How often a steward says that it goes on, where engines hold events calls. */
+const beatMicroseconds = 700_000;
+
 type Side = Readonly<{ facts: FactBook; exchange: NewsExchange }>;
 
 const sideOf = (daemons: number, seed: number, effects: Effects): Side => {
@@ -45,6 +49,11 @@
     restProcessor: { unit: 'us', text: 'both sides of it' },
     oneBytes: { unit: 'bytes', text: 'one exchange after one load has changed' },
     oneProcessor: { unit: 'us', text: 'both sides of it' },
+    beatBytes: {
+      unit: 'bytes',
+      text: 'one exchange after as many stewards said that they go on as do in 120 ms, each once in 700 ms',
+    },
+    beatProcessor: { unit: 'us', text: 'both sides of it' },
     allBytes: { unit: 'bytes', text: 'one exchange after all loads have changed' },
     allProcessor: { unit: 'us', text: 'both sides of it' },
     factBytes: { unit: 'bytes', text: 'memory of all facts in one daemon' },
@@ -89,24 +98,36 @@
         far.facts.put({ key: FactKeys.load(Made.daemon(index + 1)), version: [1, version], value });
       }
     };
-    const cost = async (changes: number): Promise<readonly [bytes: number, processor: number]> => {
+    const beating = Math.max(1, Math.round((engines * AgentDefaults.newsMicroseconds) / beatMicroseconds));
+    const beat = (): void => {
+      version += 1;
+      for (let index = 0; index < beating; index += 1) {
+        const number = 1 + ((version * beating + index) % engines);
+        const value = { engine: Made.engine(number), holder: Made.daemon(1 + (number % daemons)), term: 1 };
+        far.facts.put({ key: FactKeys.steward(value.engine), version: [1, version], value });
+      }
+    };
+    const cost = async (before: () => void): Promise<readonly [bytes: number, processor: number]> => {
       let asks = 0;
       bytes = 0;
       const processor = await Costs.each(async () => {
-        change(changes);
+        before();
         asks += 1;
         await asker.exchange.ask('there', 1_000_000);
       });
       return [bytes / asks, processor];
     };
-    const [restBytes, restProcessor] = await cost(0);
-    const [oneBytes, oneProcessor] = await cost(1);
-    const [allBytes, allProcessor] = await cost(daemons);
+    const [restBytes, restProcessor] = await cost(() => undefined);
+    const [oneBytes, oneProcessor] = await cost(() => change(1));
+    const [beatBytes, beatProcessor] = await cost(beat);
+    const [allBytes, allProcessor] = await cost(() => change(daemons));
     return {
       restBytes,
       restProcessor,
       oneBytes,
       oneProcessor,
+      beatBytes,
+      beatProcessor,
       allBytes,
       allProcessor,
       factBytes: kept.size > 0 ? factBytes : 0,
