Lives of engines: answers that show an earlier moment bring nobody back

Now a name is one life: missing for longer than the list can be behind it is over for good, draining does not end, of two at one address the later ends the earlier; the boot in a steward's word tells the next one which life is meant.

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -64,6 +64,8 @@
   engineList: 'kept' | 'listed';
   listMicroseconds: number;
   listAskMicroseconds: number;
+  /** How far behind that list may be. */
+  listLagMicroseconds: number;
   /** So long after its duty began a steward gives no directive, where events calls are held. */
   directiveWaitMicroseconds: number;
   /** Within this time of their taking new weights stand everywhere, where events calls are held. */
@@ -100,6 +102,7 @@
   engineList: 'kept',
   listMicroseconds: 500_000,
   listAskMicroseconds: EngineListDefaults.askMicroseconds,
+  listLagMicroseconds: EngineListDefaults.lagMicroseconds,
   directiveWaitMicroseconds: HeldStewardDefaults.directiveWaitMicroseconds,
   weightsWithinMicroseconds: HeldStewardDefaults.weightsWithinMicroseconds,
   statusMicroseconds: HeldStewardDefaults.statusMicroseconds,
@@ -219,7 +222,11 @@
             () => this.stewardship.listTerm(),
             clock,
             random,
-            { ...EngineListDefaults, askMicroseconds: settings.listAskMicroseconds },
+            {
+              ...EngineListDefaults,
+              askMicroseconds: settings.listAskMicroseconds,
+              lagMicroseconds: settings.listLagMicroseconds,
+            },
             () => this.membership.present().length,
             Logs.part('agent:notice'),
           );
--- a/source/edge-agent/engine-list/engineListKeeper.ts
+++ b/source/edge-agent/engine-list/engineListKeeper.ts
@@ -5,11 +5,14 @@
 import type { Random } from '../../shared/effects/random/random';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { Log } from '../../shared/log/log';
+import { EngineLives } from './engineLives';
 import type { EngineLister, ListedEngine } from './engineLister';
 
 export type EngineListSettings = Readonly<{
   askMicroseconds: number;
   mostPages: number;
+  /** How far behind the list may be; each answer by another amount, so a later answer may show an earlier moment. */
+  lagMicroseconds: number;
   /** Reads in a row that must say that there are no engines at all. */
   emptyReads: number;
   /** Who knows no list so long after its start reads it alone. Why so soon: it is one call, and orders wait for it. */
@@ -22,6 +25,7 @@
 export const EngineListDefaults = {
   askMicroseconds: 1_000_000,
   mostPages: 64,
+  lagMicroseconds: 1_000_000,
   emptyReads: 3,
   lonelyMicroseconds: 40_000,
   staleMicroseconds: 3_000_000,
@@ -39,11 +43,7 @@
   private sequence = 0;
   private text = '';
   private empty = 0;
-  /** In which read an engine came up first. */
-  private firstSeen = new Map<string, number>();
-  /** Engines that the last read did not bring. */
-  private missed = new Set<string>();
-  private reads = 0;
+  private readonly lives: EngineLives;
   private aloneFrom: number;
 
   public constructor(
@@ -58,6 +58,7 @@
     private readonly agents: () => number,
     private readonly log: Log,
   ) {
+    this.lives = new EngineLives(settings.lagMicroseconds);
     this.aloneFrom = clock.nowMicroseconds() + Math.floor(settings.lonelyMicroseconds * (1 + random.fraction()));
   }
 
@@ -71,8 +72,7 @@
     if (pages === undefined || this.held() !== term || (term === undefined && !this.isStale())) return;
     const listed = pages.flatMap(({ engines }) => engines);
     if (!this.believes(listed)) return;
-    this.reads += 1;
-    const text = this.textOf(listed, pages.length > 1);
+    const text = this.textOf(listed, asked);
     if (Blueprints.checkText('engines', text).kind === 'faulty') {
       this.log('The list of engines makes no sense and is let be.');
       return;
@@ -119,32 +119,16 @@
     return listed.length > 0 || known === 0 || this.empty >= this.settings.emptyReads;
   }
 
-  private textOf(listed: readonly ListedEngine[], inPages: boolean): string {
-    const firstSeen = new Map(listed.map(({ name }) => [name, this.firstSeen.get(name) ?? this.reads]));
-    this.firstSeen = firstSeen;
-    const byAddress = new Map<string, ListedEngine>();
-    for (const engine of listed) {
-      const other = byAddress.get(engine.address);
-      // Why the later one: an engine that has ended stays listed for a while, and its address is given on.
-      if (other === undefined || (firstSeen.get(engine.name) ?? 0) >= (firstSeen.get(other.name) ?? 0))
-        byAddress.set(engine.address, engine);
-    }
-    const engines: Record<string, Engine> = {};
-    for (const { name, ...engine } of byAddress.values()) engines[name] = EngineLists.entry(engine);
-    if (inPages) this.keepOnce(engines, new Set(byAddress.keys()));
-    const sorted = Object.entries(engines).sort(([left], [right]) => (left < right ? -1 : 1));
-    return JSON.stringify({ engines: Object.fromEntries(sorted) } satisfies EngineList);
-  }
-
-  /** Why once more: between two pages an engine may move from the later one to the earlier one. */
-  private keepOnce(engines: Record<string, Engine>, addresses: ReadonlySet<string>): void {
-    const missed = new Set<string>();
-    for (const [name, engine] of Object.entries(this.freshness.engines?.engines ?? {})) {
-      if (engines[name] !== undefined || addresses.has(engine.address)) continue;
-      missed.add(name);
-      if (!this.missed.has(name)) engines[name] = engine;
-    }
-    this.missed = missed;
+  private textOf(listed: readonly ListedEngine[], asked: number): string {
+    const known = Object.entries(this.freshness.engines?.engines ?? {}).map(([name, engine]) => ({
+      name,
+      ...EngineLists.listed(engine),
+    }));
+    const engines = this.lives
+      .heard(listed, known, asked)
+      .map(({ name, ...engine }) => [name, EngineLists.entry(engine)] as const)
+      .sort(([left], [right]) => (left < right ? -1 : 1));
+    return JSON.stringify({ engines: Object.fromEntries(engines) } satisfies EngineList);
   }
 
   private revisionOf(term: number, text: string): number {
@@ -187,4 +171,13 @@
       ...(models.length > 0 ? { weights: Object.fromEntries(models) } : {}),
     };
   },
+
+  listed: ({ service, address, zone, state, capacity, weights }: Engine): Omit<ListedEngine, 'name'> => ({
+    service,
+    address,
+    zone,
+    state,
+    capacity: capacity ?? 0,
+    weights: weights ?? {},
+  }),
 } as const;
--- a/source/edge-agent/engine-list/engineLister.ts
+++ b/source/edge-agent/engine-list/engineLister.ts
@@ -9,6 +9,8 @@
   capacity: number;
   /** The weights of each model on it; none: no engine that has models. */
   weights: Readonly<Record<string, string>>;
+  /** How much longer it is slow after its start; missing: not said. */
+  coldMicroseconds?: number;
 }>;
 
 /** `next` names the page that follows; undefined: this is the last one. */
--- a/source/edge-agent/stewards/eventReader.ts
+++ b/source/edge-agent/stewards/eventReader.ts
@@ -1,7 +1,7 @@
 import type { BackEndDoor, KvEvents } from '../../shared/back-end/protocol';
 import type { ShardDirectory } from '../../shared/directory/shardDirectory';
 import type { Clock } from '../../shared/effects/clock/clock';
-import type { Log } from '../../shared/log/log';
+import { Logs, type Log } from '../../shared/log/log';
 
 export type EventReaderSettings = Readonly<{
   askMicroseconds: number;
@@ -34,6 +34,7 @@
 
 /** Reads one holder's events in one held call after the other, which is also how it sees that the holder lives. */
 export class EventReader {
+  private readonly notice = Logs.part('agent:notice');
   private sightNow: HolderSight = { kind: 'unknown' };
   private missed = 0;
   private calling = false;
@@ -53,6 +54,8 @@
     private readonly settings: EventReaderSettings,
     /** Whether its name is that of one life, so that another boot is another engine. */
     private readonly namesLife: boolean,
+    /** The boot that a steward before saw; empty: none did. */
+    private lifeBoot: string,
     /** The weights that the holder is known to be on; empty where it has none. */
     private readonly weights: () => string,
     private readonly changed: () => void,
@@ -91,19 +94,26 @@
     const limit = hold + this.settings.askMicroseconds;
     const read = await this.door.events(address, after, bootEpoch, limit, hold, this.meant());
     if (!this.holds() || this.stopped) return;
-    if (this.namesLife && read !== undefined && read !== 'later' && bootEpoch !== '' && read.bootEpoch !== bootEpoch) {
+    if (this.isAnother(read)) {
       // Why for good: a life that is over does not come back, and orders for it would all be turned away.
       this.replaced = true;
       this.missed = this.settings.unreachableAfter;
     }
     if (read === undefined || this.replaced) return this.miss();
     this.missed = 0;
+    if (this.sightNow.kind === 'away') this.notice(`Holder ${this.name} answers again.`);
     this.sightNow = { kind: 'there' };
     if (read === 'later') this.nextMicroseconds = this.clock.nowMicroseconds() + mostBackOffMicroseconds;
     else await this.take(address, read, after);
     if (this.holds() && !this.stopped) this.changed();
   }
 
+  private isAnother(read: KvEvents | 'later' | undefined): boolean {
+    if (!this.namesLife || read === undefined || read === 'later') return false;
+    if (this.lifeBoot === '') this.lifeBoot = read.bootEpoch;
+    return read.bootEpoch !== this.lifeBoot;
+  }
+
   private meant(): string | undefined {
     return this.namesLife ? this.name : undefined;
   }
@@ -116,7 +126,8 @@
       this.nextMicroseconds = now;
       return;
     }
-    if (this.sightNow.kind !== 'away') this.log(`Holder ${this.name} does not answer.`);
+    if (this.sightNow.kind !== 'away')
+      this.notice(`Holder ${this.name} ${this.replaced ? 'is over, another one answers' : 'does not answer'}.`);
     this.sightNow = { kind: 'away' };
     const backOff = this.settings.pauseMicroseconds * 2 ** (this.missed - this.settings.unreachableAfter);
     this.nextMicroseconds = now + Math.min(mostBackOffMicroseconds, backOff);
--- a/source/edge-agent/stewards/heldSteward.ts
+++ b/source/edge-agent/stewards/heldSteward.ts
@@ -101,6 +101,7 @@
       clock,
       settings.events,
       engine.kind === 'engine',
+      facts.value<EngineFact>(FactKeys.engine(name))?.bootEpoch ?? '',
       () => this.status()?.weights ?? '',
       () => this.heard(),
       log,
--- a/tests/agent-doors.test.ts
+++ b/tests/agent-doors.test.ts
@@ -319,6 +319,7 @@
     state: 'draining',
     capacity: 12,
     weights: { m: '4' },
+    coldMicroseconds: 0,
   });
   assert.deepEqual(first.engines[1]?.weights, {});
   const second = await lister.page(first.next, limit);
--- a/tests/agent-engine-list.test.ts
+++ b/tests/agent-engine-list.test.ts
@@ -105,14 +105,16 @@
 });
 
 test('a list with nothing on it is believed only when it is said again and again', async () => {
-  const { keeper, say, names } = desk();
+  const { keeper, say, names, world } = desk();
   say(one(engine('a', 1)));
   await keeper.read();
   for (let turn = 0; turn < EngineListDefaults.emptyReads - 1; turn += 1) {
+    await world.runFor(600_000);
     say(one());
     await keeper.read();
     assert.deepEqual(names(), ['a']);
   }
+  await world.runFor(600_000);
   say(one());
   await keeper.read();
   assert.deepEqual(names(), []);
@@ -132,29 +134,65 @@
   assert.deepEqual(names(), ['a', 'b', 'c'], 'a list without an end is none');
 });
 
-test('an engine that slips from one page to another while they are read is not gone', async () => {
-  const { keeper, say, names } = desk();
-  const all = (): void => say({ engines: [engine('a', 1)], next: 'p' }, one(engine('b', 2)));
-  all();
-  await keeper.read();
-  say({ engines: [engine('a', 1)], next: 'p' }, one());
-  await keeper.read();
-  assert.deepEqual(names(), ['a', 'b']);
-  say({ engines: [engine('a', 1)], next: 'p' }, one());
-  await keeper.read();
-  assert.deepEqual(names(), ['a'], 'the second time it is');
+test('an answer may show an earlier moment: who was just there is not gone, who has gone does not come back', async () => {
+  const { keeper, say, names, world } = desk();
+  const hear = async (...engines: readonly ListedEngine[]): Promise<readonly string[]> => {
+    await world.runFor(500_000);
+    say(one(...engines));
+    await keeper.read();
+    return names();
+  };
+  const [a, b, c] = [engine('a', 1), engine('b', 2), engine('c', 3)];
+  assert.deepEqual(await hear(a, b), ['a', 'b']);
+  assert.deepEqual(await hear(a), ['a', 'b'], 'perhaps it slipped from one page to another');
+  assert.deepEqual(await hear(a), ['a'], 'longer than the list can be behind: it is gone');
+  assert.deepEqual(await hear(a, b, c), ['a', 'c'], 'and is one life, that is over');
+  assert.deepEqual(await hear(a), ['a', 'c'], 'from before c came up');
+  assert.deepEqual(await hear(a, c), ['a', 'c']);
+});
+
+test('who leaves does not stay after all', async () => {
+  const { keeper, say, freshness, world } = desk();
+  for (const state of ['ready', 'draining', 'ready'] as const) {
+    await world.runFor(500_000);
+    say(one(engine('a', 1, { state })));
+    await keeper.read();
+  }
+  assert.equal(freshness.engines?.engines['a']?.state, 'draining');
+});
+
+test('of two engines at one address the one that came up later is meant, and the other is over', async () => {
+  const { keeper, say, names, world } = desk();
+  const hear = async (...engines: readonly ListedEngine[]): Promise<readonly string[]> => {
+    await world.runFor(500_000);
+    say(one(...engines));
+    await keeper.read();
+    return names();
+  };
+  const [before, after] = [engine('old', 1), engine('new', 1)];
+  assert.deepEqual(await hear(before), ['old']);
+  assert.deepEqual(await hear(before, after), ['new']);
+  assert.deepEqual(await hear(after, before), ['new'], 'in whatever order they are listed');
+  assert.deepEqual(await hear(before), ['new'], 'an answer from before it came up');
+  assert.deepEqual(await hear(before, after), ['new']);
 });
 
-test('of two engines at one address the one that came up later is meant', async () => {
+test('of two engines at one address that come up in one answer the colder one is meant', async () => {
   const { keeper, say, names } = desk();
-  say(one(engine('old', 1)));
+  say(one(engine('x', 1, { coldMicroseconds: 2_000_000 }), engine('y', 1)));
   await keeper.read();
-  say(one(engine('old', 1), engine('new', 1)));
-  await keeper.read();
-  assert.deepEqual(names(), ['new']);
-  say(one(engine('new', 1), engine('old', 1)));
-  await keeper.read();
-  assert.deepEqual(names(), ['new'], 'in whatever order they are listed');
+  assert.deepEqual(names(), ['x']);
+});
+
+test('a new reader knows what the fleet knew: of two at one address the one it had not heard of is the later', async () => {
+  const first = desk();
+  first.say(one(engine('old', 1)));
+  await first.keeper.read();
+  const second = desk(first.freshness);
+  second.hold(2);
+  second.say(one(engine('new', 1), engine('old', 1)));
+  await second.keeper.read();
+  assert.deepEqual(second.names(), ['new']);
 });
 
 test('who does not hold the duty does not call, and what comes after its end is dropped', async () => {
