Measured fleets have a model a pool, and an address each

Pools of one model shared their kept parts, so a look-up found holders of all pools; ports of one address were taken by conns (address in use, news at 81).

--- a/source/measure/hollow/made.ts
+++ b/source/measure/hollow/made.ts
@@ -47,6 +47,8 @@
   engine: (number: number): string => `engine-${number}-7f3a`,
   service: (number: number): string => `service-${number}`,
 
+  model: (number: number): string => `weights-of-${number}`,
+
   member: (number: number, address = `10.2.${number >> 8}.${number & 255}:7001`): MemberFact => ({
     name: Made.daemon(number),
     zone: Made.zone(number),
@@ -132,7 +134,7 @@
           zone: Made.zone(number),
           state: 'ready' as const,
           capacity: 128,
-          weights: { m: weights },
+          weights: { [Made.model(1 + (number % services))]: weights },
         },
       ]),
     ),
@@ -149,7 +151,9 @@
         { walled: number % 4 === 0, keys: [`key-of-tenant-${number}-first`, `key-of-tenant-${number}-second`] },
       ]),
     ),
-    services: Object.fromEntries(numbered(services, (number) => [Made.service(number), pool])),
+    services: Object.fromEntries(
+      numbered(services, (number) => [Made.service(number), { ...pool, model: Made.model(number) }]),
+    ),
     mappings: Object.fromEntries(
       numbered(mappings, (number) => [
         `mapping-${number}`,
--- a/source/measure/measurements/news.ts
+++ b/source/measure/measurements/news.ts
@@ -1,4 +1,3 @@
-import net from 'node:net';
 import { AgentDefaults, type EdgeAgent } from '../../edge-agent/edgeAgent';
 import { realClock } from '../../shared/effects/clock/realClock';
 import { Clocks } from '../../shared/effects/clock/clock';
@@ -17,13 +16,8 @@
 /** How often a proxy at work gives its agent a new load. */
 const loadMicroseconds = 60_000;
 
-const freeAddress = async (): Promise<string> => {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return `127.0.0.1:${port}`;
-};
+/** Why a loopback address each: of one address the ports run out, and conns that are dialled take them first. */
+const addressOf = (number: number): string => `127.${20 + (process.pid % 200)}.${number >> 8}.${number & 255}:7001`;
 
 const used = async (agents: number, stretch: number, traffic: Traffic) => {
   traffic.counting = false;
@@ -69,8 +63,7 @@
     const random = seededRandom(seed);
     const stretch = Math.max(1, daemons / mostAtPace);
     const engines = Made.engines(daemons);
-    const addresses: string[] = [];
-    for (let number = 1; number <= daemons; number += 1) addresses.push(await freeAddress());
+    const addresses = Array.from({ length: daemons }, (_, index) => addressOf(index + 1));
     const facts = Made.facts(daemons, engines, random).filter(({ key }) => !key.startsWith('member/'));
     const text = JSON.stringify(Made.blueprint(1, 10, 10));
     const list = JSON.stringify(Made.list(engines, 1));
--- a/source/measure/measurements/placement.ts
+++ b/source/measure/measurements/placement.ts
@@ -79,7 +79,9 @@
     const shard = new ShardNews({ holder, term: 1, epoch: 1, bootEpoch: `boot-${number}`, weights: '', version: 0 });
     for (let block = 0; block < blocksPerHolder; block += 1) {
       const turn = Math.floor(random.fraction() * 200);
-      for (const key of new PromptKeys(resolved, orderOf(turn)).parts('w1').slice(0, 2)) shard.put(key);
+      const own = text.services[Made.service(1 + (number % services))] ?? service;
+      for (const key of new PromptKeys({ ...resolved, service: own }, orderOf(turn)).parts('w1').slice(0, 2))
+        shard.put(key);
     }
     shards.set(holder, shard);
   }
