An engine listed without its models is no app where its service has engines

Notices of the list's changes showed it: a crashed engine that restarts is listed under its old name without models for up to a second. It became an app, apps need no steward's word, and the proxies sent to it what the new life turned away (421).

--- a/source/edge-agent/engine-list/engineListKeeper.ts
+++ b/source/edge-agent/engine-list/engineListKeeper.ts
@@ -124,9 +124,17 @@
       name,
       ...EngineLists.listed(engine),
     }));
-    const engines = this.lives
-      .heard(listed, known, asked)
-      .map(({ name, ...engine }) => [name, EngineLists.entry(engine)] as const)
+    const { blueprint, engines: before } = this.freshness;
+    const lives = this.lives.heard(listed, known, asked);
+    // Why by models: what runs none keeps no parts, gets no weights and needs no steward.
+    // Why of the whole service: an engine that has just started is listed without its models, and is no app for that.
+    const ofEngines = new Set([
+      ...lives.filter(({ weights }) => Object.keys(weights).length > 0).map(({ service }) => service),
+      ...Object.values(before?.engines ?? {}).flatMap(({ kind, service }) => (kind === 'engine' ? [service] : [])),
+      ...Object.entries(blueprint?.services ?? {}).flatMap(([name, { kind }]) => (kind === 'pool' ? [name] : [])),
+    ]);
+    const engines = lives
+      .map(({ name, ...engine }) => [name, EngineLists.entry(engine, ofEngines.has(engine.service))] as const)
       .sort(([left], [right]) => (left < right ? -1 : 1));
     return JSON.stringify({ engines: Object.fromEntries(engines) } satisfies EngineList);
   }
@@ -152,17 +160,22 @@
     const digest = createHash('sha256').update(text).digest('hex').slice(0, 32);
     this.freshness.hear({ key: 'engines', revision, digest, ageMicroseconds: now - asked, weights: {} }, now);
     if (this.freshness.revision('engines') === revision) return;
+    const before = this.freshness.engines?.engines ?? {};
     if (this.freshness.give({ key: 'engines', revision, digest, text }))
-      this.log(`The list of engines is at revision ${revision}.`);
+      this.log(
+        `The list of engines is at revision ${revision}: ${EngineLists.changes(before, this.freshness.engines)}.`,
+      );
   }
 }
 
 export const EngineLists = {
-  entry: ({ service, address, zone, state, capacity, weights }: Omit<ListedEngine, 'name'>): Engine => {
+  entry: (
+    { service, address, zone, state, capacity, weights }: Omit<ListedEngine, 'name'>,
+    isEngine: boolean,
+  ): Engine => {
     const models = Object.entries(weights).sort(([left], [right]) => (left < right ? -1 : 1));
     return {
-      // Why by its models: what runs none keeps no parts, gets no weights and needs no steward.
-      kind: models.length > 0 ? 'engine' : 'app',
+      kind: isEngine ? 'engine' : 'app',
       service,
       address,
       zone,
@@ -172,6 +185,20 @@
     };
   },
 
+  /** What is another between two lists, for those who read logs. */
+  changes: (before: EngineList['engines'], after: EngineList | undefined): string => {
+    const now = after?.engines ?? {};
+    const gone = Object.keys(before).filter((name) => now[name] === undefined);
+    const changed = Object.entries(now).filter(
+      ([name, engine]) => JSON.stringify(before[name]) !== JSON.stringify(engine),
+    );
+    const said = [
+      ...gone.map((name) => `${name} gone`),
+      ...changed.map(([name, { address, state }]) => `${name} ${state} at ${address}`),
+    ];
+    return said.length > 12 ? `${said.length} changes` : said.join(', ');
+  },
+
   listed: ({ service, address, zone, state, capacity, weights }: Engine): Omit<ListedEngine, 'name'> => ({
     service,
     address,
--- a/tests/agent-engine-list.test.ts
+++ b/tests/agent-engine-list.test.ts
@@ -67,7 +67,13 @@
 
 test('a read becomes the key engines, with what the list says of each', async () => {
   const { keeper, freshness, say, world } = desk();
-  say(one(engine('a', 1), engine('b', 2, { state: 'draining' }), engine('c', 3, { weights: {}, capacity: 0 })));
+  say(
+    one(
+      engine('a', 1),
+      engine('b', 2, { state: 'draining' }),
+      engine('c', 3, { service: 'slips', weights: {}, capacity: 0 }),
+    ),
+  );
   await keeper.read();
   const engines = freshness.engines?.engines;
   assert.deepEqual(engines?.['a'], {
@@ -83,7 +89,13 @@
   assert.equal(engines?.['c']?.kind, 'app');
   assert.equal(freshness.revision('engines'), 2 ** 20 + 1);
   await world.runFor(3_000_000);
-  say(one(engine('a', 1), engine('b', 2, { state: 'draining' }), engine('c', 3, { weights: {}, capacity: 0 })));
+  say(
+    one(
+      engine('a', 1),
+      engine('b', 2, { state: 'draining' }),
+      engine('c', 3, { service: 'slips', weights: {}, capacity: 0 }),
+    ),
+  );
   await keeper.read();
   assert.equal(freshness.revision('engines'), 2 ** 20 + 1, 'the same list is the same revision');
   assert.equal(freshness.statements().find(({ key }) => key === 'engines')?.ageMicroseconds, 0, 'and is young again');
@@ -151,6 +163,18 @@
   assert.deepEqual(await hear(a, c), ['a', 'c']);
 });
 
+test('an engine listed without its models is no app where its service has engines', async () => {
+  const { keeper, say, freshness, world } = desk();
+  say(one(engine('a', 1), engine('b', 2, { weights: {} }), engine('c', 3, { service: 'slips', weights: {} })));
+  await keeper.read();
+  const kinds = (): unknown => Object.values(freshness.engines?.engines ?? {}).map(({ kind }) => kind);
+  assert.deepEqual(kinds(), ['engine', 'engine', 'app']);
+  await world.runFor(500_000);
+  say(one(engine('a', 1, { weights: {} }), engine('c', 3, { service: 'slips', weights: {} })));
+  await keeper.read();
+  assert.deepEqual(kinds(), ['engine', 'engine', 'app'], 'also when all of them have just started again');
+});
+
 test('who leaves does not stay after all', async () => {
   const { keeper, say, freshness, world } = desk();
   for (const state of ['ready', 'draining', 'ready'] as const) {
