Measured bytes of an exchange no longer depend on the machine's speed

Cause: the test that the same seed gives the same counts was red (2308 against 2310 bytes, twice of two): bytes were averaged over as many exchanges as the machine managed, versions grew with them, and ages were written from a running clock. Bytes are now those of the first eight exchanges, versions of each figure begin at their own million, and the clock stands.

--- a/source/measure/measurements/exchange.ts
+++ b/source/measure/measurements/exchange.ts
@@ -4,6 +4,7 @@
 import type { Answer, Message } from '../../shared/effects/transport/transport';
 import { seededRandom } from '../../shared/effects/random/random';
 import { ShardBook } from '../../shared/directory/shardBook';
+import type { Clock } from '../../shared/effects/clock/clock';
 import { realClock } from '../../shared/effects/clock/realClock';
 import { FleetName } from '../../shared/fleet/fleetName';
 import { Freshness } from '../../shared/freshness/freshness';
@@ -15,22 +16,35 @@
 import { Made } from '../hollow/made';
 import type { Measurement } from './measurement';
 
+/** Why a clock that stands: ages travel in messages, and their digits would make the same exchange longer or shorter. */
+const standingClock: Clock = {
+  ...realClock,
+  nowMicroseconds: () => 1_000_000_000,
+  steadyMicroseconds: () => 1_000_000_000,
+};
+
 /** How often a steward says that it goes on, where engines hold events calls. */
 const beatMicroseconds = 700_000;
 
+/** Bytes are those of so many first exchanges: how many there are in all depends on how fast the machine is. */
+const countedAsks = 8;
+
+/** Versions of one figure's changes begin here, and take the same room whatever was exchanged before. */
+const versionsPerFigure = 1_000_000;
+
 type Side = Readonly<{ facts: FactBook; exchange: NewsExchange }>;
 
 const sideOf = (daemons: number, seed: number, effects: Effects): Side => {
   const facts = new FactBook();
   Made.fill(facts, Made.facts(daemons, Made.engines(daemons), seededRandom(seed)));
-  const freshness = new Freshness(realClock);
-  Made.give(freshness, realClock, 'blueprint', JSON.stringify(Made.blueprint(23, 10, 23)));
+  const freshness = new Freshness(standingClock);
+  Made.give(freshness, standingClock, 'blueprint', JSON.stringify(Made.blueprint(23, 10, 23)));
   const parts = {
     fleet: new FleetName('measured'),
     facts,
     shards: new ShardBook(),
     freshness,
-    pulses: new Pulses(realClock),
+    pulses: new Pulses(standingClock),
   };
   return { facts, exchange: new NewsExchange(parts, effects) };
 };
@@ -83,7 +97,7 @@
       listen: () => Promise.reject(new Error('nobody listens here')),
       close: () => Promise.resolve(),
     };
-    const effects: Effects = { clock: realClock, random, transport };
+    const effects: Effects = { clock: standingClock, random, transport };
     const asker = sideOf(daemons, seed, effects);
     const far = sideOf(daemons, seed, effects);
     sides.push(asker, far);
@@ -91,6 +105,7 @@
       Array.from({ length: daemons }, (_, index) => Made.load(index + 1, engines, random)),
     );
     let version = 1;
+    let figures = 0;
     const change = (count: number): void => {
       version += 1;
       for (let index = 0; index < count; index += 1) {
@@ -109,13 +124,17 @@
     };
     const cost = async (before: () => void): Promise<readonly [bytes: number, processor: number]> => {
       let asks = 0;
+      let counted = 0;
       bytes = 0;
+      figures += 1;
+      version = figures * versionsPerFigure;
       const processor = await Costs.each(async () => {
         before();
         asks += 1;
         await asker.exchange.ask('there', 1_000_000);
+        if (asks <= countedAsks) counted = bytes / asks;
       });
-      return [bytes / asks, processor];
+      return [counted, processor];
     };
     const [restBytes, restProcessor] = await cost(() => undefined);
     const [oneBytes, oneProcessor] = await cost(() => change(1));
