--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -41,10 +41,8 @@
 
 type Full = Readonly<{ version: string; own: number; at: number }>;
 type Elsewhere = Readonly<{ sends: number; work: WorkSum }>;
-type Others = Readonly<{ at: number; loads: readonly LoadFact[]; engines: ReadonlyMap<string, Elsewhere> }>;
+type Others = Readonly<{ changes: number; loads: readonly LoadFact[]; engines: ReadonlyMap<string, Elsewhere> }>;
 
-/** So long one sum over the loads of all other proxies is used: they are older than that when they come. */
-const sumsMicroseconds = 20_000;
 /** So long the candidates of a service stand, if nothing changes before. */
 const workedMicroseconds = 1_000;
 type WorkedOut = Readonly<{
@@ -332,8 +330,9 @@
   }
 
   private othersNow(): Others {
-    const now = this.clock.nowMicroseconds();
-    if (this.others !== undefined && now - this.others.at < sumsMicroseconds) return this.others;
+    const { changes } = this.facts;
+    // Why not for a time: sums that are older than the news sent an order to an engine known to be full.
+    if (this.others?.changes === changes) return this.others;
     const agents = new Set(this.agents().map(({ name }) => name));
     const loads = this.facts
       .withPrefix('load/')
@@ -349,7 +348,7 @@
           work: { reading: known.work.reading + reading, tokens: known.work.tokens + tokens },
         });
       }
-    this.others = { at: now, loads, engines };
+    this.others = { changes, loads, engines };
     return this.others;
   }
 }
