--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -566,9 +566,7 @@
       const quiet = this.quietUntil.get(key);
       if (quiet === undefined) {
         // Why by rank: the keys spread over the keepers, and two rarely try at once.
-        const rank = Rendezvous.order(`owner/${key}`, Object.keys(this.core.members().members)).indexOf(
-          this.settings.name,
-        );
+        const rank = Rendezvous.rank(`owner/${key}`, this.settings.name, Object.keys(this.core.members().members));
         this.quietUntil.set(key, now + Math.max(0, rank) * 250_000);
       } else if (now >= quiet) {
         const won = await ownership.win();
--- a/source/edge-agent/membership/membership.ts
+++ b/source/edge-agent/membership/membership.ts
@@ -21,12 +21,23 @@
   boot: string;
 }>;
 
+/** What follows from who belongs to the fleet, as long as no news of a member comes in. */
+type Drawn = Readonly<{
+  changes: number;
+  all: readonly MemberFact[];
+  present: readonly MemberFact[];
+  colleagues: readonly string[];
+  neighbours: readonly string[];
+  watched: readonly string[];
+}>;
+
 /** Who belongs to the fleet, as news says. It steers placement and duties, never what is right. */
 export class Membership {
   public readonly news = new Emittery<{ changed: MemberFact }>();
   private incarnation = 1;
   private readonly suspectSince = new Map<string, number>();
   private readonly missed = new Map<string, number>();
+  private drawn: Drawn | undefined;
 
   public constructor(
     private readonly self: Self,
@@ -43,11 +54,11 @@
   }
 
   public all(): readonly MemberFact[] {
-    return this.book.withPrefix('member/').map(({ value }) => value as MemberFact);
+    return this.drawnNow().all;
   }
 
   public present(): readonly MemberFact[] {
-    return this.all().filter(MemberStates.isPresent);
+    return this.drawnNow().present;
   }
 
   public alive(name: string): boolean {
@@ -61,37 +72,17 @@
 
   /** The few this daemon exchanges news with. */
   public colleagues(): readonly MemberFact[] {
-    return this.named(
-      Rendezvous.colleagues(
-        this.self.name,
-        this.present().map(({ name }) => name),
-        this.settings.colleagues,
-      ),
-    );
+    return this.named(this.drawnNow().colleagues);
   }
 
   /** As many again within its own zone: what is said there crosses no link between zones. */
   public neighbours(): readonly MemberFact[] {
-    const near = this.present().filter(({ zone }) => zone === this.self.zone);
-    return this.named(
-      Rendezvous.colleagues(
-        this.self.name,
-        near.map(({ name }) => name),
-        this.settings.colleagues,
-      ),
-    );
+    return this.named(this.drawnNow().neighbours);
   }
 
   /** Those for whom this daemon is one of the watchers; each daemon is watched by the same number of others. */
   public watched(): readonly MemberFact[] {
-    const names = this.present().map(({ name }) => name);
-    return this.named(
-      names.filter(
-        (name) =>
-          name !== this.self.name &&
-          Rendezvous.colleagues(name, names, this.settings.watchers).includes(this.self.name),
-      ),
-    );
+    return this.named(this.drawnNow().watched);
   }
 
   /** After news came in: a worse word about oneself, or about an earlier life, is refuted with a higher incarnation. */
@@ -148,6 +139,31 @@
     }
   }
 
+  /** Why kept: whom all the others watch takes the square of the fleet to work out, and members change seldom. */
+  private drawnNow(): Drawn {
+    const changes = this.book.changesOf('member');
+    if (this.drawn?.changes === changes) return this.drawn;
+    const { self, settings } = this;
+    const all = this.book.withPrefix('member/').map(({ value }) => value as MemberFact);
+    const present = all.filter(MemberStates.isPresent);
+    const names = present.map(({ name }) => name);
+    const near = present.filter(({ zone }) => zone === self.zone).map(({ name }) => name);
+    const watches = (name: string): boolean => {
+      const others = names.filter((other) => other !== name);
+      const rank = Rendezvous.rank(name, self.name, others);
+      return rank >= 0 && rank < settings.watchers;
+    };
+    this.drawn = {
+      changes,
+      all,
+      present,
+      colleagues: Rendezvous.colleagues(self.name, names, settings.colleagues),
+      neighbours: Rendezvous.colleagues(self.name, near, settings.colleagues),
+      watched: names.filter((name) => name !== self.name && watches(name)),
+    };
+    return this.drawn;
+  }
+
   private named(names: readonly string[]): readonly MemberFact[] {
     return names.flatMap((name) => this.member(name) ?? []);
   }
--- a/source/edge-agent/stewards/dutyLine.ts
+++ b/source/edge-agent/stewards/dutyLine.ts
@@ -94,7 +94,7 @@
     if (now - this.startedMicroseconds < this.settings.settleMicroseconds) return false;
     const since = this.vacantSince.get(duty) ?? now;
     this.vacantSince.set(duty, since);
-    const rank = Rendezvous.order(`steward/${subject.name}`, names).indexOf(this.self);
+    const rank = Rendezvous.rank(`steward/${subject.name}`, this.self, names);
     return now - since >= Math.max(0, rank) * this.settings.rankMicroseconds;
   }
 
@@ -102,7 +102,7 @@
   public handsOver(subject: DutySubject, names: readonly string[]): string | undefined {
     const { duty } = subject;
     const now = this.clock.nowMicroseconds();
-    const first = Rendezvous.order(`steward/${subject.name}`, names)[0];
+    const first = Rendezvous.first(`steward/${subject.name}`, names);
     if (first === this.self || first === undefined) {
       this.misplacedSince.delete(duty);
       return undefined;
--- a/source/edge-agent/stewards/weightsRounds.ts
+++ b/source/edge-agent/stewards/weightsRounds.ts
@@ -11,9 +11,7 @@
 
   /** Which round an engine is in; every steward comes to the same. */
   roundOf: (engine: string, service: string, weights: string, engines: readonly string[]): number =>
-    Math.floor(
-      Rendezvous.order(`weights/${service}/${weights}`, engines).indexOf(engine) / WeightsRounds.width(engines.length),
-    ),
+    Math.floor(Rendezvous.rank(`weights/${service}/${weights}`, engine, engines) / WeightsRounds.width(engines.length)),
 
   /** Whether an engine's turn has come: all rounds before are done, or their time is over. */
   isDue: (
@@ -30,17 +28,17 @@
     if (!engines.includes(engine)) return false;
     // Why at once: nobody knows since when they are intended, so no time is left.
     if (intended.sinceMicroseconds === null) return true;
-    const rounds = Math.ceil(engines.length / WeightsRounds.width(engines.length));
-    const round = WeightsRounds.roundOf(engine, service, intended.weights, engines);
+    // Why the order once: it is asked for by each engine of a pool that may be large.
+    const order = Rendezvous.order(`weights/${service}/${intended.weights}`, engines);
+    const width = WeightsRounds.width(engines.length);
+    const round = Math.floor(order.indexOf(engine) / width);
     const begin = Math.max(intended.sinceMicroseconds, mayFromMicroseconds);
     const until = intended.sinceMicroseconds + (limitMicroseconds * roundsPerMille) / 1000;
-    if (nowMicroseconds - begin >= (round * Math.max(0, until - begin)) / rounds) return true;
-    return engines.every((other) => {
-      const fact = pool[other];
-      return (
-        WeightsRounds.roundOf(other, service, intended.weights, engines) >= round ||
-        (fact?.weights === intended.weights && !fact.changing)
-      );
+    if (nowMicroseconds - begin >= (round * Math.max(0, until - begin)) / Math.ceil(engines.length / width))
+      return true;
+    return order.slice(0, round * width).every((before) => {
+      const fact = pool[before];
+      return fact?.weights === intended.weights && !fact.changing;
     });
   },
 } as const;
--- a/source/edge-proxy/fetch/partsPlanner.ts
+++ b/source/edge-proxy/fetch/partsPlanner.ts
@@ -85,10 +85,10 @@
     const first = parts[0];
     if (first === undefined || stores.length === 0) return undefined;
     // Why by rendezvous: every daemon names the same store for the same parts, and none holds them twice.
-    const name = Rendezvous.order(
+    const name = Rendezvous.first(
       first.name,
       stores.map((store) => store.name),
-    )[0];
+    );
     const store = stores.find((item) => item.name === name);
     const shard = store === undefined ? undefined : this.shards.get(store.name);
     if (store === undefined) return undefined;
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -109,7 +109,7 @@
     if (first === undefined) return undefined;
     const outside = offers.filter(({ lane }) => !lane);
     const names = (outside.length > 0 ? outside : offers).map(({ name }) => name);
-    return Rendezvous.order(first.name, names)[0];
+    return Rendezvous.first(first.name, names);
   },
 
   choose: (
--- a/source/shared/directory/shardBook.ts
+++ b/source/shared/directory/shardBook.ts
@@ -21,7 +21,8 @@
 
   /** Holders that left the platform's list take their entries with them. */
   public keepOnly(holders: readonly string[]): void {
-    for (const holder of this.shards.keys()) if (!holders.includes(holder)) this.shards.delete(holder);
+    const kept = new Set(holders);
+    for (const holder of this.shards.keys()) if (!kept.has(holder)) this.shards.delete(holder);
   }
 
   public marks(): ShardMarkBook {
--- a/source/shared/news/facts.ts
+++ b/source/shared/news/facts.ts
@@ -25,6 +25,7 @@
   /** The facts of each kind, so that what is at rest is neither told nor summed again. */
   private readonly kinds = new Map<string, Map<string, Fact>>();
   private readonly sumsNow = new Map<string, string>();
+  private readonly kindChanges = new Map<string, number>();
 
   public get(key: string): Fact | undefined {
     return this.facts.get(key);
@@ -44,6 +45,11 @@
     return this.changeCount;
   }
 
+  /** The same for the facts of one kind. */
+  public changesOf(kind: string): number {
+    return this.kindChanges.get(kind) ?? 0;
+  }
+
   /** True when the fact was newer than what was known. */
   public put(fact: Fact): boolean {
     const known = this.facts.get(fact.key);
@@ -56,7 +62,7 @@
     const others = this.kinds.get(kind) ?? new Map<string, Fact>();
     others.set(fact.key, fact);
     this.kinds.set(kind, others);
-    this.sumsNow.delete(kind);
+    this.changed(kind);
     return true;
   }
 
@@ -65,7 +71,7 @@
     this.changeCount += 1;
     const kind = kindOf(key);
     this.kinds.get(kind)?.delete(key);
-    this.sumsNow.delete(kind);
+    this.changed(kind);
   }
 
   public get size(): number {
@@ -126,6 +132,11 @@
     return keys.slice(0, FactLimits.perMessage);
   }
 
+  private changed(kind: string): void {
+    this.sumsNow.delete(kind);
+    this.kindChanges.set(kind, this.changesOf(kind) + 1);
+  }
+
   private sumOf(kind: string, facts: ReadonlyMap<string, Fact>): string {
     const known = this.sumsNow.get(kind);
     if (known !== undefined) return known;
--- a/tests/policies.test.ts
+++ b/tests/policies.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { WeightsPlans } from '../source/edge-agent/stewards/weightsPlan';
+import { Membership } from '../source/edge-agent/membership/membership';
 import { MajorityReads, type WordsAnswer } from '../source/edge-agent/core-link/majorityRead';
 import { DutyVoter } from '../source/core-keeper/duties/dutyVoter';
 import { KeeperCore } from '../source/core-keeper/register/keeperCore';
@@ -570,3 +571,56 @@
     true,
   );
 });
+
+test('rendezvous: first and rank say the same as the whole order, also for names that are not there', () => {
+  fc.assert(
+    fc.property(fc.string(), fc.uniqueArray(fc.string(), { maxLength: 12 }), fc.string(), (subject, names, other) => {
+      const order = Rendezvous.order(subject, names);
+      assert.equal(Rendezvous.first(subject, names), order[0]);
+      for (const name of [...names, other]) assert.equal(Rendezvous.rank(subject, name, names), order.indexOf(name));
+    }),
+    settings,
+  );
+});
+
+test('rendezvous: a hundred names share a thousand subjects about evenly', () => {
+  const names = Array.from({ length: 100 }, (_, index) => `edge-hall-${index}`);
+  const counts = new Map<string, number>();
+  for (let number = 0; number < 10_000; number += 1) {
+    const first = Rendezvous.first(`steward/i-${number.toString(16)}`, names) ?? '';
+    counts.set(first, (counts.get(first) ?? 0) + 1);
+  }
+  // Why so wide: a hundred each is the mean, and its chance deviation is ten.
+  for (const name of names) assert.ok((counts.get(name) ?? 0) > 55 && (counts.get(name) ?? 0) < 150, name);
+});
+
+test('members: whom a daemon knows and watches follows each piece of news about a member, and nothing else', () => {
+  const book = new FactBook();
+  const own = { name: 'a', zone: 'z1', address: 'a:1', proxyAddress: '', pagesAddress: '', boot: 'b' };
+  const clock = { nowMicroseconds: () => 0, steadyMicroseconds: () => 0, after: () => () => undefined };
+  const bounds = { colleagues: 2, watchers: 2, goneMicroseconds: 1, forgetMicroseconds: 1 };
+  const members = new Membership(own, book, clock, bounds, () => undefined);
+  const say = (name: string, state: 'alive' | 'gone', minor: number): boolean =>
+    book.put({ key: `member/${name}`, version: [1, minor], value: { ...own, name, address: `${name}:1`, state } });
+  assert.deepEqual(members.watched(), []);
+  say('b', 'alive', 0);
+  say('c', 'alive', 0);
+  assert.deepEqual(
+    members.watched().map(({ name }) => name),
+    ['b', 'c'],
+  );
+  const before = members.present();
+  book.put({ key: 'load/b', version: [1, 1], value: {} });
+  assert.equal(members.present(), before, 'a load says nothing of members');
+  say('c', 'gone', 2);
+  assert.deepEqual(
+    members.watched().map(({ name }) => name),
+    ['b'],
+  );
+  assert.deepEqual(
+    members.colleagues().map(({ name }) => name),
+    ['b'],
+  );
+  book.forget('member/b');
+  assert.deepEqual(members.watched(), []);
+});
