In a large fleet loads are said less often, zones ask each other as often as in a small one

Cause (73 daemons on virtual time): every exchange carried all loads, which are over before their news has come round, and each daemon of a zone asked other zones as often as one of three did. A load now stands for 120 ms for each 16 daemons; one exchange in half a zone's daemons goes far, at least one in three; watchers look each 480 ms instead of 240.

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -44,6 +44,8 @@
   ownReadMicroseconds: number;
   newsMicroseconds: number;
   newsAskMicroseconds: number;
+  /** How often an agent looks after those that it is a watcher of. */
+  watchMicroseconds: number;
   /** Of so many exchanges one goes to a colleague in any zone, the others stay in the own one. */
   farEvery: number;
   tendMicroseconds: number;
@@ -85,6 +87,7 @@
   ownReadMicroseconds: 1_000_000,
   newsMicroseconds: 120_000,
   newsAskMicroseconds: 400_000,
+  watchMicroseconds: 480_000,
   farEvery: 1,
   tendMicroseconds: 150_000,
   tendAskMicroseconds: 1_000_000,
@@ -112,6 +115,9 @@
 /** Starting value, ours: after so long without a word from its proxy an agent no longer says what that one runs. */
 const proxySilentMicroseconds = 1_500_000;
 
+/** Starting value, ours: up to so many daemons each says its load at every exchange of news. */
+const promptLoads = 16;
+
 /** Starting value, ours: a proxy that did not ask for so long has stopped too. */
 const lingerMicroseconds = 400_000;
 
@@ -135,6 +141,7 @@
   private turn = 0;
   private loadSequence = 0;
   private heardProxyMicroseconds = -Infinity;
+  private saidLoadMicroseconds = -Infinity;
 
   public constructor(
     given: Effects,
@@ -234,7 +241,7 @@
     const tickers: readonly (readonly [number, () => Promise<void>])[] = [
       [settings.readMicroseconds, () => this.link.read()],
       [settings.newsMicroseconds, () => this.news()],
-      [settings.newsMicroseconds * 2, () => this.watch()],
+      [settings.watchMicroseconds, () => this.watch()],
       [settings.ballotMicroseconds, () => this.stewardship.ballot()],
       [settings.tendMicroseconds, () => this.stewardship.tend()],
     ];
@@ -295,19 +302,29 @@
     // Why seeds too: until a colleague is known, and now and then after, so that two halves find each other again.
     const useSeed = colleagues.length === 0 || this.turn % 25 === 24;
     const others = this.settings.seeds.filter((seed) => seed !== this.settings.address);
-    // Why seldom far: links between zones are long and paid for, and one exchange brings what the whole other zone has.
-    const isFar = this.turn % this.settings.farEvery === 0;
+    const farEvery = this.farEvery();
+    const isFar = this.turn % farEvery === 0;
     const neighbours = isFar ? [] : this.membership.neighbours();
     const partners = neighbours.length > 0 ? neighbours : colleagues;
     const address = useSeed
       ? others[Math.floor(this.turn / 25 + this.turn) % Math.max(1, others.length)]
-      : partners[Math.floor(this.turn / (isFar ? this.settings.farEvery : 1)) % partners.length]?.address;
+      : partners[Math.floor(this.turn / (isFar ? farEvery : 1)) % partners.length]?.address;
     this.turn += 1;
     // Why the own entry in full: a keeper asked as a seed keeps no versions, and names the askers to each other.
     const extra = useSeed ? { own: this.facts.get(FactKeys.member(this.settings.name)) ?? null } : {};
     if (address !== undefined) await this.exchange.ask(address, this.settings.newsAskMicroseconds, extra);
   }
 
+  /**
+   * Of how many exchanges one goes to any zone. Why seldom: links between zones are long and paid for, and one exchange
+   * brings what the whole other zone has. Why by the zone's daemons: a zone as a whole asks others about as often,
+   * however many it has.
+   */
+  private farEvery(): number {
+    const { farEvery } = this.settings;
+    return farEvery === 1 ? 1 : Math.max(farEvery, Math.ceil(this.membership.zoneSize() / 2));
+  }
+
   /** Looks after those it is a watcher of; before anybody is suspected another daemon has tried too. */
   private async watch(): Promise<void> {
     this.forgetProxy();
@@ -399,7 +416,10 @@
 
   private sayLoad(value: LoadFact): void {
     const before = this.facts.value<LoadFact>(FactKeys.load(this.settings.name));
+    const now = this.effects.clock.nowMicroseconds();
+    if (before !== undefined && now - this.saidLoadMicroseconds < this.loadPause()) return;
     if (before !== undefined && JSON.stringify(before) === JSON.stringify(value)) return;
+    this.saidLoadMicroseconds = now;
     this.loadSequence += 1;
     this.facts.put({
       key: FactKeys.load(this.settings.name),
@@ -408,6 +428,14 @@
     });
   }
 
+  /**
+   * How long a load stands before the next one is said. Why longer in a large fleet: all loads together travel with each
+   * exchange, every other daemon's part of the work is smaller, and what they run is over before its news has come round.
+   */
+  private loadPause(): number {
+    return this.settings.newsMicroseconds * Math.max(1, this.membership.present().length / promptLoads);
+  }
+
   private async grant(message: Message): Promise<GrantAnswer> {
     const engine = String(message['engine']);
     const steward = this.stewardship.steward(engine);
--- a/source/edge-agent/membership/membership.ts
+++ b/source/edge-agent/membership/membership.ts
@@ -29,6 +29,7 @@
   colleagues: readonly string[];
   neighbours: readonly string[];
   watched: readonly string[];
+  zoneSize: number;
 }>;
 
 /** Who belongs to the fleet, as news says. It steers placement and duties, never what is right. */
@@ -80,6 +81,11 @@
     return this.named(this.drawnNow().neighbours);
   }
 
+  /** Daemons in the own zone, this one included. */
+  public zoneSize(): number {
+    return this.drawnNow().zoneSize;
+  }
+
   /** Those for whom this daemon is one of the watchers; each daemon is watched by the same number of others. */
   public watched(): readonly MemberFact[] {
     return this.named(this.drawnNow().watched);
@@ -159,6 +165,7 @@
       present,
       colleagues: Rendezvous.colleagues(self.name, names, settings.colleagues),
       neighbours: Rendezvous.colleagues(self.name, near, settings.colleagues),
+      zoneSize: near.length,
       watched: names.filter((name) => name !== self.name && watches(name)),
     };
     return this.drawn;
--- a/source/edge-agent/stewards/dutyLine.ts
+++ b/source/edge-agent/stewards/dutyLine.ts
@@ -23,6 +23,10 @@
   heartbeatMicroseconds: number;
 }>;
 
+/** Starting values, ours: among so many daemons news is everywhere at once, and how much longer it may take among more. */
+const promptDaemons = 24;
+const mostPatience = 2;
+
 /** Who is next in line for a duty: when to stand for one that seems vacant, when to hand one over. */
 export class DutyLine {
   private readonly vacantSince = new Map<string, number>();
@@ -84,7 +88,7 @@
       const mark = fact.version.join('.');
       const beat = this.heartbeats.get(duty);
       if (beat?.mark !== mark) this.heartbeats.set(duty, { mark, atMicroseconds: now });
-      const fresh = now - (this.heartbeats.get(duty)?.atMicroseconds ?? 0) < this.settings.vacantAfterMicroseconds;
+      const fresh = now - (this.heartbeats.get(duty)?.atMicroseconds ?? 0) < this.vacantAfter(names.length);
       if (fresh && value.holder !== this.self && this.membership.alive(value.holder)) {
         this.vacantSince.delete(duty);
         return false;
@@ -98,6 +102,11 @@
     return now - since >= Math.max(0, rank) * this.settings.rankMicroseconds;
   }
 
+  /** Why longer among many: word of the holder goes from one to the next, and must not seem to have ended on its way. */
+  private vacantAfter(daemons: number): number {
+    return this.settings.vacantAfterMicroseconds * Math.min(mostPatience, Math.max(1, daemons / promptDaemons));
+  }
+
   /** The one to hand the duty over to, once this agent has not been first in line for long enough. */
   public handsOver(subject: DutySubject, names: readonly string[]): string | undefined {
     const { duty } = subject;
