What an engine is thought to keep has a spare source; moves weigh how often holders drop parts

Ruled out: unknown homes (7 orders, 35 thousand tokens), salts, weights. Now every such order names where to take the parts from, the store first; an engine moves nothing that it keeps. A move's gain is what it saves less the part that fails.

--- a/source/edge-proxy/fetch/partMoves.ts
+++ b/source/edge-proxy/fetch/partMoves.ts
@@ -15,6 +15,9 @@
   zoneFactor: number;
   /** What reading a thousand tokens again is worth beyond its own time, which moving them saves. */
   rereadMicrosecondsPerThousand: number;
+  /** How often, in thousandths, a holder has dropped the parts by the time they are asked for, and they are read again. */
+  engineDropsPerMille: number;
+  storeDropsPerMille: number;
 }>;
 
 export const MoveSettings = {
@@ -25,6 +28,8 @@
     tokenBytes: 163_840,
     zoneFactor: 2,
     rereadMicrosecondsPerThousand: 60_000,
+    engineDropsPerMille: 150,
+    storeDropsPerMille: 20,
   } satisfies MoveSettings,
 } as const;
 
@@ -70,7 +75,8 @@
       const tokens = tokensIn(keys, matched, found.matched);
       const microseconds = this.moveMicroseconds(found.holder, engine, pool, tokens);
       const again = (tokens * this.settings.rereadMicrosecondsPerThousand) / 1000;
-      const gain = (tokens * 1000) / engine.tokensPerMillisecond + again - microseconds;
+      const saved = (tokens * 1000) / engine.tokensPerMillisecond + again;
+      const gain = (saved * (1000 - this.dropsPerMille(found.holder))) / 1000 - microseconds;
       if (gain <= 0) continue;
       if (best !== undefined && best.gain >= gain) continue;
       const { holder, bootEpoch } = found;
@@ -94,10 +100,16 @@
 
   /** An answer whose order had an import: how long that seems to have taken. */
   public measured(engine: string, move: Move, microseconds: number): void {
-    const expected = this.settings.setupMicroseconds + move.microseconds / this.ratio(move.holder, engine);
+    const { setupMicroseconds } = this.settings;
+    const expected = setupMicroseconds + (move.microseconds - setupMicroseconds) / this.ratio(move.holder, engine);
     this.ratios.measured(move.holder, engine, Math.min(30_000, Math.max(500, (microseconds * 1000) / expected)));
   }
 
+  private dropsPerMille(holder: string): number {
+    const { engineDropsPerMille, storeDropsPerMille } = this.settings;
+    return this.view.storeShape(holder) === undefined ? engineDropsPerMille : storeDropsPerMille;
+  }
+
   private ratio(from: string, to: string): number {
     return this.ratios.blockMicroseconds(from, to) / 1000;
   }
--- a/source/edge-proxy/fetch/partsPlanner.ts
+++ b/source/edge-proxy/fetch/partsPlanner.ts
@@ -35,12 +35,13 @@
     const move = this.moves.best(engine, service, parts, placed.matched, lookUp);
     const names = parts.map(({ name }) => name);
     const store = this.storeFor(parts);
-    const guess = move === undefined ? this.guess(placed, parts, store) : undefined;
+    const lacks = store !== undefined && !this.holdsShared(store, parts);
+    const guess = move === undefined ? this.guess(placed, parts, store, lookUp) : undefined;
     if (move !== undefined) this.metrics.count('postdrum_imports_total', { from: this.kindOf(move.holder) });
     return {
       ...noFetch,
       salt,
-      target: store === undefined ? undefined : { store: store.address, keys: names },
+      target: lacks ? { store: store.address, keys: names } : undefined,
       source:
         move === undefined
           ? guess
@@ -61,25 +62,55 @@
    * some never comes, and a guess that is wrong costs a millisecond where reading costs hundreds.
    */
   private guess(
-    { home, matched, engine }: Placed,
+    placed: Placed,
     parts: readonly PartKey[],
     store: Store | undefined,
+    lookUp: LookUp,
   ): FetchPlan['source'] {
-    if (matched >= parts.length - 1) return undefined;
-    // Why the store first where nothing is known of it: it outlives a restart of all daemons, and has what was ever read.
-    const byStore = store !== undefined && (home === undefined || this.shards.get(store.name) === undefined);
-    const holder = byStore ? store.name : home;
+    const isKept = placed.matched >= parts.length - 1;
+    const holder = isKept ? this.spare(placed, parts, store, lookUp) : this.unknown(placed, store);
     const address = holder === undefined ? undefined : this.view.addressOf(holder);
-    if (address === undefined || holder === undefined || holder === engine) return undefined;
-    this.metrics.count('postdrum_imports_total', { from: 'guess' });
-    return { holder, address, bootEpoch: '', at: matched, keys: parts.slice(matched, -1).map(({ name }) => name) };
+    if (address === undefined || holder === undefined || holder === placed.engine) return undefined;
+    this.metrics.count('postdrum_imports_total', { from: isKept ? 'spare' : 'guess' });
+    const at = isKept ? 0 : placed.matched;
+    return { holder, address, bootEpoch: '', at, keys: parts.slice(at, -1).map(({ name }) => name) };
+  }
+
+  private unknown({ home, engine }: Placed, store: Store | undefined): string | undefined {
+    // Why the store first where nothing is known of it: it outlives a restart of all daemons, and has what was ever read.
+    const byStore =
+      store !== undefined && (home === undefined || home === engine || this.shards.get(store.name) === undefined);
+    return byStore ? store.name : home;
+  }
+
+  /**
+   * Where the engine would take its parts from if it had dropped them. Why name one although it keeps them: an engine
+   * drops what was used longest ago as soon as it needs room, and word of that comes after the order has gone. What it
+   * still keeps it does not take again.
+   */
+  private spare(
+    { engine }: Placed,
+    parts: readonly PartKey[],
+    store: Store | undefined,
+    lookUp: LookUp,
+  ): string | undefined {
+    if (store !== undefined && this.holdsShared(store, parts)) return store.name;
+    const others = lookUp.kind === 'miss' ? [] : lookUp.found;
+    const other = others.find(({ holder, matched }) => holder !== engine && matched >= parts.length - 1);
+    return other?.holder ?? store?.name;
+  }
+
+  private holdsShared({ name }: Store, parts: readonly PartKey[]): boolean {
+    const shard = this.shards.get(name);
+    const shared = parts.slice(0, -1).map(({ physical }) => physical);
+    return shard !== undefined && shard.matched(shared) === shared.length;
   }
 
   private kindOf(holder: string): string {
     return this.view.storeShape(holder) === undefined ? 'engine' : 'store';
   }
 
-  /** The store that should be sent the shared parts, where it lacks any of them. The last part is the order's own. */
+  /** The store that keeps the shared parts of such an order. */
   private storeFor(parts: readonly PartKey[]): Store | undefined {
     const stores = this.view.stores();
     const first = parts[0];
@@ -89,10 +120,6 @@
       first.name,
       stores.map((store) => store.name),
     );
-    const store = stores.find((item) => item.name === name);
-    const shard = store === undefined ? undefined : this.shards.get(store.name);
-    if (store === undefined) return undefined;
-    const shared = parts.slice(0, -1).map(({ physical }) => physical);
-    return shard !== undefined && shard.matched(shared) === shared.length ? undefined : store;
+    return stores.find((item) => item.name === name);
   }
 }
--- /dev/null
+++ b/tests/parts-planner.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { LinkSpeeds } from '../source/edge-proxy/fetch/linkSpeeds';
+import { MoveSettings, PartMoves, type Move } from '../source/edge-proxy/fetch/partMoves';
+import { PartsPlanner } from '../source/edge-proxy/fetch/partsPlanner';
+import type { FetchPlan } from '../source/edge-proxy/fetch/fetchPlanner';
+import type { Placed, Resolved } from '../source/edge-proxy/path/order';
+import type { EngineView } from '../source/edge-proxy/placement/engineView';
+import { PromptKeys } from '../source/edge-proxy/placement/placePolicies';
+import { ReadSpeeds } from '../source/edge-proxy/placement/readSpeeds';
+import { LookUps, type LookUp } from '../source/shared/directory/lookup';
+import { ShardBook } from '../source/shared/directory/shardBook';
+import { ShardNews } from '../source/shared/directory/shardNews';
+import { Metrics } from '../source/shared/metrics/metrics';
+import type { Pool } from '../source/shared/blueprint/types';
+
+const pool: Pool = {
+  kind: 'pool',
+  model: 'm',
+  weights: '1',
+  tokenizer: 't',
+  adapter: '',
+  dtype: 'bf16',
+  quant: 'none',
+  layout: 'paged-1',
+  shard: 'tp1-pp1',
+  rope: 'default',
+  blockCharacters: 64,
+  answerLimitMicroseconds: 1_000_000,
+};
+const resolved = { service: pool, trustDomain: 'shared', mapping: { service: 'pool' } } as Resolved;
+const order = {
+  id: 'o',
+  method: 'POST',
+  path: '/',
+  key: '',
+  contentType: '',
+  body: '',
+  arrivedMicroseconds: 0,
+  parts: [
+    { name: 'rules', size: 13_000 },
+    { name: 'own', size: 3_000 },
+  ],
+};
+const storeShape = { address: 'store:1', zone: 'z', keptTokens: 2_000_000, linkBytesPerSecond: 37_500_000_000 };
+
+/** Two engines and, where asked for, a store; `keepers` are known to keep the shared part. */
+const setUp = (
+  keepers: readonly string[],
+  hasStore = true,
+): Readonly<{ moves: PartMoves; lookUp: LookUp; keys: PromptKeys; plan: (placed: Partial<Placed>) => FetchPlan }> => {
+  const keys = new PromptKeys(resolved, order);
+  const shards = new ShardBook();
+  for (const holder of ['e1', 'e2', ...(hasStore ? ['store'] : [])]) {
+    const shard = new ShardNews({ holder, term: 1, epoch: 1, bootEpoch: 'b', weights: '', version: 0 });
+    shards.set(holder, shard);
+    const [shared] = keys.under('1');
+    if (shared !== undefined && keepers.includes(holder)) shard.put({ ...shared, name: shared.physical, size: 13_000 });
+  }
+  const view = {
+    addressOf: (holder: string) => `${holder}:1`,
+    zoneOf: () => 'z',
+    storeShape: (holder: string) => (holder === 'store' ? storeShape : undefined),
+    stores: () => (hasStore ? [{ name: 'store', address: 'store:1', bootEpoch: 'b' }] : []),
+  } as unknown as EngineView;
+  const moves = new PartMoves(view, new LinkSpeeds(1000, 64), MoveSettings.usual);
+  const planner = new PartsPlanner(view, shards, moves, new ReadSpeeds(), new Metrics());
+  const lookUp = LookUps.find(shards, keys.under('1'), () => 'b');
+  const placed: Placed = { engine: 'e1', address: 'e1:1', bootEpoch: 'b', weights: '1', matched: 0 };
+  return { moves, lookUp, keys, plan: (given) => planner.plan({ ...placed, ...given }, resolved, keys, lookUp) };
+};
+
+test('an engine that keeps the parts is told where to take them from if it has dropped them by then', () => {
+  for (const [keepers, hasStore, source] of [
+    [['e1', 'e2', 'store'], true, 'store'],
+    [['e1', 'e2'], true, 'e2'],
+    [['e1', 'e2'], false, 'e2'],
+    [['e1'], true, 'store'],
+    [['e1'], false, undefined],
+  ] as const) {
+    const plan = setUp(keepers, hasStore).plan({ matched: 1 });
+    assert.equal(plan.source?.holder, source, `${keepers.join()} ${hasStore}`);
+    assert.equal(plan.source?.at ?? 0, 0, 'from the first part on');
+    assert.deepEqual(plan.fills, [], 'it is not expected to read any');
+    assert.equal(plan.move, undefined, 'and no move is counted on');
+  }
+});
+
+test('a store is told to keep the parts only where it is not known to', () => {
+  assert.equal(setUp(['e1', 'store']).plan({ matched: 1 }).target, undefined);
+  assert.equal(setUp(['e1']).plan({ matched: 1 }).target?.store, 'store:1');
+});
+
+test('where nobody is known to keep them the home is guessed, or the store where the home reads them itself', () => {
+  assert.equal(setUp([]).plan({ home: 'e2' }).source?.holder, 'e2');
+  assert.equal(setUp([]).plan({ home: 'e1' }).source?.holder, 'store');
+  assert.equal(setUp([]).plan({}).source?.holder, 'store');
+  assert.equal(setUp([], false).plan({ home: 'e1' }).source, undefined);
+});
+
+test('the store goes before another engine, which drops what it keeps more often; an engine before reading', () => {
+  const target = { name: 'e1', zone: 'z', tokensPerMillisecond: 60 };
+  const best = (keepers: readonly string[]): string | undefined => {
+    const { moves, keys, lookUp } = setUp(keepers);
+    return moves.best(target, pool, keys.parts('1'), 0, lookUp)?.holder;
+  };
+  assert.equal(best(['e2', 'store']), 'store');
+  assert.equal(best(['e2']), 'e2');
+  assert.equal(best([]), undefined);
+});
+
+test('a move that took as long as it should leaves its link as it was, a slow one makes it dear', () => {
+  const { moves, keys, lookUp } = setUp(['e2']);
+  const target = { name: 'e1', zone: 'z', tokensPerMillisecond: 60 };
+  const best = (): Move | undefined => moves.best(target, pool, keys.parts('1'), 0, lookUp);
+  const first = best();
+  assert.ok(first !== undefined);
+  for (let turn = 0; turn < 20; turn += 1) moves.measured('e1', best() ?? first, first.microseconds);
+  assert.equal(Math.round(best()?.microseconds ?? 0), Math.round(first.microseconds));
+  for (let turn = 0; turn < 20; turn += 1) moves.measured('e1', best() ?? first, first.microseconds * 10);
+  assert.ok((best()?.microseconds ?? Infinity) > first.microseconds * 5);
+});
