Proxies and agents take changed settings while they run

Cause: they read their file at the start only, so other seeds, bounds of second sends or another address of the list waited for a restart; keepers already looked again. And a change between a keeper's start and its watch was never seen, since the watch read the text for itself and took it for the one in force.

The watch is given the text that was read at the start, looks once a second at a mark (number, size and times of the file: one system call), reads the text when the mark is another, at SIGHUP, and every tenth look all the same. Settings are compared field by field: those that may change are in force at once, the others are named as waiting. Leases and the wait before the first directive are left out: a steward relies on how long the one before it held.

Ruled out: reading the whole file each second (five system calls); letting platform/ keep the list's address (it would decide when it counts), so the address goes with each call.

--- a/source/edge-agent/agentProgram.ts
+++ b/source/edge-agent/agentProgram.ts
@@ -28,7 +28,7 @@
 
 export const AgentProgram = {
   /** One agent on a real machine, from its start to its planned stop; the protocols it speaks are given to it. */
-  start: async (parts: AgentParts): Promise<void> => {
+  start: async (parts: AgentParts): Promise<EdgeAgent> => {
     const { settings, door, lister } = parts;
     const { clock = realClock } = parts;
     const transport = new TcpTransport(clock);
@@ -46,5 +46,6 @@
       await lister?.close();
       await transport.close();
     });
+    return agent;
   },
 } as const;
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -44,6 +44,7 @@
   private readonly kept = new KeptWords();
   private reading = 0;
   private fetching = false;
+  private seeds: readonly string[];
 
   public constructor(
     private readonly effects: Effects,
@@ -51,7 +52,14 @@
     private readonly freshness: Freshness,
     private readonly settings: CoreLinkSettings,
     private readonly own: () => unknown,
-  ) {}
+  ) {
+    this.seeds = settings.seeds;
+  }
+
+  /** Other first contacts than those that were told at the start. */
+  public seedsAre(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
 
   public get fleet(): string {
     return this.fleetName.name;
@@ -101,12 +109,12 @@
   }
 
   private isSeed(address: string): boolean {
-    return this.settings.seeds.includes(address);
+    return this.seeds.includes(address);
   }
 
   private chooseFleet(said: readonly Said[]): void {
     const names = said.map(({ fleet }) => fleet);
-    const chosen = FleetVotes.judge(names, this.settings.seeds.length);
+    const chosen = FleetVotes.judge(names, this.seeds.length);
     if (chosen !== '') {
       this.fleetName.learn(chosen);
       this.notice(`This agent belongs to the fleet ${chosen}.`);
@@ -121,7 +129,7 @@
       ...Object.values(this.view?.members ?? {}),
       ...Object.values(this.freshness.coreMembers?.members ?? {}),
     ].map(({ address }) => address);
-    return [...new Set([...members, ...(this.view === undefined ? this.led : []), ...this.settings.seeds])];
+    return [...new Set([...members, ...(this.view === undefined ? this.led : []), ...this.seeds])];
   }
 
   private async words(address: string): Promise<Said> {
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -16,8 +16,9 @@
 import { FactKeys, type LoadFact } from '../shared/news/factTypes';
 import { NewsExchange } from '../shared/news/newsExchange';
 import { Pulses } from '../shared/news/pulses';
+import { SettingsChanges } from '../shared/settings/settingsChange';
 import { CoreLink } from './core-link/coreLink';
-import { EngineListDefaults, EngineListKeeper } from './engine-list/engineListKeeper';
+import { EngineListDefaults, EngineListKeeper, type EngineListSettings } from './engine-list/engineListKeeper';
 import type { EngineLister } from './engine-list/engineLister';
 import { Membership } from './membership/membership';
 import { WorkDesk } from './desk/workDesk';
@@ -62,6 +63,8 @@
   heartbeatMicroseconds: number;
   /** `kept`: the operators keep the list of engines at the keepers. `listed`: something outside keeps it, and it is read. */
   engineList: 'kept' | 'listed';
+  /** Where that list is. */
+  listAddress: string;
   listMicroseconds: number;
   listAskMicroseconds: number;
   /** How far behind that list may be. */
@@ -100,6 +103,7 @@
   giveBackMicroseconds: 10_000_000,
   heartbeatMicroseconds: 0,
   engineList: 'kept',
+  listAddress: '',
   listMicroseconds: 500_000,
   listAskMicroseconds: EngineListDefaults.askMicroseconds,
   listLagMicroseconds: EngineListDefaults.lagMicroseconds,
@@ -109,6 +113,17 @@
   leastPart: HeldStewardDefaults.leastPart,
 } as const;
 
+/**
+ * What may change while an agent runs. Why not the lease and what is counted from it: a steward that comes after relies on
+ * how long the one before it holds.
+ */
+const changeable = [
+  'seeds',
+  'weightsWithinMicroseconds',
+  'listAddress',
+  'listLagMicroseconds',
+] as const satisfies readonly (keyof AgentSettings)[];
+
 /** Starting value, ours: after so long without a word from its proxy an agent no longer says what that one runs. */
 const proxySilentMicroseconds = 1_500_000;
 
@@ -127,6 +142,8 @@
   private readonly exchange: NewsExchange;
   private readonly duties: DutyHolder;
   private readonly desk: WorkDesk;
+  private readonly engineList: EngineListKeeper | undefined;
+  private readonly notice = Logs.part('agent:notice');
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
   private readonly effects: Effects;
@@ -139,7 +156,7 @@
   public constructor(
     given: Effects,
     door: BackEndDoor,
-    private readonly settings: AgentSettings,
+    private settings: AgentSettings,
     lister?: EngineLister,
     dialect: Dialect = ownDialect,
   ) {
@@ -213,7 +230,7 @@
       },
       this.log,
     );
-    const engineList =
+    this.engineList =
       lister === undefined || settings.engineList === 'kept'
         ? undefined
         : new EngineListKeeper(
@@ -222,14 +239,11 @@
             () => this.stewardship.listTerm(),
             clock,
             random,
-            {
-              ...EngineListDefaults,
-              askMicroseconds: settings.listAskMicroseconds,
-              lagMicroseconds: settings.listLagMicroseconds,
-            },
+            this.listSettings(),
             () => this.membership.present().length,
-            Logs.part('agent:notice'),
+            this.notice,
           );
+    const { engineList } = this;
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     const tickers: readonly (readonly [number, () => Promise<void>])[] = [
       [settings.readMicroseconds, () => this.link.read()],
@@ -256,6 +270,17 @@
     return this.listener.address;
   }
 
+  /** Changed settings: what may change while it runs is in force from now on, the rest after a restart. */
+  public settingsAre(given: AgentSettings): void {
+    const change = SettingsChanges.of(this.settings, given, changeable);
+    this.settings = change.settings;
+    this.link.seedsAre(this.settings.seeds);
+    this.stewardship.weightsWithinIs(this.settings.weightsWithinMicroseconds);
+    this.engineList?.settingsAre(this.listSettings());
+    const sentence = SettingsChanges.sentence(change);
+    if (sentence !== undefined) this.notice(sentence);
+  }
+
   /** The first half of a planned stop: what it holds goes to others, while it goes on feeding its proxy. */
   public resign(): Promise<void> {
     return this.stewardship.resign();
@@ -287,6 +312,16 @@
     await this.listener?.close();
   }
 
+  private listSettings(): EngineListSettings {
+    const { listAddress, listAskMicroseconds, listLagMicroseconds } = this.settings;
+    return {
+      ...EngineListDefaults,
+      address: listAddress,
+      askMicroseconds: listAskMicroseconds,
+      lagMicroseconds: listLagMicroseconds,
+    };
+  }
+
   private async news(): Promise<void> {
     this.membership.defend();
     this.membership.tick();
--- a/source/edge-agent/engine-list/engineListKeeper.ts
+++ b/source/edge-agent/engine-list/engineListKeeper.ts
@@ -9,6 +9,8 @@
 import type { EngineLister, ListedEngine } from './engineLister';
 
 export type EngineListSettings = Readonly<{
+  /** Where the list is. */
+  address: string;
   askMicroseconds: number;
   mostPages: number;
   /** How far behind the list may be; each answer by another amount, so a later answer may show an earlier moment. */
@@ -23,6 +25,7 @@
 
 /** Starting values, ours. */
 export const EngineListDefaults = {
+  address: '',
   askMicroseconds: 1_000_000,
   mostPages: 64,
   lagMicroseconds: 1_000_000,
@@ -53,15 +56,20 @@
     private readonly held: () => number | undefined,
     private readonly clock: Clock,
     private readonly random: Random,
-    private readonly settings: EngineListSettings,
+    private settings: EngineListSettings,
     /** How many agents there are, as far as known. */
     private readonly agents: () => number,
     private readonly log: Log,
   ) {
-    this.lives = new EngineLives(settings.lagMicroseconds);
+    this.lives = new EngineLives(() => this.settings.lagMicroseconds);
     this.aloneFrom = clock.nowMicroseconds() + Math.floor(settings.lonelyMicroseconds * (1 + random.fraction()));
   }
 
+  /** Changed settings count from the next call on. */
+  public settingsAre(changed: Partial<EngineListSettings>): void {
+    this.settings = { ...this.settings, ...changed };
+  }
+
   /** One read of the whole list. What is no sound answer says nothing: the list before goes on, and gets older. */
   public async read(): Promise<void> {
     const term = this.held();
@@ -102,7 +110,7 @@
     const pages: Readonly<{ engines: readonly ListedEngine[] }>[] = [];
     let from: string | undefined;
     for (;;) {
-      const page = await this.lister.page(from, this.settings.askMicroseconds);
+      const page = await this.lister.page(from, this.settings.askMicroseconds, this.settings.address);
       // Why nothing from a part: engines on the pages that did not come would look as if they were gone.
       if (page === undefined || this.held() !== term) return undefined;
       pages.push(page);
--- a/source/edge-agent/engine-list/engineLister.ts
+++ b/source/edge-agent/engine-list/engineLister.ts
@@ -21,5 +21,10 @@
  * limit, which says nothing about engines.
  */
 export interface EngineLister {
-  readonly page: (from: string | undefined, limitMicroseconds: number) => Promise<ListPage | undefined>;
+  readonly page: (
+    from: string | undefined,
+    limitMicroseconds: number,
+    /** Where the list is. */
+    address: string,
+  ) => Promise<ListPage | undefined>;
 }
--- a/source/edge-agent/engine-list/engineLives.ts
+++ b/source/edge-agent/engine-list/engineLives.ts
@@ -13,7 +13,7 @@
   private readonly over = new Set<string>();
   private reads = 0;
 
-  public constructor(private readonly lagMicroseconds: number) {}
+  public constructor(private readonly lagMicroseconds: () => number) {}
 
   /** The engines that live, after one more answer; `known` are those that the fleet knew before this series. */
   public heard(
@@ -29,7 +29,7 @@
     const names = new Set(listed.map(({ name }) => name));
     for (const [name, { seenMicroseconds }] of [...this.lives])
       // Why not at once: the answer may be from before it came up, or it slipped from one page to another.
-      if (!names.has(name) && askedMicroseconds - seenMicroseconds >= this.lagMicroseconds) this.end(name);
+      if (!names.has(name) && askedMicroseconds - seenMicroseconds >= this.lagMicroseconds()) this.end(name);
     return this.oneAnAddress();
   }
 
--- a/source/edge-agent/stewards/heldSteward.ts
+++ b/source/edge-agent/stewards/heldSteward.ts
@@ -49,6 +49,7 @@
   private readonly shard: ShardDirectory;
   private readonly reader: EventReader;
   private readonly word: EngineWord;
+  private weightsWithinMicroseconds: number;
   private readonly sinceMicroseconds: number;
   private work: Promise<void> = Promise.resolve();
   private working = false;
@@ -84,6 +85,7 @@
   ) {
     this.engine = engine;
     this.word = new EngineWord(name, term, facts);
+    this.weightsWithinMicroseconds = settings.weightsWithinMicroseconds;
     const limits = { ...ShardLimits.usual, leastSize: settings.leastPart };
     this.shard = new ShardDirectory(
       name,
@@ -111,6 +113,10 @@
     this.restSince = this.sinceMicroseconds - restBeforeMicroseconds;
   }
 
+  public weightsWithinIs(microseconds: number): void {
+    this.weightsWithinMicroseconds = microseconds;
+  }
+
   public grant(fill: string, epoch: number, keys: readonly NamedKey[]): GrantAnswer {
     return this.holds() ? this.shard.grant(fill, epoch, keys) : { kind: 'refused', reason: 'notSteward' };
   }
@@ -258,7 +264,7 @@
       return undefined;
     // Why not an engine without the model: there is nothing on it to bring to other weights.
     if (status.weights === intended.weights || status.weights === '') return undefined;
-    const limit = this.settings.weightsWithinMicroseconds;
+    const limit = this.weightsWithinMicroseconds;
     const now = this.clock.nowMicroseconds();
     const mayFrom = now + this.stillWaitsMicroseconds();
     // Why go on: what was begun is seen through, whatever the others do meanwhile.
--- a/source/edge-agent/stewards/steward.ts
+++ b/source/edge-agent/stewards/steward.ts
@@ -13,6 +13,8 @@
   readonly tend: (engine: Engine) => Promise<void>;
   /** For how long no directive has left, as far as this steward can tell; missing: it need not be known. */
   readonly restMicroseconds?: () => number;
+  /** Another time within which new weights stand everywhere; missing: it is of no concern to this one. */
+  readonly weightsWithinIs?: (microseconds: number) => void;
   /** Resolves when nothing that the holder must obey is on its way any more. */
   readonly quiet: () => Promise<void>;
 }
--- a/source/edge-agent/stewards/stewardship.ts
+++ b/source/edge-agent/stewards/stewardship.ts
@@ -30,6 +30,7 @@
   private readonly stewards = new Map<string, Steward>();
   private readonly salts: LiveSalts;
   private readonly line: DutyLine;
+  private weightsWithinMicroseconds: number;
   /** Duties on their way to others: neither renewed nor taken up again. */
   private readonly leaving = new Set<string>();
   private resigned = false;
@@ -48,6 +49,7 @@
     private readonly log: Log,
   ) {
     this.salts = new LiveSalts(freshness);
+    this.weightsWithinMicroseconds = settings.held.weightsWithinMicroseconds;
     this.line = new DutyLine(self, duties, membership, facts, effects.clock, settings);
   }
 
@@ -68,6 +70,12 @@
     return this.resigned ? undefined : this.duties.term(DutySubjects.list.duty);
   }
 
+  /** Another time within which new weights stand everywhere, for stewards that are and those to come. */
+  public weightsWithinIs(microseconds: number): void {
+    this.weightsWithinMicroseconds = microseconds;
+    for (const steward of this.stewards.values()) steward.weightsWithinIs?.(microseconds);
+  }
+
   public async ballot(): Promise<void> {
     if (this.resigned) return;
     const engines = this.tended();
@@ -171,7 +179,7 @@
         shards,
         freshness,
         clock,
-        settings.held,
+        { ...settings.held, weightsWithinMicroseconds: this.weightsWithinMicroseconds },
         this.line.restBefore(DutySubjects.engine(name), term),
         this.salts,
         engine,
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -13,6 +13,7 @@
 import { Freshness } from '../shared/freshness/freshness';
 import { Logs, type Log } from '../shared/log/log';
 import { Metrics } from '../shared/metrics/metrics';
+import { SettingsChanges } from '../shared/settings/settingsChange';
 import { FactBook } from '../shared/news/facts';
 import { NewsExchange } from '../shared/news/newsExchange';
 import { Pulses } from '../shared/news/pulses';
@@ -38,7 +39,7 @@
 import { placementNamed, type PlacementName } from './placement/placements';
 import { ReadSpeeds } from './placement/readSpeeds';
 import { WorkPlacer } from './placement/workPlacer';
-import { RetryBudget } from './sends/retryBudget';
+import { RetryBudget, type BudgetSettings } from './sends/retryBudget';
 import { SendPolicy } from './sends/sendPolicy';
 
 export type ProxySettings = Readonly<{
@@ -121,6 +122,18 @@
   latelyMicroseconds: 3_000_000,
 } as const;
 
+/**
+ * What may change while a proxy runs: what those who deploy the fleet promise. Why no more: addresses, names and places
+ * are what others know this proxy by, and the rest is counted on from the start.
+ */
+const changeable = [
+  'freshMicroseconds',
+  'weightsCutMicroseconds',
+  'retryPerMille',
+  'retryFleetAllowance',
+  'retryAllowanceMicroseconds',
+] as const satisfies readonly (keyof ProxySettings)[];
+
 /** The protocols that a proxy speaks; its own where nothing is said. */
 export type ProxyWords = Readonly<{ backEnds: BackEndWords; dialect: Dialect }>;
 
@@ -146,12 +159,13 @@
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
+  private readonly notice = Logs.part('proxy:notice');
   private notes: Readonly<{ note: DirectoryNote; tries: number }>[] = [];
 
   public constructor(
     effects: Effects,
     sender: BackEndSender,
-    private readonly settings: ProxySettings,
+    private settings: ProxySettings,
     { backEnds, dialect }: ProxyWords = { backEnds: ownWords, dialect: ownDialect },
   ) {
     const { clock, random } = effects;
@@ -335,6 +349,16 @@
     for (const ticker of this.tickers) ticker.stop();
   }
 
+  /** Changed settings: what may change while it runs is in force from now on, the rest after a restart. */
+  public settingsAre(given: ProxySettings): void {
+    const change = SettingsChanges.of(this.settings, given, changeable);
+    this.settings = change.settings;
+    this.fence.boundsAre(this.settings.freshMicroseconds, this.settings.weightsCutMicroseconds);
+    for (const budget of this.budgets.values()) budget.settingsAre(this.budgetSettings());
+    const sentence = SettingsChanges.sentence(change);
+    if (sentence !== undefined) this.notice(sentence);
+  }
+
   public async handle(order: Order, answer: AnswerSink): Promise<void> {
     this.metrics.count('postdrum_orders_total');
     const refusal: Refusal | undefined = await this.pipeline.run({
@@ -411,14 +435,18 @@
   private budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
+    const made = new RetryBudget(this.effects.clock, () => this.view.daemonsEverSeen(), this.budgetSettings());
+    this.budgets.set(service, made);
+    return made;
+  }
+
+  private budgetSettings(): BudgetSettings {
     const { retryPerMille, retryFleetAllowance, retryAllowanceMicroseconds, retryLeastDaemons } = this.settings;
-    const made = new RetryBudget(this.effects.clock, () => this.view.daemonsEverSeen(), {
+    return {
       perMille: retryPerMille,
       fleetAllowance: retryFleetAllowance,
       allowanceMicroseconds: retryAllowanceMicroseconds,
       leastDaemons: retryLeastDaemons,
-    });
-    this.budgets.set(service, made);
-    return made;
+    };
   }
 }
--- a/source/edge-proxy/fence/fence.ts
+++ b/source/edge-proxy/fence/fence.ts
@@ -11,10 +11,16 @@
     private readonly freshness: Freshness,
     private readonly clock: Clock,
     /** Beyond this age nothing is taken; Infinity: what is known is acted on, however old. */
-    private readonly freshMicroseconds: number,
-    private readonly weightsCutMicroseconds: number = WeightsClocks.cutMicroseconds,
+    private freshMicroseconds: number,
+    private weightsCutMicroseconds: number = WeightsClocks.cutMicroseconds,
   ) {}
 
+  /** Other bounds than those at the start; they count for whatever is asked next. */
+  public boundsAre(freshMicroseconds: number, weightsCutMicroseconds: number): void {
+    this.freshMicroseconds = freshMicroseconds;
+    this.weightsCutMicroseconds = weightsCutMicroseconds;
+  }
+
   public fresh(): boolean {
     return this.freshness.ageMicroseconds() < this.freshMicroseconds;
   }
--- a/source/edge-proxy/proxyProgram.ts
+++ b/source/edge-proxy/proxyProgram.ts
@@ -60,7 +60,7 @@
 
 export const ProxyProgram = {
   /** One proxy on a real machine, from its start to its planned stop; the protocols it speaks are given to it. */
-  start: async (parts: ProxyParts): Promise<void> => {
+  start: async (parts: ProxyParts): Promise<EdgeProxy> => {
     const { settings, words } = parts;
     const { clock = realClock } = parts;
     const transport = new TcpTransport(clock);
@@ -96,5 +96,6 @@
       await readiness?.close();
       await transport.close();
     });
+    return proxy;
   },
 } as const;
--- a/source/edge-proxy/sends/retryBudget.ts
+++ b/source/edge-proxy/sends/retryBudget.ts
@@ -30,11 +30,18 @@
   public constructor(
     private readonly clock: Clock,
     private readonly daemons: () => number,
-    private readonly settings: BudgetSettings,
+    private settings: BudgetSettings,
   ) {
     this.earnedAt = clock.nowMicroseconds();
   }
 
+  /** Why both counts: what came in until now came under the bounds before, and may be more than is kept under these. */
+  public settingsAre(settings: BudgetSettings): void {
+    this.add(0);
+    this.settings = settings;
+    this.add(0);
+  }
+
   public first(): void {
     this.add(this.settings.perMille);
     this.firsts.push(this.clock.nowMicroseconds());
--- a/source/shared/settings/settingsWatch.ts
+++ b/source/shared/settings/settingsWatch.ts
@@ -10,11 +10,14 @@
 export interface SettingsSource<Value> {
   /** Undefined: it cannot be read now. */
   readonly text: () => string | undefined;
+  /** Changes whenever the text may have changed, and costs less than reading it; missing: the text itself is looked at. */
+  readonly mark?: () => string;
   readonly parse: (text: string) => SettingsFound<Value>;
 }
 
-/** Starting value, ours: a file may change without a signal. */
-const lookMicroseconds = 2_000_000;
+/** Starting values, ours: a file may change without a signal, and one put back may look untouched. */
+const lookMicroseconds = 1_000_000;
+const wholeLookEvery = 10;
 
 /**
  * Looks whether the settings have changed, now and then and when told to. Why a wrong text is only told once: it may be
@@ -23,18 +26,20 @@
 export class SettingsWatch<Value> {
   public readonly news = new Emittery<{ changed: Value }>();
   private readonly ticker: Ticker;
-  private seen: string | undefined;
+  private mark: string | undefined;
+  private looks = 0;
 
   public constructor(
     clock: Clock,
     private readonly source: SettingsSource<Value>,
     private readonly notice: Log,
+    /** The text that is in force. Why given: read again here, what changed since the start would never be seen. */
+    private seen: string | undefined = source.text(),
   ) {
-    this.seen = source.text();
     this.ticker = new Ticker(
       clock,
       () => lookMicroseconds,
-      () => this.look(),
+      () => this.lookSometimes(),
       () => undefined,
     );
   }
@@ -56,4 +61,14 @@
     if (found.kind === 'wrong') this.notice(`The changed settings are wrong and not taken: ${found.sentence}`);
     else await this.news.emit('changed', found.settings);
   }
+
+  /** Without being told to: the text is only read when its mark is another, or after so many looks at that alone. */
+  private async lookSometimes(): Promise<void> {
+    this.looks += 1;
+    // Why before the text: what is written in between is then seen at the next look.
+    const mark = this.source.mark?.();
+    if (mark !== undefined && mark === this.mark && this.looks % wholeLookEvery !== 0) return;
+    this.mark = mark;
+    await this.look();
+  }
 }
--- a/tests/agent-doors.test.ts
+++ b/tests/agent-doors.test.ts
@@ -296,7 +296,8 @@
 
 test('platform: the list of engines, page by page, and what is no list', async () => {
   const list = new PlatformList();
-  const lister = new InstanceLister(await list.open());
+  const lister = new InstanceLister();
+  const address = await list.open();
   const instance = (id: string): Readonly<Record<string, unknown>> => ({
     backend: 'pool',
     address: '10.0.0.1:80',
@@ -310,7 +311,7 @@
     id,
   });
   list.instances = [instance('i-1'), { ...instance('i-2'), models: undefined }, instance('i-3')];
-  const first = await lister.page(undefined, limit);
+  const first = await lister.page(undefined, limit, address);
   assert.deepEqual(first?.engines[0], {
     name: 'i-1',
     service: 'pool',
@@ -322,11 +323,11 @@
     coldMicroseconds: 0,
   });
   assert.deepEqual(first.engines[1]?.weights, {});
-  const second = await lister.page(first.next, limit);
+  const second = await lister.page(first.next, limit, address);
   assert.deepEqual([second?.engines.map(({ name }) => name), second?.next], [['i-3'], undefined]);
   for (const misdeed of ['tooMany', 'garbage', 'wrongShape'] as const) {
     list.misdeed = misdeed;
-    assert.equal(await lister.page(undefined, limit), undefined, misdeed);
+    assert.equal(await lister.page(undefined, limit, address), undefined, misdeed);
   }
   lister.close();
   await list.close();
