The reading of the list of engines keeps to the rate that is stated for it

Cause: cloudApi.ratePerS was read and not looked at.

The holder of the duty keeps to half of the rate and those that read alone to a quarter together, each page one call, by a leaky bucket. 429 is told apart from no answer, ends the read, and the next waits 0.5 to 2 s. Where few calls fit, agents that start together spread their first reads, and a list counts as unread for longer before others read it alone.

Found on the way: a read whose pages wait is no moment, so an engine on its last page could have been taken for gone too soon (two times are kept now); and a holder that reads slowly could say another thing under the revision that a lone reader took meanwhile (it goes above it now, in its own term). The check of the lister's answer to 429 in agent-doors asks for the new word instead of none; nothing else of it changed.

Ruled out: going on with a read at the page that got 429 (the pages before are of another moment); letting only those read alone who know that the duty is vacant (a holder that does not reach the list would leave all without it).

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -65,6 +65,8 @@
   engineList: 'kept' | 'listed';
   /** Where that list is. */
   listAddress: string;
+  /** How many calls it takes a second from all daemons together. */
+  listCallsPerSecond: number;
   listMicroseconds: number;
   listAskMicroseconds: number;
   /** How far behind that list may be. */
@@ -104,6 +106,7 @@
   heartbeatMicroseconds: 0,
   engineList: 'kept',
   listAddress: '',
+  listCallsPerSecond: Infinity,
   listMicroseconds: 500_000,
   listAskMicroseconds: EngineListDefaults.askMicroseconds,
   listLagMicroseconds: EngineListDefaults.lagMicroseconds,
@@ -121,6 +124,7 @@
   'seeds',
   'weightsWithinMicroseconds',
   'listAddress',
+  'listCallsPerSecond',
   'listLagMicroseconds',
 ] as const satisfies readonly (keyof AgentSettings)[];
 
@@ -313,10 +317,11 @@
   }
 
   private listSettings(): EngineListSettings {
-    const { listAddress, listAskMicroseconds, listLagMicroseconds } = this.settings;
+    const { listAddress, listCallsPerSecond, listAskMicroseconds, listLagMicroseconds } = this.settings;
     return {
       ...EngineListDefaults,
       address: listAddress,
+      callsPerSecond: listCallsPerSecond,
       askMicroseconds: listAskMicroseconds,
       lagMicroseconds: listLagMicroseconds,
     };
--- a/source/edge-agent/engine-list/engineListKeeper.ts
+++ b/source/edge-agent/engine-list/engineListKeeper.ts
@@ -1,10 +1,11 @@
 import { createHash } from 'node:crypto';
 import { Blueprints } from '../../shared/blueprint/check';
 import type { Engine, EngineList } from '../../shared/blueprint/types';
-import type { Clock } from '../../shared/effects/clock/clock';
+import { Clocks, type Clock } from '../../shared/effects/clock/clock';
 import type { Random } from '../../shared/effects/random/random';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { Log } from '../../shared/log/log';
+import { CallPace } from './callPace';
 import { EngineLives } from './engineLives';
 import type { EngineLister, ListedEngine } from './engineLister';
 
@@ -12,6 +13,8 @@
   /** Where the list is. */
   address: string;
   askMicroseconds: number;
+  /** How many calls, each one page, the list takes from all daemons together. */
+  callsPerSecond: number;
   mostPages: number;
   /** How far behind the list may be; each answer by another amount, so a later answer may show an earlier moment. */
   lagMicroseconds: number;
@@ -27,6 +30,7 @@
 export const EngineListDefaults = {
   address: '',
   askMicroseconds: 1_000_000,
+  callsPerSecond: Infinity,
   mostPages: 64,
   lagMicroseconds: 1_000_000,
   emptyReads: 3,
@@ -34,9 +38,20 @@
   staleMicroseconds: 3_000_000,
 } as const;
 
-/** Starting value, ours: so many calls a second all that read alone make together, about. */
+/** Starting value, ours: so many calls a second all that read alone make together at most, about. */
 const callsAlonePerSecond = 5;
 
+/**
+ * Starting values, ours: parts of the rate that is stated. Why no more together: a holder that is cut off from the others goes
+ * on for a moment beside those that read alone, and in a window of a second a small burst comes on top.
+ */
+const holdersPart = 0.5;
+const partAlone = 0.25;
+const leastCallsPerSecond = 0.1;
+
+/** Starting value, ours: so many daemons may start together, each knowing only itself. */
+const startersAtOnce = 9;
+
 /** Revisions of one term; a later term's are all higher, so no daemon goes back when the duty changes hands. */
 const revisionsPerTerm = 2 ** 20;
 
@@ -47,7 +62,9 @@
   private text = '';
   private empty = 0;
   private readonly lives: EngineLives;
+  private readonly pace: CallPace;
   private aloneFrom: number;
+  private lastPages = 1;
 
   public constructor(
     private readonly lister: EngineLister,
@@ -62,7 +79,12 @@
     private readonly log: Log,
   ) {
     this.lives = new EngineLives(() => this.settings.lagMicroseconds);
-    this.aloneFrom = clock.nowMicroseconds() + Math.floor(settings.lonelyMicroseconds * (1 + random.fraction()));
+    this.pace = new CallPace(clock);
+    // Why later where few calls fit: those that start together would use up a second's worth at once.
+    const spread = this.rateAlone() < callsAlonePerSecond ? (startersAtOnce * 1_000_000) / this.rateAlone() : 0;
+    this.aloneFrom =
+      clock.nowMicroseconds() +
+      Math.floor(settings.lonelyMicroseconds * (1 + random.fraction()) + spread * random.fraction());
   }
 
   /** Changed settings count from the next call on. */
@@ -74,18 +96,17 @@
   public async read(): Promise<void> {
     const term = this.held();
     if (term === undefined && !this.readsAlone()) return;
-    const asked = this.clock.nowMicroseconds();
-    const pages = await this.pages(term);
+    const all = await this.allPages(term);
     // Why look again: another may hold the duty by now, and one author speaks at a time.
-    if (pages === undefined || this.held() !== term || (term === undefined && !this.isStale())) return;
-    const listed = pages.flatMap(({ engines }) => engines);
+    if (all === undefined || !this.mayRead(term)) return;
+    const { listed, askedMicroseconds } = all;
     if (!this.believes(listed)) return;
-    const text = this.textOf(listed, asked);
+    const text = this.textOf(listed, askedMicroseconds);
     if (Blueprints.checkText('engines', text).kind === 'faulty') {
       this.log('The list of engines makes no sense and is let be.');
       return;
     }
-    this.publish(term === undefined ? this.revisionAlone(text) : this.revisionOf(term, text), text, asked);
+    this.publish(term === undefined ? this.revisionAlone(text) : this.revisionOf(term, text), text, askedMicroseconds);
   }
 
   /**
@@ -95,27 +116,62 @@
   private readsAlone(): boolean {
     const now = this.clock.nowMicroseconds();
     if (now < this.aloneFrom || !this.isStale()) return false;
-    const pause = ((1 + this.random.fraction()) * this.agents() * 1_000_000) / callsAlonePerSecond;
+    const pause = ((1 + this.random.fraction()) * this.agents() * this.lastPages * 1_000_000) / this.rateAlone();
     this.aloneFrom = now + Math.max(1_000_000, Math.floor(pause));
     return true;
   }
 
+  /** What all that read alone may ask for together. */
+  private rateAlone(): number {
+    return Math.min(callsAlonePerSecond, this.rate() * partAlone);
+  }
+
+  private rate(): number {
+    return Math.max(leastCallsPerSecond, this.settings.callsPerSecond);
+  }
+
+  /** Waits for the turn of one call. Why the whole part of those that read alone: by chance few do at a time. */
+  private async turn(term: number | undefined): Promise<void> {
+    const wait = this.pace.waitMicroseconds(this.rate() * (term === undefined ? partAlone : holdersPart));
+    if (wait > 0) await Clocks.wait(this.clock, wait);
+  }
+
   private isStale(): boolean {
-    return this.freshness.ageOf('engines') >= this.settings.staleMicroseconds;
+    // Why longer where few calls fit: its holder may not be able to read the list more often.
+    const readMicroseconds = (this.lastPages * 1_000_000) / (this.rate() * holdersPart);
+    return this.freshness.ageOf('engines') >= Math.max(this.settings.staleMicroseconds, 3 * readMicroseconds);
+  }
+
+  /** Whether a read that began under this term, or alone, goes on. */
+  private mayRead(term: number | undefined): boolean {
+    return this.held() === term && (term !== undefined || this.isStale());
   }
 
-  private async pages(
+  private async allPages(
     term: number | undefined,
-  ): Promise<readonly Readonly<{ engines: readonly ListedEngine[] }>[] | undefined> {
-    const pages: Readonly<{ engines: readonly ListedEngine[] }>[] = [];
+  ): Promise<Readonly<{ listed: readonly ListedEngine[]; askedMicroseconds: number }> | undefined> {
+    const listed: ListedEngine[] = [];
+    let askedMicroseconds: number | undefined;
     let from: string | undefined;
-    for (;;) {
+    for (let pages = 1; ; pages += 1) {
+      await this.turn(term);
+      // Why again: who waited may have lost the duty, or another has read the list meanwhile.
+      if (!this.mayRead(term)) return undefined;
+      askedMicroseconds ??= this.clock.nowMicroseconds();
       const page = await this.lister.page(from, this.settings.askMicroseconds, this.settings.address);
+      if (page === 'overRate') {
+        this.pace.turnedAway(this.random.fraction());
+        return undefined;
+      }
+      if (page !== undefined) this.pace.answered();
       // Why nothing from a part: engines on the pages that did not come would look as if they were gone.
       if (page === undefined || this.held() !== term) return undefined;
-      pages.push(page);
-      if (page.next === undefined) return pages;
-      if (page.next === from || pages.length >= this.settings.mostPages) return undefined;
+      listed.push(...page.engines);
+      if (page.next === undefined) {
+        this.lastPages = pages;
+        return { listed, askedMicroseconds };
+      }
+      if (page.next === from || pages >= this.settings.mostPages) return undefined;
       from = page.next;
     }
   }
@@ -133,7 +189,7 @@
       ...EngineLists.listed(engine),
     }));
     const { blueprint, engines: before } = this.freshness;
-    const lives = this.lives.heard(listed, known, asked);
+    const lives = this.lives.heard(listed, known, asked, this.clock.nowMicroseconds());
     // Why by models: what runs none keeps no parts, gets no weights and needs no steward.
     // Why of the whole service: an engine that has just started is listed without its models, and is no app for that.
     const ofEngines = new Set([
@@ -150,10 +206,14 @@
   private revisionOf(term: number, text: string): number {
     // Why anew under each term: a holder before may have said something that did not get here.
     if (term !== this.term) [this.term, this.sequence, this.text] = [term, 0, ''];
-    if (text !== this.text) {
-      this.sequence += 1;
-      this.text = text;
-    }
+    const applied = this.freshness.applied('engines');
+    const above = (applied?.revision ?? 0) - term * revisionsPerTerm;
+    // Why not above a later term: whoever has that one is right, and this duty is over.
+    const before = above < revisionsPerTerm ? above : 0;
+    const isSaid = text === this.text && (before <= this.sequence || applied?.text === text);
+    // Why above what is applied: one that read alone meanwhile may have said another thing under the next revision.
+    this.sequence = isSaid ? Math.max(before, this.sequence) : Math.max(before, this.sequence) + 1;
+    this.text = text;
     return term * revisionsPerTerm + this.sequence;
   }
 
--- a/source/edge-agent/engine-list/engineLister.ts
+++ b/source/edge-agent/engine-list/engineLister.ts
@@ -18,7 +18,7 @@
 
 /**
  * Where the engines are listed by something outside the fleet. One call, one page. Undefined: no sound answer within the
- * limit, which says nothing about engines.
+ * limit, which says nothing about engines. `overRate`: more calls came to the list than it takes.
  */
 export interface EngineLister {
   readonly page: (
@@ -26,5 +26,5 @@
     limitMicroseconds: number,
     /** Where the list is. */
     address: string,
-  ) => Promise<ListPage | undefined>;
+  ) => Promise<ListPage | 'overRate' | undefined>;
 }
--- a/source/edge-agent/engine-list/engineLives.ts
+++ b/source/edge-agent/engine-list/engineLives.ts
@@ -15,17 +15,21 @@
 
   public constructor(private readonly lagMicroseconds: () => number) {}
 
-  /** The engines that live, after one more answer; `known` are those that the fleet knew before this series. */
+  /**
+   * The engines that live, after one more answer; `known` are those that the fleet knew before this series. Why two times:
+   * the pages of a long list come one after the other, and what stood on the last of them was seen that late.
+   */
   public heard(
     listed: readonly ListedEngine[],
     known: readonly ListedEngine[],
     askedMicroseconds: number,
+    heardMicroseconds = askedMicroseconds,
   ): readonly ListedEngine[] {
     if (this.reads === 0)
       for (const engine of known)
         this.lives.set(engine.name, { engine, firstRead: 0, seenMicroseconds: askedMicroseconds });
     this.reads += 1;
-    for (const engine of listed) this.seen(engine, askedMicroseconds);
+    for (const engine of listed) this.seen(engine, heardMicroseconds);
     const names = new Set(listed.map(({ name }) => name));
     for (const [name, { seenMicroseconds }] of [...this.lives])
       // Why not at once: the answer may be from before it came up, or it slipped from one page to another.
@@ -33,7 +37,7 @@
     return this.oneAnAddress();
   }
 
-  private seen(engine: ListedEngine, askedMicroseconds: number): void {
+  private seen(engine: ListedEngine, heardMicroseconds: number): void {
     if (this.over.has(engine.name)) return;
     const life = this.lives.get(engine.name);
     // Why for good: who leaves does not stay after all, and an answer from before must not make it look so.
@@ -41,7 +45,7 @@
     this.lives.set(engine.name, {
       engine: { ...engine, state },
       firstRead: life?.firstRead ?? this.reads,
-      seenMicroseconds: askedMicroseconds,
+      seenMicroseconds: heardMicroseconds,
     });
   }
 
--- a/tests/agent-doors.test.ts
+++ b/tests/agent-doors.test.ts
@@ -3,6 +3,7 @@
 import { describe, test } from 'node:test';
 import { EngineDoor } from '../platform/engines/engineDoor';
 import { InstanceLister } from '../platform/engines/instanceLister';
+import type { ListPage } from '../source/edge-agent/engine-list/engineLister';
 import { HttpBackEndDoor } from '../source/shared/back-end/httpBackEnds';
 import { DoorTraits, type BackEndDoor, type Directive, type EngineStatus } from '../source/shared/back-end/protocol';
 import { realClock } from '../source/shared/effects/clock/realClock';
@@ -311,7 +312,12 @@
     id,
   });
   list.instances = [instance('i-1'), { ...instance('i-2'), models: undefined }, instance('i-3')];
-  const first = await lister.page(undefined, limit, address);
+  const page = async (from: string | undefined): Promise<ListPage | undefined> => {
+    const answer = await lister.page(from, limit, address);
+    assert.ok(answer !== 'overRate');
+    return answer;
+  };
+  const first = await page(undefined);
   assert.deepEqual(first?.engines[0], {
     name: 'i-1',
     service: 'pool',
@@ -323,11 +329,12 @@
     coldMicroseconds: 0,
   });
   assert.deepEqual(first.engines[1]?.weights, {});
-  const second = await lister.page(first.next, limit, address);
+  const second = await page(first.next);
   assert.deepEqual([second?.engines.map(({ name }) => name), second?.next], [['i-3'], undefined]);
   for (const misdeed of ['tooMany', 'garbage', 'wrongShape'] as const) {
     list.misdeed = misdeed;
-    assert.equal(await lister.page(undefined, limit, address), undefined, misdeed);
+    const said = misdeed === 'tooMany' ? 'overRate' : undefined;
+    assert.equal(await lister.page(undefined, limit, address), said, misdeed);
   }
   lister.close();
   await list.close();
