Keepers forget duties of what is long gone above a floor; lapsed duties are told

Cause: each life of an engine is a duty of its own, and its term stayed in every keeper's file and memory for ever. And an agent that lost duties because no majority renewed them said nothing; only what it gave back was logged.

Joined frames take the highest floor and drop listed terms below it. Voters tell the floor with each vote, so the first ballot for a new engine goes above it at once. Lapses are one sentence for all duties of a moment.

Ruled out: forgetting with no trace (terms begin at 1 again while the engine still knows a higher fence); a floor agreed among keepers (each promises only for itself); the time since the last ballot alone (a keeper cut off for an hour would forget what others renew). A file in which something was forgotten cannot be read by an earlier build; frames and files of earlier builds are read as having forgotten none.

--- a/source/core-keeper/ledger/keeperState.ts
+++ b/source/core-keeper/ledger/keeperState.ts
@@ -19,9 +19,13 @@
   firstMembers: FirstMembers;
   cells: Readonly<Partial<Record<DocumentKey, Cell>>>;
   duties: Readonly<Record<string, DutyTerm>>;
+  /** The highest term of any duty that was forgotten: a duty that is not listed counts as having had this one. */
+  dutyFloor: number;
 }>;
 
-export type KeeperFrame = Pick<KeeperState, 'firstMembers' | 'cells' | 'duties' | 'known'>;
+/** Why the floor may be missing: a keeper of an earlier build forgot none. */
+export type KeeperFrame = Pick<KeeperState, 'firstMembers' | 'cells' | 'duties' | 'known'> &
+  Partial<Pick<KeeperState, 'dutyFloor'>>;
 
 export type KeeperEvent =
   | Readonly<{ kind: 'forming'; fleet: string; members: FirstMembers }>
@@ -33,6 +37,7 @@
   | Readonly<{ kind: 'promised'; key: DocumentKey; epoch: Epoch }>
   | Readonly<{ kind: 'accepted'; key: DocumentKey; epoch: Epoch; entry: Entry }>
   | Readonly<{ kind: 'dutyGranted'; duty: string; term: number; holder: string }>
+  | Readonly<{ kind: 'dutiesForgotten'; duties: readonly string[] }>
   | Readonly<{ kind: 'whole'; state: KeeperState }>;
 
 const emptyCell: Cell = { promised: Epochs.none, accepted: null };
@@ -57,10 +62,18 @@
   return joined;
 };
 
-const joinDuties = (left: KeeperState['duties'], right: KeeperState['duties']): KeeperState['duties'] => {
-  const joined: Record<string, DutyTerm> = { ...left };
-  for (const [duty, term] of Object.entries(right)) if (term.term > (joined[duty]?.term ?? 0)) joined[duty] = term;
-  return joined;
+type Duties = Pick<KeeperState, 'duties' | 'dutyFloor'>;
+
+/**
+ * For each duty the higher of the two terms. Why those below the floor go: the other keeper may have forgotten a higher term
+ * of that very duty, and its floor is all that it still says of it.
+ */
+const joinDuties = (left: Duties, right: Duties): Duties => {
+  const dutyFloor = Math.max(left.dutyFloor, right.dutyFloor);
+  const joined: Record<string, DutyTerm> = { ...left.duties };
+  for (const [duty, term] of Object.entries(right.duties))
+    if (term.term > (joined[duty]?.term ?? 0)) joined[duty] = term;
+  return { dutyFloor, duties: Object.fromEntries(Object.entries(joined).filter(([, { term }]) => term >= dutyFloor)) };
 };
 
 const joinKnown = (left: Incarnations, right: Incarnations): Incarnations => {
@@ -79,10 +92,14 @@
     firstMembers: {},
     cells: {},
     duties: {},
+    dutyFloor: 0,
   } as KeeperState,
   cell: (state: KeeperState, key: DocumentKey): Cell => state.cells[key] ?? emptyCell,
   outranks,
 
+  /** The term below which a keeper never votes for this duty, and who had it; nobody: it was never granted, or forgotten. */
+  duty: ({ duties, dutyFloor }: KeeperState, duty: string): DutyTerm => duties[duty] ?? { term: dutyFloor, holder: '' },
+
   /** The one function for every change of a keeper's durable state. */
   reduce: (state: KeeperState, event: KeeperEvent): KeeperState => {
     switch (event.kind) {
@@ -97,7 +114,7 @@
           (joined, frame) => ({
             ...joined,
             cells: joinCells(joined.cells, frame.cells),
-            duties: joinDuties(joined.duties, frame.duties),
+            ...joinDuties(joined, { duties: frame.duties, dutyFloor: frame.dutyFloor ?? 0 }),
             known: joinKnown(joined.known, frame.known),
             firstMembers: Object.keys(joined.firstMembers).length > 0 ? joined.firstMembers : frame.firstMembers,
           }),
@@ -129,8 +146,15 @@
       }
       case 'dutyGranted':
         return { ...state, duties: { ...state.duties, [event.duty]: { term: event.term, holder: event.holder } } };
+      case 'dutiesForgotten':
+        return {
+          ...state,
+          duties: Object.fromEntries(Object.entries(state.duties).filter(([duty]) => !event.duties.includes(duty))),
+          dutyFloor: Math.max(state.dutyFloor, ...event.duties.map((duty) => state.duties[duty]?.term ?? 0)),
+        };
       case 'whole':
-        return event.state;
+        // Why over the start: a frame of an earlier build lacks what came later.
+        return { ...KeeperStates.start, ...event.state };
     }
   },
 } as const;
--- a/source/core-keeper/standing/standing.ts
+++ b/source/core-keeper/standing/standing.ts
@@ -140,8 +140,8 @@
     if ((this.core.state.known[keeper] ?? 0) >= incarnation) return { kind: 'noVote' };
     const written = await this.core.ledger.write([{ kind: 'knew', keeper, incarnation }]);
     if (written !== 'synced') return { kind: 'noVote' };
-    const { firstMembers, cells, duties, known } = this.core.state;
-    return { kind: 'frame', frame: { firstMembers, cells, duties, known } satisfies KeeperFrame };
+    const { firstMembers, cells, duties, dutyFloor, known } = this.core.state;
+    return { kind: 'frame', frame: { firstMembers, cells, duties, dutyFloor, known } satisfies KeeperFrame };
   }
 
   /** The voting keeper with the newest list, of the fleet that this keeper belongs to as far as can be told. */
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -204,10 +204,13 @@
       },
       effects,
     );
-    this.duties = new DutyHolder(settings.name, this.link, effects, {
-      leaseMicroseconds: settings.leaseMicroseconds,
-      askMicroseconds: settings.readAskMicroseconds,
-    });
+    this.duties = new DutyHolder(
+      settings.name,
+      this.link,
+      effects,
+      { leaseMicroseconds: settings.leaseMicroseconds, askMicroseconds: settings.readAskMicroseconds },
+      this.notice,
+    );
     this.stewardship = new Stewardship(
       settings.name,
       this.duties,
--- a/source/edge-agent/stewards/dutyHolder.ts
+++ b/source/edge-agent/stewards/dutyHolder.ts
@@ -1,4 +1,5 @@
 import type { Effects } from '../../shared/effects/effects';
+import type { Log } from '../../shared/log/log';
 import { Stamps } from '../../shared/register/types';
 import type { CoreLink } from '../core-link/coreLink';
 
@@ -18,6 +19,8 @@
   term: number;
   holder: string;
   waitMicroseconds: number;
+  /** Missing: the keeper is of an earlier build, and forgets none. */
+  floor?: number;
 }>;
 
 export const DutyStates = {
@@ -39,6 +42,9 @@
  */
 export const unusedPerMille = 11;
 
+/** Starting value, ours: so many duties are named in one sentence. */
+const mostNamed = 6;
+
 export type DutySettings = Readonly<{ leaseMicroseconds: number; askMicroseconds: number }>;
 
 /** One agent's side of all duties. It stops by its own clock before any voter may let the duty go. */
@@ -48,12 +54,15 @@
   private readonly highestTerms = new Map<string, number>();
   /** Why kept: a renewal may still be on its way when a duty is given back, and must not bring it back to life. */
   private readonly givenBack = new Map<string, number>();
+  /** The highest term that voters say any duty they have forgotten may have had. */
+  private floor = 0;
 
   public constructor(
     private readonly self: string,
     private readonly link: CoreLink,
     private readonly effects: Effects,
     private readonly settings: DutySettings,
+    private readonly notice: Log = () => undefined,
   ) {}
 
   /** The term when held at this very moment. Asked right before each act of a steward. */
@@ -91,11 +100,23 @@
 
   /** A round of ballots for each duty named, renewals and new ones together; one message a keeper. */
   public async ballot(wanted: readonly string[]): Promise<void> {
+    this.tellLapsed();
     const outdated = await this.round(wanted);
     // Why at once: who has just started knows no terms, and has learned them by now.
     if (outdated.length > 0) await this.round(outdated);
   }
 
+  /** Why one sentence for all: when the core is away every duty lapses at once. */
+  private tellLapsed(): void {
+    const lapsed = [...this.states].flatMap(([duty, state]) =>
+      state.kind === 'holding' && this.term(duty) === undefined ? [duty] : [],
+    );
+    if (lapsed.length === 0) return;
+    for (const duty of lapsed) this.step(duty, { kind: 'ended' });
+    const more = lapsed.length > mostNamed ? ` and ${lapsed.length - mostNamed} more` : '';
+    this.notice(`Duties lapsed without renewal: ${lapsed.slice(0, mostNamed).join(', ')}${more}.`);
+  }
+
   /** Returns the duties whose ballots were refused for their low term alone. */
   private async round(wanted: readonly string[]): Promise<readonly string[]> {
     const asked = this.effects.clock.nowMicroseconds();
@@ -103,7 +124,7 @@
     if (duties.length === 0) return [];
     const ballots = duties.map((duty) => {
       const held = this.term(duty);
-      const term = held ?? (this.highestTerms.get(duty) ?? 0) + 1;
+      const term = held ?? Math.max(this.floor, this.highestTerms.get(duty) ?? 0) + 1;
       if (held === undefined) this.step(duty, { kind: 'asked', term });
       return { duty, candidate: this.self, term, leaseMicroseconds: this.settings.leaseMicroseconds };
     });
@@ -120,6 +141,7 @@
         if (answer.kind !== 'answered' || answer.message.kind !== 'ballots') return;
         for (const vote of answer.message['answers'] as readonly BallotAnswer[]) {
           this.sawTerm(vote.duty, vote.term);
+          this.floor = Math.max(this.floor, vote.floor ?? 0);
           if (!vote.granted && vote.waitMicroseconds === 0) outdated.add(vote.duty);
           if (vote.granted) votes.set(vote.duty, [...(votes.get(vote.duty) ?? []), keeper]);
         }
