postdrum status and blueprint check work against a fleet on the platform

Cause: the command line asked for the product's own paths and documents. On the platform `blueprint check` took the 404 of a page that is not there for "nothing was taken yet", and `status` counted every agent as silent, since agents have no pages there.

The command line is given a manner (paths, revisions, how a document is read, what it would be refused for), one for each side; platform/operators/commandLine.ts is built to target/postdrum.cjs and only looks. Agents answer the message `status`, and keepers show it under /agents/NAME, so only the operators' addresses are needed and no agent listens on one more port. The list of engines is the newest that an agent has where the core keeps none. A 404 that does not come from the document's own page is an odd answer.

Found on the way: check said of a service that only parts of a mapping lead to, and of a class that only tenants have, that nothing uses them. And an agent without pages was asked under an empty address.

Ruled out: pages of the agents' own on a second port (a listener and a start on every edge machine for a rare look); one program for both manners (the product must not know the platform's names).

--- a/build/platform.mjs
+++ b/build/platform.mjs
@@ -7,7 +7,10 @@
 const programs = readdirSync('platform').filter((name) => existsSync(path.join('platform', name, 'main.ts')));
 // Why module first: jsonc-parser's other entry loads its parts in a way no bundler follows.
 await build({
-  entryPoints: Object.fromEntries(programs.map((name) => [name, path.join('platform', name, 'main.ts')])),
+  entryPoints: {
+    ...Object.fromEntries(programs.map((name) => [name, path.join('platform', name, 'main.ts')])),
+    postdrum: path.join('platform', 'operators', 'commandLine.ts'),
+  },
   outdir: 'target',
   bundle: true,
   minify: true,
--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -2,6 +2,7 @@
 import { ownDialect, rememberingDialect, type Dialect } from '../shared/blueprint/dialect';
 import { DocumentKeys, isDocumentKey, type CoreMember, type DocumentKey } from '../shared/blueprint/types';
 import { Ticker } from '../shared/effects/clock/ticker';
+import { FactKeys, type MemberFact } from '../shared/news/factTypes';
 import type { Disk } from '../shared/effects/disk/disk';
 import type { Effects } from '../shared/effects/effects';
 import { FleetTransport } from '../shared/fleet/fleetTransport';
@@ -320,6 +321,14 @@
       .map(({ fact }) => fact.value);
   }
 
+  /** What an agent says of itself and the fleet. Undefined: this keeper does not know it, or it does not answer. */
+  public async agentStatus(name: string): Promise<unknown> {
+    const address = (this.askers.get(FactKeys.member(name))?.fact.value as MemberFact | undefined)?.address;
+    if (address === undefined) return undefined;
+    const answer = await this.effects.transport.ask(address, { kind: 'status' }, this.settings.askMicroseconds);
+    return answer.kind === 'answered' && answer.message.kind === 'status' ? answer.message['status'] : undefined;
+  }
+
   public owners(): Readonly<Record<string, Readonly<{ owner: string; epoch: string; revision: number }>>> {
     return Object.fromEntries(
       DocumentKeys.map((key) => {
--- a/source/core-keeper/operators/operatorsDoor.ts
+++ b/source/core-keeper/operators/operatorsDoor.ts
@@ -35,6 +35,14 @@
       agents: keeper.agents(),
     });
   });
+  service.get('/agents/:name', async (order, response) => {
+    const status = await keeper.agentStatus(order.params['name'] ?? '');
+    Replies.json(
+      response as unknown as ServerResponse,
+      status === undefined ? 404 : 200,
+      status ?? { error: 'this keeper does not know it, or it does not answer' },
+    );
+  });
   service.get('/health', (_order, response) =>
     Replies.json(response as unknown as ServerResponse, keeper.core.votes() ? 200 : 503, {
       standing: keeper.core.state.standing,
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -22,6 +22,7 @@
 import type { EngineLister } from './engine-list/engineLister';
 import { Membership } from './membership/membership';
 import { WorkDesk } from './desk/workDesk';
+import { AgentPages } from './pages/agentPages';
 import { DutyHolder } from './stewards/dutyHolder';
 import { EventReaderDefaults } from './stewards/eventReader';
 import { HeldStewardDefaults } from './stewards/heldSteward';
@@ -391,6 +392,9 @@
         return { kind: 'noVote' };
       case 'ping':
         return { kind: 'pong' };
+      case 'status':
+        // Why by message too: where an agent has no pages of its own, keepers show them.
+        return { kind: 'status', status: AgentPages.status(this.settings.name, this) };
       case 'probe': {
         const answer = await this.effects.transport.ask(
           String(message['address']),
--- a/source/edge-agent/pages/agentPages.ts
+++ b/source/edge-agent/pages/agentPages.ts
@@ -23,6 +23,8 @@
       proxyAddress,
       pagesAddress,
     })),
+    /** The list of engines as it is in force here. */
+    listed: agent.freshness.engines?.engines ?? {},
     engines: agent.facts.withPrefix('engine/').map(({ value }) => value),
     stewards: agent.facts.withPrefix('steward/').map(({ value }) => value),
     loads: agent.facts.withPrefix('load/').map(({ value }) => value),
--- a/source/postdrum/checking/blueprintCheck.ts
+++ b/source/postdrum/checking/blueprintCheck.ts
@@ -1,4 +1,4 @@
-import type { Blueprint, EngineList, Pool } from '../../shared/blueprint/types';
+import type { Blueprint, EngineList, Mapping, Pool } from '../../shared/blueprint/types';
 import type { AgentStatus } from '../reaching/fleetReach';
 import type { EngineFact } from '../../shared/news/factTypes';
 
@@ -34,6 +34,9 @@
     )
     .join(', ');
 
+const leadsTo = ({ service, shares }: Mapping, name: string): boolean =>
+  service === name || (shares ?? []).some((share) => share.service === name && share.weight > 0);
+
 const demandOf = (demand: ReadonlyMap<string, number>, service: string): number =>
   [...demand].reduce((sum, [place, count]) => sum + (place.startsWith(`${service}/`) ? count : 0), 0);
 
@@ -144,11 +147,14 @@
       if (mapping.path === '/-/health' || mapping.path === '/-/metrics')
         findings.push({ path: `/mappings/${name}`, finding: "is shadowed by the proxy's own page" });
     for (const [name, service] of Object.entries(intended.services)) {
-      if (!Object.values(intended.mappings).some((mapping) => mapping.service === name))
+      if (!Object.values(intended.mappings).some((mapping) => leadsTo(mapping, name)))
         findings.push({ path: `/services/${name}`, finding: `no mapping leads to this ${service.kind}` });
     }
     for (const name of Object.keys(intended.classes))
-      if (!Object.values(intended.mappings).some((mapping) => mapping.class === name))
+      if (
+        !Object.values(intended.mappings).some((mapping) => mapping.class === name) &&
+        !Object.values(intended.tenants).some((tenant) => tenant.class === name)
+      )
         findings.push({ path: `/classes/${name}`, finding: 'no mapping uses it' });
     return { changes, concerned, findings, partial };
   },
@@ -190,7 +196,7 @@
   }
   for (const [className, settings] of Object.entries(intended.classes)) {
     const used = Object.values(intended.mappings).some(
-      (mapping) => mapping.class === className && mapping.service === name,
+      (mapping) => mapping.class === className && leadsTo(mapping, name),
     );
     if (used && known.length > 0 && (capacity * settings.sharePerMille) / 1000 < 1)
       findings.push({
--- /dev/null
+++ b/source/postdrum/commands/commandLine.ts
@@ -0,0 +1,158 @@
+import { readFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
+import { Blueprints } from '../../shared/blueprint/check';
+import type { Fault } from '../../shared/blueprint/document';
+import { isDocumentKey, type EngineList } from '../../shared/blueprint/types';
+import { BlueprintChecks } from '../checking/blueprintCheck';
+import { FleetReach, OddAnswer, Unreachable, type FleetView } from '../reaching/fleetReach';
+import type { Manner } from '../reaching/manner';
+import { Texts } from './texts';
+
+export type Flags = Readonly<{
+  core: readonly string[];
+  revision: string | undefined;
+  id: string | undefined;
+  json: boolean;
+  service: string;
+  className: string;
+}>;
+
+export type Command = Readonly<{ topic: string; verb: string | undefined; file: string | undefined; flags: Flags }>;
+
+/** What one command line can do besides what all can; undefined: it is none of its commands. */
+export type MoreCommands = Readonly<{
+  alone: (command: Command) => Promise<number | undefined>;
+  withFleet: (command: Command, reach: FleetReach) => Promise<number | undefined>;
+}>;
+
+export const Says = {
+  out: (text: string): void => void process.stdout.write(text.endsWith('\n') ? text : `${text}\n`),
+  fail: (sentence: string, code: number): number => {
+    process.stderr.write(`postdrum: ${sentence}\n`);
+    return code;
+  },
+  fileText: (file: string | undefined): string => {
+    if (file === undefined) throw new OddAnswer('a file is needed');
+    try {
+      return readFileSync(file, 'utf8');
+    } catch {
+      throw new OddAnswer(`the file ${file} cannot be read`);
+    }
+  },
+} as const;
+
+const { out, fail } = Says;
+
+const findings = (faults: readonly Fault[], json: boolean): number => {
+  if (json) out(JSON.stringify({ findings: faults.map(({ path, fault }) => ({ path, finding: fault })) }));
+  else for (const { path, fault } of faults) out(`fault ${path}: ${fault}`);
+  return 1;
+};
+
+/** The list that the core keeps, or else the newest that an agent has. */
+const listOf = async (reach: FleetReach, manner: Manner, view: FleetView): Promise<EngineList> => {
+  if (manner.paths.engines === undefined) {
+    const newest = [...view.agents].sort(
+      (left, right) => (right.revisions['engines'] ?? 0) - (left.revisions['engines'] ?? 0),
+    )[0];
+    return { engines: newest?.listed ?? {} };
+  }
+  const listed = await reach.document('engines');
+  if (listed.kind === 'nothing') return { engines: {} };
+  const checked = Blueprints.checkText('engines', listed.text);
+  if (checked.kind === 'faulty') throw new OddAnswer('the core holds a setup this version does not know');
+  return checked.value as EngineList;
+};
+
+const check = async (reach: FleetReach, manner: Manner, file: string | undefined, json: boolean): Promise<number> => {
+  const text = Says.fileText(file);
+  const checked = manner.read(text);
+  if (checked.kind === 'faulty') return findings(checked.faults, json);
+  const present = await reach.document('blueprint');
+  const before = present.kind === 'read' ? manner.read(present.text) : undefined;
+  if (before?.kind === 'faulty') throw new OddAnswer('the core holds a setup this version does not know');
+  const faults = manner.follows(present.kind === 'read' ? present.text : undefined, text);
+  if (faults.length > 0) return findings(faults, json);
+  const view = await reach.view();
+  const report = BlueprintChecks.run(
+    checked.value,
+    before?.value,
+    await listOf(reach, manner, view),
+    view.agents,
+    view.silent.length > 0 || view.agents.length === 0,
+  );
+  out(json ? JSON.stringify(report) : Texts.check(report));
+  return report.findings.length === 0 ? 0 : 1;
+};
+
+const status = async (reach: FleetReach, json: boolean): Promise<number> => {
+  const view = await reach.view();
+  if (view.keepers.length === 0) throw new Unreachable('no keeper answers');
+  out(json ? JSON.stringify({ ...view, partial: view.silent.length > 0 }) : Texts.status(view));
+  return 0;
+};
+
+const run = async (manner: Manner, help: string, more: MoreCommands): Promise<number> => {
+  const { values, positionals } = parseArgs({
+    options: {
+      core: { type: 'string' },
+      revision: { type: 'string' },
+      id: { type: 'string' },
+      json: { type: 'boolean' },
+      service: { type: 'string' },
+      class: { type: 'string' },
+      help: { type: 'boolean' },
+    },
+    allowPositionals: true,
+    strict: true,
+  });
+  const [topic, verb, file] = positionals;
+  if (values.help === true || topic === undefined) {
+    out(help);
+    return values.help === true ? 0 : 2;
+  }
+  const flags: Flags = {
+    core: (values.core ?? process.env['POSTDRUM_CORE'] ?? '').split(',').filter((item) => item !== ''),
+    revision: values.revision,
+    id: values.id,
+    json: values.json === true,
+    service: values.service ?? '',
+    className: values.class ?? '',
+  };
+  const command: Command = { topic, verb, file, flags };
+  const alone = await more.alone(command);
+  if (alone !== undefined) return alone;
+  if (flags.core.length === 0) return fail('--core or POSTDRUM_CORE must name a keeper', 2);
+  const reach = new FleetReach(flags.core, manner);
+  if (topic === 'status' && verb === undefined) return status(reach, flags.json);
+  if (!isDocumentKey(topic) || manner.paths[topic] === undefined)
+    return fail(`there is no command ${topic}; see --help`, 2);
+  if (verb === 'show') {
+    const document = await reach.document(topic);
+    if (document.kind === 'nothing') return fail('nothing was taken yet', 1);
+    process.stdout.write(document.text);
+    return 0;
+  }
+  if (topic === 'blueprint' && verb === 'check') return check(reach, manner, file, flags.json);
+  return (await more.withFleet(command, reach)) ?? fail(`there is no command ${topic} ${verb ?? ''}; see --help`, 2);
+};
+
+/** The operators' command line; what it says wrong is one sentence on stderr, and a code that is not 0. */
+export const CommandLine = {
+  run: (manner: Manner, help: string, more: MoreCommands): void => {
+    run(manner, help, more).then(
+      (code) => {
+        process.exitCode = code;
+      },
+      (error: unknown) => {
+        process.exitCode = fail(error instanceof Error ? (error.message.split('\n')[0] ?? '') : String(error), 2);
+      },
+    );
+  },
+
+  /** A command line that only looks. */
+  looksOnly: {
+    alone: () => Promise.resolve(undefined),
+    withFleet: () => Promise.resolve(undefined),
+  } satisfies MoreCommands,
+} as const;
--- a/source/postdrum/reaching/fleetReach.ts
+++ b/source/postdrum/reaching/fleetReach.ts
@@ -1,5 +1,6 @@
 import { request } from 'undici';
-import type { CoreMember } from '../../shared/blueprint/types';
+import type { CoreMember, DocumentKey, EngineList } from '../../shared/blueprint/types';
+import type { Manner } from './manner';
 import type { EngineFact, LoadFact, MemberFact, StewardFact } from '../../shared/news/factTypes';
 
 export type KeeperStatus = Readonly<{
@@ -20,6 +21,8 @@
   ageMicroseconds: number | null;
   revisions: Readonly<Record<string, number>>;
   members: readonly MemberFact[];
+  /** The list of engines in force there; missing: the agent is of an earlier build. */
+  listed?: EngineList['engines'];
   engines: readonly EngineFact[];
   stewards: readonly StewardFact[];
   loads: readonly LoadFact[];
@@ -60,6 +63,7 @@
 export class FleetReach {
   public constructor(
     private readonly core: readonly string[],
+    private readonly manner: Manner,
     private readonly limitMilliseconds = 6000,
   ) {}
 
@@ -109,11 +113,15 @@
     throw new Unreachable(`the core cannot be reached (${last})`);
   }
 
-  public async document(key: string): Promise<Document> {
-    const answer = await this.core1(`/${key}`);
-    if (answer.status === 404) return { kind: 'nothing' };
-    const revision = Number(/^"(\d+)"$/.exec(answer.headers['etag'] ?? '')?.[1] ?? Number.NaN);
-    if (answer.status !== 200 || !Number.isSafeInteger(revision))
+  public async document(key: DocumentKey): Promise<Document> {
+    const path = this.manner.paths[key];
+    if (path === undefined) throw new OddAnswer(`this fleet's core keeps no document ${key}`);
+    const answer = await this.core1(path);
+    // Why look at the kind: a door that has no such page answers 404 too, and says nothing about the document.
+    if (answer.status === 404 && (answer.headers['content-type'] ?? '').startsWith('application/json'))
+      return { kind: 'nothing' };
+    const revision = answer.status === 200 ? this.manner.revisionIn(answer.headers) : undefined;
+    if (revision === undefined)
       throw new OddAnswer(`the core answers in a way this version does not know (status ${answer.status})`);
     return { kind: 'read', revision, text: answer.text };
   }
@@ -121,6 +129,7 @@
   public async view(): Promise<FleetView> {
     const silent: string[] = [];
     const keepers = new Map<string, KeeperStatus>();
+    const keeperAddresses = new Map<string, string>();
     const ask = async <Status>(
       address: string,
       is: (value: unknown) => value is Status,
@@ -138,7 +147,11 @@
     };
     const askKeepers = async (addresses: readonly string[]): Promise<void> => {
       const answers = await Promise.all(addresses.map((address) => ask(address, isKeeperStatus, 2000)));
-      for (const status of answers) if (status !== undefined) keepers.set(status.keeper, status);
+      for (const [index, status] of answers.entries()) {
+        if (status === undefined) continue;
+        keepers.set(status.keeper, status);
+        keeperAddresses.set(status.keeper, addresses[index] ?? '');
+      }
     };
     await askKeepers(this.core);
     const known = new Set(this.core);
@@ -152,14 +165,37 @@
       ].filter((address) => !known.has(address)),
     );
     const pages = new Set(
-      [...keepers.values()].flatMap(({ agents }) => agents.map(({ pagesAddress }) => pagesAddress)),
+      [...keepers.values()].flatMap(({ agents }) =>
+        agents.flatMap(({ pagesAddress }) => (pagesAddress === '' ? [] : [pagesAddress])),
+      ),
     );
     const agents = new Map<string, AgentStatus>();
+    /** Agents without pages are shown by the keepers that they asked of late. */
+    const askThroughKeepers = async (names: readonly string[]): Promise<void> => {
+      await Promise.all(
+        names.map(async (name) => {
+          for (const keeper of keepers.values()) {
+            if (!keeper.agents.some((agent) => agent.name === name)) continue;
+            const status = await this.agentThrough(keeperAddresses.get(keeper.keeper) ?? '', name);
+            if (status === undefined) continue;
+            agents.set(name, status);
+            return;
+          }
+          silent.push(`agent ${name}`);
+        }),
+      );
+    };
     const askAgents = async (addresses: readonly string[]): Promise<void> => {
       const answers = await Promise.all(addresses.map((address) => ask(address, isAgentStatus, 2000)));
       for (const status of answers) if (status !== undefined) agents.set(status.agent, status);
     };
+    const withoutPages = new Set(
+      [...keepers.values()].flatMap(({ agents: known }) =>
+        known.flatMap(({ name, pagesAddress }) => (pagesAddress === '' ? [name] : [])),
+      ),
+    );
     await askAgents([...pages]);
+    await askThroughKeepers([...withoutPages]);
     // Why a second round: agents know each other, keepers only those that asked them of late.
     await askAgents(
       [
@@ -170,8 +206,29 @@
               .map(({ pagesAddress }) => pagesAddress),
           ),
         ),
-      ].filter((address) => !pages.has(address)),
+      ].filter((address) => address !== '' && !pages.has(address)),
+    );
+    await askThroughKeepers(
+      [
+        ...new Set(
+          [...agents.values()].flatMap(({ members }) =>
+            members
+              .filter(({ state, pagesAddress }) => pagesAddress === '' && (state === 'alive' || state === 'suspect'))
+              .map(({ name }) => name),
+          ),
+        ),
+      ].filter((name) => !withoutPages.has(name)),
     );
     return { keepers: [...keepers.values()], agents: [...agents.values()], silent: [...new Set(silent)].sort() };
   }
+
+  private async agentThrough(keeperAddress: string, name: string): Promise<AgentStatus | undefined> {
+    try {
+      const answer = await this.http(keeperAddress, `/agents/${encodeURIComponent(name)}`, 'GET', undefined, {}, 2000);
+      const value: unknown = JSON.parse(answer.text);
+      return answer.status === 200 && isAgentStatus(value) ? value : undefined;
+    } catch {
+      return undefined;
+    }
+  }
 }
--- /dev/null
+++ b/tests/command-line-platform.test.ts
@@ -0,0 +1,256 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { after, before, describe, test } from 'node:test';
+import { build } from 'esbuild';
+import { request } from 'undici';
+import { platformDialect } from '../platform/operators/dialect';
+import { platformManner } from '../platform/operators/manner';
+import { platformOperatorsWords } from '../platform/operators/words';
+import { KeeperDefaults } from '../source/core-keeper/coreKeeper';
+import type { OperatorsWords } from '../source/core-keeper/operators/operatorsWords';
+import { ownOperatorsWords } from '../source/core-keeper/operators/ownWords';
+import { startKeeper, type KeeperProgram } from '../source/core-keeper/program/keeperProgram';
+import { AgentDefaults, EdgeAgent } from '../source/edge-agent/edgeAgent';
+import type { ListedEngine } from '../source/edge-agent/engine-list/engineLister';
+import { BlueprintChecks } from '../source/postdrum/checking/blueprintCheck';
+import type { BackEndDoor } from '../source/shared/back-end/protocol';
+import { ownDialect, type Dialect } from '../source/shared/blueprint/dialect';
+import { realClock } from '../source/shared/effects/clock/realClock';
+import { nodeDisk } from '../source/shared/effects/disk/nodeDisk';
+import { realRandom } from '../source/shared/effects/random/random';
+import { TcpTransport } from '../source/shared/effects/transport/tcpTransport';
+import { freePort } from './support/freePort';
+import { platformDocument } from './support/platformDocument';
+import { until } from './support/realFleet';
+
+type Ran = Readonly<{ code: number | null; out: string; error: string }>;
+
+const folder = mkdtempSync(path.join(tmpdir(), 'postdrum-line-'));
+
+/** One keeper alone on a real disk and real conns. */
+const keeperOf = async (words: OperatorsWords, dialect: Dialect): Promise<KeeperProgram> => {
+  const [fleetPort, operatorsPort] = [await freePort(), await freePort()];
+  const member = { address: `127.0.0.1:${fleetPort}`, operatorsAddress: `127.0.0.1:${operatorsPort}`, zone: '' };
+  return startKeeper({
+    effects: { clock: realClock, random: realRandom, transport: new TcpTransport(realClock) },
+    disk: await nodeDisk(mkdtempSync(path.join(folder, 'keeper-'))),
+    settings: {
+      ...KeeperDefaults,
+      name: 'only',
+      member,
+      seeds: [member.address],
+      founders: 1,
+      replaces: '',
+    },
+    dialect,
+    words,
+    door: { address: member.operatorsAddress, answerMicroseconds: 850_000, answerMicrosecondsPerByte: 1 },
+    broken: assert.fail,
+  });
+};
+
+const listed = (name: string, service: string, number: number): ListedEngine => ({
+  name,
+  service,
+  address: `127.0.0.1:${number}`,
+  zone: 'z1',
+  state: 'ready',
+  capacity: 12,
+  weights: service === 'lm' ? { 'model-a': '1' } : {},
+});
+
+/** An engine that says nothing: what counts here is what agents tell of it. */
+const silentDoor: BackEndDoor = {
+  status: () => Promise.resolve(undefined),
+  events: () => Promise.resolve(undefined),
+  list: () => Promise.resolve(undefined),
+  directive: () => Promise.resolve('unreachable'),
+} as unknown as BackEndDoor;
+
+const agentOf = async (seed: string): Promise<Readonly<{ agent: EdgeAgent; close: () => Promise<void> }>> => {
+  const transport = new TcpTransport(realClock);
+  const agent = new EdgeAgent(
+    { clock: realClock, random: realRandom, transport },
+    silentDoor,
+    {
+      ...AgentDefaults,
+      name: 'edge-1',
+      zone: 'z1',
+      address: `127.0.0.1:${await freePort()}`,
+      proxyAddress: '127.0.0.1:2',
+      pagesAddress: '',
+      seeds: [seed],
+      engineList: 'listed',
+    },
+    {
+      page: () => Promise.resolve({ engines: [listed('i-1', 'lm', 11), listed('i-2', 'desk', 12)], next: undefined }),
+    },
+    platformDialect,
+  );
+  await agent.start();
+  return {
+    agent,
+    close: async () => {
+      await agent.stop();
+      await transport.close();
+    },
+  };
+};
+
+describe('the command line at a fleet on the platform', () => {
+  let keeper: KeeperProgram;
+  let own: KeeperProgram;
+  const closing: (() => Promise<void>)[] = [];
+  before(async () => {
+    await build({
+      entryPoints: { postdrum: path.join('platform', 'operators', 'commandLine.ts') },
+      outdir: folder,
+      bundle: true,
+      platform: 'node',
+      target: 'node20',
+      format: 'cjs',
+      outExtension: { '.js': '.cjs' },
+      external: ['msgpackr-extract'],
+      mainFields: ['module', 'main'],
+      logLevel: 'warning',
+    });
+    [keeper, own] = await Promise.all([
+      keeperOf(platformOperatorsWords, platformDialect),
+      keeperOf(ownOperatorsWords, ownDialect),
+    ]);
+  });
+  after(async () => {
+    await Promise.all([keeper.stop(), own.stop(), ...closing.map((close) => close())]);
+    rmSync(folder, { recursive: true, force: true });
+  });
+
+  /** Why not in one go: the keeper it asks runs in this very process. */
+  const run = (words: readonly string[], core = keeper.door.address): Promise<Ran> =>
+    new Promise((resolve) => {
+      const child = spawn(process.execPath, [path.join(folder, 'postdrum.cjs'), ...words], {
+        stdio: ['ignore', 'pipe', 'pipe'],
+        env: { PATH: process.env['PATH'], ...(core === '' ? {} : { POSTDRUM_CORE: core }) },
+      });
+      let [out, error] = ['', ''];
+      child.stdout.on('data', (chunk: Buffer) => (out += chunk.toString()));
+      child.stderr.on('data', (chunk: Buffer) => (error += chunk.toString()));
+      child.on('close', (code) => resolve({ code, out, error }));
+    });
+  const written = (text: string): string => {
+    const file = path.join(folder, 'intended.json');
+    writeFileSync(file, text);
+    return file;
+  };
+  const take = (ifMatch: number, text: string): Promise<number> =>
+    request(`http://${keeper.door.address}/-/config`, {
+      method: 'PUT',
+      headers: { 'if-match': String(ifMatch) },
+      body: text,
+    }).then(async ({ statusCode, body }) => {
+      await body.dump();
+      return statusCode;
+    });
+
+  test('what is wrong with a call is one sentence and code 2', async () => {
+    const calls: readonly (readonly [readonly string[], string?])[] = [
+      [['status'], ''],
+      [['status'], '127.0.0.1:1'],
+      [['blueprint', 'check'], undefined],
+      [['blueprint', 'check', path.join(folder, 'none.json')], undefined],
+      [['blueprint', 'check', written(platformDocument(1))], '127.0.0.1:1'],
+      // A fleet that speaks in the other manner says nothing about this document.
+      [['blueprint', 'check', written(platformDocument(1))], own.door.address],
+      [['blueprint', 'take', written(platformDocument(1))], undefined],
+      [['engines', 'show'], undefined],
+      [['frobnicate'], undefined],
+      [['--odd'], undefined],
+    ];
+    for (const [words, core] of calls) {
+      const { code, out, error } = await run(words, core);
+      assert.deepEqual([code, out], [2, ''], `${words.join(' ')}: ${out}${error}`);
+      assert.match(error, /^postdrum: [^\n]+\n$/, words.join(' '));
+    }
+    const bare = await run([], '');
+    assert.equal(bare.code, 2);
+    const help = await run(['--help'], '');
+    assert.deepEqual([help.code, help.error], [0, '']);
+  });
+
+  test('status shows keepers, agents without pages of their own, engines of the list; check uses them', async () => {
+    await until('the first configuration', async () => (await take(0, platformDocument(5))) === 200);
+    const early = await run(['blueprint', 'check', written(platformDocument(6))]);
+    assert.match(early.out, /^partial: some of the fleet did not answer\n/, early.error);
+    const { agent, close } = await agentOf(keeper.address);
+    closing.push(close);
+    await until('the agent knows the fleet and the list', () =>
+      Promise.resolve(
+        agent.freshness.revision('blueprint') > 0 &&
+          Object.keys(agent.freshness.engines?.engines ?? {}).length === 2 &&
+          keeper.keeper.agents().length === 1,
+      ),
+    );
+    const status = await run(['status', '--json']);
+    assert.equal(status.code, 0, status.error);
+    const seen = JSON.parse(status.out) as {
+      partial: boolean;
+      keepers: { keeper: string }[];
+      agents: { agent: string; listed: Record<string, unknown> }[];
+    };
+    assert.deepEqual([seen.partial, seen.keepers.map(({ keeper: name }) => name)], [false, ['only']]);
+    assert.deepEqual(
+      seen.agents.map(({ agent: name, listed: engines }) => [name, Object.keys(engines)]),
+      [['edge-1', ['i-1', 'i-2']]],
+    );
+    assert.ok(!status.out.includes('key-north'), 'no key is shown');
+    const read = await run(['status']);
+    assert.match(read.out, /^fleet \S+\nkeepers:\n {2}only: voting/);
+    assert.match(read.out, /daemons:\n {2}edge-1: blueprint 1, engines \d+, age/);
+    assert.equal((await run(['blueprint', 'show'])).out, platformDocument(5));
+
+    const clean = await run(['blueprint', 'check', written(platformDocument(6))]);
+    assert.doesNotMatch(clean.out, /partial/);
+    assert.match(clean.out, /nothing would change/);
+    const said = clean.out.slice(clean.out.indexOf('findings:'));
+    assert.deepEqual(said.trim().split('\n'), [
+      'findings:',
+      '  /services/lm: engine i-1 is listed as ready and no steward reaches it',
+    ]);
+    assert.equal(clean.code, 1);
+    const lonely = JSON.parse(platformDocument(6)) as { services: unknown[] };
+    lonely.services.push({ name: 'lonely', healthPath: '/health', maxConns: 10, protocol: 'h1', tlsMode: false });
+    const checked = await run(['blueprint', 'check', written(JSON.stringify(lonely)), '--json']);
+    assert.equal(checked.code, 1);
+    assert.match(checked.out, /no engine is listed for it/);
+    await closing.pop()?.();
+    const gone = await run(['status']);
+    assert.match(gone.out, /^partial: no answer from agent edge-1\n/);
+  });
+
+  test('check finds what the operators would be refused for, and says where', async () => {
+    const old = await run(['blueprint', 'check', written(platformDocument(5, { limits: {} }))]);
+    assert.deepEqual([old.code, old.out], [1, 'fault /version: is not above the present one, 5\n']);
+    for (const text of ['', '{', '[]', '{"version":9,"routes":[{"name":"r"}],"services":[]}']) {
+      const { code, out, error } = await run(['blueprint', 'check', written(text)]);
+      assert.equal(code, 1, error);
+      assert.match(out, /^fault /, text);
+    }
+  });
+
+  test('a keeper answers for an agent it does not know at once, and plainly', async () => {
+    const { statusCode, body } = await request(`http://${keeper.door.address}/agents/nobody`);
+    assert.deepEqual([statusCode, Object.keys((await body.json()) as object)], [404, ['error']]);
+  });
+});
+
+test('a service that only parts lead to, and a class that only tenants have, are used', () => {
+  const read = platformManner.read(platformDocument(5, { tenants: [{ name: 't', apiKeys: ['k'], priority: 4 }] }));
+  assert.ok(read.kind === 'good');
+  const { findings } = BlueprintChecks.run(read.value, read.value, { engines: {} }, [], false);
+  assert.deepEqual(
+    findings.filter(({ finding }) => finding.startsWith('no mapping')),
+    [],
+  );
+});
--- a/tests/settings-change.test.ts
+++ b/tests/settings-change.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import net from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, describe, test } from 'node:test';
@@ -21,6 +20,7 @@
 import { Freshness } from '../source/shared/freshness/freshness';
 import { SettingsChanges } from '../source/shared/settings/settingsChange';
 import { SettingsWatch } from '../source/shared/settings/settingsWatch';
+import { freePort } from './support/freePort';
 import { until } from './support/realFleet';
 
 const file = {
@@ -256,14 +256,6 @@
     });
   });
 
-  const freePort = async (): Promise<number> => {
-    const server = net.createServer().listen(0, '127.0.0.1');
-    await new Promise((resolve) => server.once('listening', resolve));
-    const { port } = server.address() as net.AddressInfo;
-    await new Promise((resolve) => server.close(resolve));
-    return port;
-  };
-
   const changed: Readonly<Record<string, Readonly<{ settings: Record<string, unknown>; said: RegExp }>>> = {
     'edge-agent': {
       settings: { seedPeers: ['127.0.0.1:9', '127.0.0.1:10'], cloudApi: { address: '127.0.0.1:11' } },
