--- a/source/edge-agent/engine-list/engineLister.ts
+++ b/source/edge-agent/engine-list/engineLister.ts
@@ -18,8 +18,13 @@
 
 /**
  * Where the engines are listed by something outside the fleet. One call, one page. Undefined: no sound answer within the
- * limit, which says nothing about engines.
+ * limit, which says nothing about engines. `overRate`: more calls came to the list than it takes.
  */
 export interface EngineLister {
-  readonly page: (from: string | undefined, limitMicroseconds: number) => Promise<ListPage | undefined>;
+  readonly page: (
+    from: string | undefined,
+    limitMicroseconds: number,
+    /** Where the list is. */
+    address: string,
+  ) => Promise<ListPage | 'overRate' | undefined>;
 }
