An order waits while another one reads what both share

Now its word says that the parts are being read, and the proxy waits until their reader has its first event, or failed, at the most one and a half times what it should need. Ruled out: answering the reserve call late (its limit of 60 ms is for desks that fell silent).

--- a/source/edge-agent/desk/workDesk.ts
+++ b/source/edge-agent/desk/workDesk.ts
@@ -8,6 +8,8 @@
   latelyMicroseconds: number;
   /** What reading a prefix again costs where it is kept elsewhere, as a multiple of the time that it takes. */
   rereadFactor: number;
+  /** An order waits no longer than this for another one to read what both share. */
+  mostWaitMicroseconds: number;
 }>;
 
 export const WorkDeskSettings = {
@@ -15,6 +17,7 @@
     forgetMicroseconds: 6_000_000,
     latelyMicroseconds: 4_000_000,
     rereadFactor: 6,
+    mostWaitMicroseconds: 1_500_000,
   } satisfies WorkDeskSettings,
 } as const;
 
@@ -22,6 +25,10 @@
 type Kept = Readonly<{ engine: string; atMicroseconds: number; done: boolean }>;
 
 const mostPrefixes = 8192;
+const mostWaiting = 1024;
+
+/** Starting value, ours: reading takes longer than it should where short orders come between. */
+const lateFactor = 1.5;
 
 /**
  * Where long orders get their engine, one after the other, at one daemon for all. Why one: proxies learn of each other's
@@ -31,6 +38,8 @@
 export class WorkDesk {
   private readonly engines = new Map<string, Reservation[]>();
   private readonly prefixes = new Map<string, Kept>();
+  private readonly waiting = new Map<string, Set<() => void>>();
+  private waitingCount = 0;
 
   public constructor(
     private readonly clock: Clock,
@@ -57,7 +66,37 @@
     this.engines.set(engine, list);
     if (prefix !== '' && kept === undefined) this.remember(prefix, { engine, atMicroseconds: now, done: false });
     const joined = kept?.engine === engine;
-    return { engine, joined, keeper: kept === undefined || joined ? '' : kept.engine };
+    const word = { engine, joined, keeper: kept === undefined || joined ? '' : kept.engine };
+    // Why wait: an engine that is given the same parts twice before it has read them reads them twice.
+    return joined && !kept.done ? { ...word, waitMicroseconds: this.readingMicroseconds(engine, now) } : word;
+  }
+
+  /** Resolves once the prefix has been read, or will not be, and after the time that its reader should need. */
+  public read(prefix: string): Promise<void> {
+    const now = this.clock.nowMicroseconds();
+    const kept = this.keptNow(prefix, now);
+    if (kept === undefined || kept.done || this.waitingCount >= mostWaiting) return Promise.resolve();
+    return new Promise((resolve) => {
+      const end = (): void => {
+        cancel();
+        if (!this.waiting.get(prefix)?.delete(end)) return;
+        if (this.waiting.get(prefix)?.size === 0) this.waiting.delete(prefix);
+        this.waitingCount -= 1;
+        resolve();
+      };
+      const cancel = this.clock.after(this.readingMicroseconds(kept.engine, now), end);
+      const others = this.waiting.get(prefix) ?? new Set();
+      this.waiting.set(prefix, others.add(end));
+      this.waitingCount += 1;
+    });
+  }
+
+  private readingMicroseconds(engine: string, now: number): number {
+    return Math.round(Math.min(this.settings.mostWaitMicroseconds, this.waitMicroseconds(engine, now) * lateFactor));
+  }
+
+  private wake(prefix: string): void {
+    for (const end of [...(this.waiting.get(prefix) ?? [])]) end();
   }
 
   /** The first event of an answer has come, or it never will: the engine has read that prompt, or stopped. */
@@ -73,12 +112,17 @@
     if (kept?.engine !== engine) return;
     if (good) this.remember(found.prefix, { engine, atMicroseconds: this.clock.nowMicroseconds(), done: true });
     else if (!kept.done) this.prefixes.delete(found.prefix);
+    if (good || !kept.done) this.wake(found.prefix);
   }
 
   public keepOnly(engines: readonly string[]): void {
     const kept = new Set(engines);
     for (const engine of this.engines.keys()) if (!kept.has(engine)) this.engines.delete(engine);
-    for (const [prefix, { engine }] of this.prefixes) if (!kept.has(engine)) this.prefixes.delete(prefix);
+    for (const [prefix, { engine }] of this.prefixes)
+      if (!kept.has(engine)) {
+        this.prefixes.delete(prefix);
+        this.wake(prefix);
+      }
   }
 
   /** How long an engine still reads what it has, by what was said of each order when it came. */
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -427,6 +427,10 @@
           ? { kind: 'noDesk' }
           : { kind: 'reserved', word: this.desk.reserve(order) };
       }
+      case 'awaitRead':
+        // Why not without the duty: what nobody tells of here would be waited for in vain.
+        if (this.stewardship.listTerm() !== undefined) await this.desk.read(String(message['prefix']));
+        return { kind: 'heard' };
       case 'readDone':
         this.desk.done(String(message['engine']), String(message['order']), message['good'] === true);
         return { kind: 'heard' };
--- a/source/edge-proxy/placement/deskLink.ts
+++ b/source/edge-proxy/placement/deskLink.ts
@@ -33,6 +33,14 @@
     return undefined;
   }
 
+  /** Resolves once another order has read what this one shares with it, at the latest after that time. */
+  public async read(prefix: string, limitMicroseconds: number): Promise<void> {
+    const address = this.address();
+    if (address === undefined || limitMicroseconds <= 0) return;
+    // Why with a limit here too: a desk that fell silent must not keep the order.
+    await this.transport.ask(address, { kind: 'awaitRead', prefix }, limitMicroseconds + this.askMicroseconds);
+  }
+
   /** Said and forgotten: a word that is lost makes the desk think the engine busy for a little longer. */
   public done(engine: string, order: string, good: boolean): void {
     const address = this.address();
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -82,8 +82,10 @@
       zone: this.zone,
       isShort: this.lanes.isShort((prompt * 1000) / (first === undefined ? 1 : this.speeds.of(first.name))),
     };
+    const prefix = prefixOf(demand.parts);
     const word = demand.isShort ? undefined : await this.askDesk(order, offers, demand, prompt, service);
     const own = offers.find(({ name }) => name === word?.engine);
+    if (own !== undefined) await this.desk.read(prefix, word?.waitMicroseconds ?? 0);
     const chosen = own ?? ByWork.choose(offers, demand, this.random, this.settings);
     if (chosen === undefined) return undefined;
     const joined = own !== undefined && word?.joined === true;
@@ -123,7 +125,7 @@
     const { parts } = demand;
     return this.desk.reserve({
       order: order.id,
-      prefix: parts.length < 2 ? '' : (parts[parts.length - 2]?.name ?? ''),
+      prefix: prefixOf(parts),
       offers: offers.map((offer) => [
         offer.name,
         Math.round(ByWork.costBesides(offer, demand, this.settings)),
@@ -135,6 +137,9 @@
   }
 }
 
+/** Names all that an order shares with others; empty: nothing. */
+const prefixOf = (parts: readonly PartKey[]): string => parts[parts.length - 2]?.name ?? '';
+
 /** Tokens that are left to read where all shared parts are kept. */
 const restOf = (parts: readonly PartKey[], prompt: number): number =>
   Math.max(0, prompt - tokensIn(parts, 0, parts.length - 1));
--- a/source/shared/desk/messages.ts
+++ b/source/shared/desk/messages.ts
@@ -11,8 +11,11 @@
   offers: readonly DeskOffer[];
 }>;
 
-/** `joined`: the shared parts are being read there, or have just been. `keeper`: another engine has them by now. */
-export type DeskWord = Readonly<{ engine: string; joined: boolean; keeper: string }>;
+/**
+ * `joined`: the shared parts are being read there, or have just been. `keeper`: another engine has them by now.
+ * `waitMicroseconds`: they are still being read, and the order had better wait for so long at the most until they are.
+ */
+export type DeskWord = Readonly<{ engine: string; joined: boolean; keeper: string; waitMicroseconds?: number }>;
 
 const isWhole = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value);
 
@@ -43,7 +46,8 @@
       word !== null &&
       typeof word.engine === 'string' &&
       typeof word.joined === 'boolean' &&
-      typeof word.keeper === 'string'
+      typeof word.keeper === 'string' &&
+      (word.waitMicroseconds === undefined || isWhole(word.waitMicroseconds))
     );
   },
 } as const;
--- a/tests/named-parts.test.ts
+++ b/tests/named-parts.test.ts
@@ -8,8 +8,9 @@
 import { EngineWork } from '../source/edge-proxy/placement/engineWork';
 import { ReadSpeeds } from '../source/edge-proxy/placement/readSpeeds';
 import { WholeEvents } from '../source/edge-proxy/sends/wholeEvents';
+import { World } from '../source/fleet-simulator/world/world';
 import type { Mapping, Pool } from '../source/shared/blueprint/types';
-import { DeskMessages, type DeskOffer } from '../source/shared/desk/messages';
+import { DeskMessages, type DeskOffer, type DeskWord } from '../source/shared/desk/messages';
 import { PromptParts } from '../source/shared/directory/promptParts';
 import type { Clock } from '../source/shared/effects/clock/clock';
 import { seededRandom } from '../source/shared/effects/random/random';
@@ -231,6 +232,7 @@
     engine: 'a',
     joined: true,
     keeper: '',
+    waitMicroseconds: 375_000,
   });
   one.done('a', 'o', true);
   clock.now = 1000;
@@ -242,6 +244,41 @@
   });
 });
 
+test('an order waits while another one reads what both share, and no longer than that reader should need', async () => {
+  const world = new World(1);
+  const one = new WorkDesk(world.clock);
+  const reserve = (order: string, prefix = 'p'): DeskWord => one.reserve({ order, prefix, offers: offers('ab') });
+  const ended: string[] = [];
+  const waits = (name: string, prefix = 'p'): void => void one.read(prefix).then(() => ended.push(name));
+  assert.equal(reserve('o').waitMicroseconds, undefined, 'the first one reads');
+  const joined = reserve('x');
+  assert.ok(joined.joined && (joined.waitMicroseconds ?? 0) >= 200_000, JSON.stringify(joined));
+  waits('x');
+  await world.runFor(150_000);
+  assert.deepEqual(ended, []);
+  one.done('a', 'o', true);
+  await world.runFor(1_000);
+  assert.deepEqual(ended, ['x'], 'it goes as soon as the parts are there');
+  assert.equal(reserve('y').waitMicroseconds, undefined, 'and nobody waits after that');
+  reserve('q', 'q');
+  waits('late', 'q');
+  waits('nobody reads this', 'r');
+  await world.runFor(1_000);
+  assert.deepEqual(ended, ['x', 'nobody reads this']);
+  await world.runFor(2_000_000);
+  assert.deepEqual(ended, ['x', 'nobody reads this', 'late'], 'a reader that says nothing keeps nobody');
+  const again = reserve('s', 's');
+  waits('failed', 's');
+  one.done(again.engine, 's', false);
+  await world.runFor(1_000);
+  assert.equal(ended.at(-1), 'failed', 'a reader that failed keeps nobody either');
+  reserve('t', 't');
+  waits('gone', 't');
+  one.keepOnly([]);
+  await world.runFor(1_000);
+  assert.equal(ended.at(-1), 'gone');
+});
+
 test('a reader that failed leaves its prefix to the next, and what nobody speaks of is forgotten', () => {
   const { clock, desk: one } = desk();
   one.reserve({ order: 'o', prefix: 'p', offers: offers('a') });
