Holders of a prompt's parts are looked up once for all engines of a pool

Cause (docs/CAPACITY.md, slopes that grow with the square): for each candidate all holders were gone through, and the parts' names were written anew. Now a map for each weight version.

--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -40,22 +40,15 @@
       candidates.map(({ name }) => name),
     );
     const prompt = order.promptTokens ?? (order.parts ?? []).reduce((sum, { size }) => sum + size, 0);
+    const books = new Map<string, Kept>();
     const offers = candidates.map((candidate): Offer => {
-      const parts = keys.parts(candidate.weights);
-      const found = parts.length === 0 ? undefined : lookUp(candidate.weights);
-      const kept =
-        found === undefined || found.kind === 'miss'
-          ? 0
-          : (found.found.find(({ holder }) => holder === candidate.name)?.matched ?? 0);
+      const book = books.get(candidate.weights) ?? keptUnder(keys, candidate.weights, lookUp);
+      // Why once for each weights: a large pool has many engines, and most run on the same.
+      books.set(candidate.weights, book);
+      const { parts, found } = book;
+      const kept = book.matched.get(candidate.name) ?? 0;
       const matched =
-        parts.length === 0
-          ? 0
-          : this.view.work.matched(
-              candidate.name,
-              candidate.bootEpoch,
-              parts.map(({ name }) => name),
-              kept,
-            );
+        parts.length === 0 ? 0 : this.view.work.matched(candidate.name, candidate.bootEpoch, book.names, kept);
       const engine = {
         name: candidate.name,
         zone: candidate.zone,
@@ -137,6 +130,26 @@
   }
 }
 
+/** What is known of an order's parts under one weight version, by holder. */
+type Kept = Readonly<{
+  parts: readonly PartKey[];
+  names: readonly string[];
+  found: LookUp | undefined;
+  matched: ReadonlyMap<string, number>;
+}>;
+
+const keptUnder = (keys: PromptKeys, weights: string, lookUp: (weights: string) => LookUp): Kept => {
+  const parts = keys.parts(weights);
+  const found = parts.length === 0 ? undefined : lookUp(weights);
+  const holders = found === undefined || found.kind === 'miss' ? [] : found.found;
+  return {
+    parts,
+    names: parts.map(({ name }) => name),
+    found,
+    matched: new Map(holders.map(({ holder, matched }) => [holder, matched])),
+  };
+};
+
 /** Names all that an order shares with others; empty: nothing. */
 const prefixOf = (parts: readonly PartKey[]): string => parts[parts.length - 2]?.name ?? '';
 
