Fleets of real processes get ports that the machine gives to nobody else

They lay in the range that every conn of every other test file is given ports from; a process whose port was gone ends at once. Ruled out: slowness (alone at a load of 15 on 8 cores the fleet comes up and all five pass, 41.6 s). Ports now lie below that range, apart by process.

--- a/source/fleet-runner/machines/child.ts
+++ b/source/fleet-runner/machines/child.ts
@@ -46,22 +46,33 @@
   }
 }
 
+/**
+ * Why below those that the machine hands out by itself (from 32,768 on): between the look and the start of the process
+ * that is meant to have it, and while that one is started anew, any conn of any other process could be given the port.
+ */
+const firstPort = 10_000;
+const portCount = 20_000;
+/** Why by the process: fleets that are started at the same moment look at other ports first. */
+const blockOfPorts = 100;
+let nextPort = ((process.pid * blockOfPorts) % portCount) + firstPort;
+
+const isFree = (host: string, port: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+
 export const Ports = {
-  /** Free ports on one loopback address, held together so that none is given twice. */
+  /** Ports on one loopback address that nobody listens on at this moment; none is given twice by this process. */
   free: async (host: string, count: number): Promise<readonly number[]> => {
-    const servers = await Promise.all(
-      Array.from(
-        { length: count },
-        () =>
-          new Promise<net.Server>((resolve, reject) => {
-            const server = net.createServer();
-            server.once('error', reject);
-            server.listen(0, host, () => resolve(server));
-          }),
-      ),
-    );
-    const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-    await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-    return ports;
+    const found: number[] = [];
+    for (let looked = 0; found.length < count; looked += 1) {
+      if (looked > portCount) throw new Error(`there are no ${count} free ports`);
+      const port = nextPort;
+      nextPort = port + 1 < firstPort + portCount ? port + 1 : firstPort;
+      if (await isFree(host, port)) found.push(port);
+    }
+    return found;
   },
 } as const;
--- a/tests/support/freePort.ts
+++ b/tests/support/freePort.ts
@@ -1,10 +1,8 @@
-import net from 'node:net';
+import { Ports } from '../../source/fleet-runner/machines/child';
 
-/** A port of this machine that nobody listens on at this moment. */
+/** A port of this machine that nobody listens on at this moment, and that the machine gives to nobody by itself. */
 export const freePort = async (): Promise<number> => {
-  const server = net.createServer().listen(0, '127.0.0.1');
-  await new Promise((resolve) => server.once('listening', resolve));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
+  const [port] = await Ports.free('127.0.0.1', 1);
+  if (port === undefined) throw new Error('no port is free');
   return port;
 };
