--- a/tests/named-parts.test.ts
+++ b/tests/named-parts.test.ts
@@ -9,11 +9,12 @@
 import { ReadSpeeds } from '../source/edge-proxy/placement/readSpeeds';
 import { WholeEvents } from '../source/edge-proxy/sends/wholeEvents';
 import { World } from '../source/fleet-simulator/world/world';
-import type { Mapping, Pool } from '../source/shared/blueprint/types';
+import type { Mapping } from '../source/shared/blueprint/types';
 import { DeskMessages, type DeskOffer, type DeskWord } from '../source/shared/desk/messages';
 import { PromptParts } from '../source/shared/directory/promptParts';
 import type { Clock } from '../source/shared/effects/clock/clock';
 import { seededRandom } from '../source/shared/effects/random/random';
+import { pool } from './support/pool';
 
 const handClock = (): Clock & { now: number } => {
   const clock = {
@@ -25,21 +26,6 @@
   return clock;
 };
 
-const pool: Pool = {
-  kind: 'pool',
-  model: 'm',
-  weights: '1',
-  tokenizer: 't',
-  adapter: '',
-  dtype: 'bf16',
-  quant: 'none',
-  layout: 'paged-1',
-  shard: 'tp1-pp1',
-  rope: 'default',
-  blockCharacters: 64,
-  answerLimitMicroseconds: 1_000_000,
-};
-
 const eventText = fc.record({ id: fc.nat(999), data: fc.stringMatching(/^[a-z ]{0,20}$/) });
 
 test('events are cut at their borders only, in whatever pieces they come, and none is lost', () => {
--- a/tests/parts-planner.test.ts
+++ b/tests/parts-planner.test.ts
@@ -12,22 +12,8 @@
 import { ShardBook } from '../source/shared/directory/shardBook';
 import { ShardNews } from '../source/shared/directory/shardNews';
 import { Metrics } from '../source/shared/metrics/metrics';
-import type { Pool } from '../source/shared/blueprint/types';
+import { pool } from './support/pool';
 
-const pool: Pool = {
-  kind: 'pool',
-  model: 'm',
-  weights: '1',
-  tokenizer: 't',
-  adapter: '',
-  dtype: 'bf16',
-  quant: 'none',
-  layout: 'paged-1',
-  shard: 'tp1-pp1',
-  rope: 'default',
-  blockCharacters: 64,
-  answerLimitMicroseconds: 1_000_000,
-};
 const resolved = { service: pool, trustDomain: 'shared', mapping: { service: 'pool' } } as Resolved;
 const order = {
   id: 'o',
