Outlier detection: engines whose answers fail are left out for a time

Cause: an engine that fails part of its orders while its control side answers stayed a candidate like any other, and one whose steward hears nothing was lost to service although it answered orders. Now each proxy counts what became of its orders at each engine (O(1), no timer), tells the counts of failing engines with its load fact, judges each engine among the others of its pool, and leaves out at most a third of a pool while the rest has room. Engines come back by probation: one real order at a time, tried by three proxies first. Ruled out: counting notRun, refused conns or callers that leave early as failures; believing one teller alone; judging engines by themselves (a failing own link would eject all: the unit test for it was red at first, since own failures reached the fleet's sum; they no longer do). Conclusion: nothing is told or worked out while nothing fails.

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -393,6 +393,7 @@
       waiting: load.waiting,
       tenants: load.tenants,
       ...(load.work === undefined ? {} : { work: load.work }),
+      ...(load.failing === undefined ? {} : { failing: load.failing }),
     };
     this.sayLoad(value);
   }
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -27,6 +27,8 @@
 import { PartsPlanner } from './fetch/partsPlanner';
 import { TakeDesk } from './holding/takeDesk';
 import { TakePolicies } from './holding/takePolicy';
+import { OutlierDetector } from './outliers/outlierDetector';
+import { OutlierSettings } from './outliers/outlierSettings';
 import type { AnswerSink, Order } from './path/order';
 import { Pipeline } from './path/pipeline';
 import { WorkPlacementSettings } from './placement/byWork';
@@ -81,6 +83,8 @@
   /** How long an order waits for the desk's word before its proxy places it alone. */
   deskMicroseconds: number;
   moves: MoveSettings;
+  /** When an engine is left out because its answers fail. */
+  outliers: OutlierSettings;
   /** How long a part that was read counts as kept before the holder's events say so. */
   latelyMicroseconds: number;
 }>;
@@ -118,6 +122,7 @@
   lanes: LaneSettings.usual,
   deskMicroseconds: 60_000,
   moves: MoveSettings.usual,
+  outliers: OutlierSettings.usual,
   latelyMicroseconds: 3_000_000,
 } as const;
 
@@ -169,6 +174,7 @@
       clock,
       new EngineWork(clock, settings),
       settings.roomPerMille,
+      new OutlierDetector(settings.name, clock, settings.outliers, Logs.part(`proxy:${settings.name}:outliers`)),
     );
     const readSpeeds = new ReadSpeeds();
     // Why a start of a thousand: these are ratios of what a move takes to what it should, in thousandths.
@@ -356,7 +362,13 @@
    * the same rule: what it says has an age, and the fence is no wider. So the order of stops on a machine does not matter.
    */
   private async feed(): Promise<void> {
-    const load = { engines: this.view.loads(), ...this.desk.loads(), work: this.view.work.sums() };
+    const failing = this.view.outliers.telling();
+    const load = {
+      engines: this.view.loads(),
+      ...this.desk.loads(),
+      work: this.view.work.sums(),
+      ...(failing === undefined ? {} : { failing }),
+    };
     const foster = this.feeders.foster();
     await Promise.all([
       // Why the load only here: the own agent is the one that says it to the fleet.
@@ -369,7 +381,9 @@
       this.shards.keepOnly(holders);
       this.view.work.keepOnly(holders);
       this.readSpeeds.keepOnly(holders);
+      this.view.outliers.keepOnly(holders);
     }
+    this.view.review();
     this.sends.recheck();
     this.desk.recheck();
     this.desk.serveAll();
--- a/source/edge-proxy/main.ts
+++ b/source/edge-proxy/main.ts
@@ -3,6 +3,7 @@
 import { Programs } from '../shared/settings/program';
 import { SettingFormats, Settings, type SettingSchema } from '../shared/settings/settings';
 import { ProxyDefaults } from './edgeProxy';
+import { OutlierSettings } from './outliers/outlierSettings';
 import { ProxyProgram } from './proxyProgram';
 
 const schema: SettingSchema = {
@@ -34,6 +35,16 @@
     default: 1_000_000,
     kind: 'whole',
   },
+  ejectPerMille: {
+    doc: `most engines of a pool left out because their answers fail, in per mille, at most ${OutlierSettings.mostEjectPerMille}; 0: none ever`,
+    format: (value) => {
+      SettingFormats.whole(value);
+      const fault = OutlierSettings.fault({ ...OutlierSettings.usual, ejectPerMille: Number(value) });
+      if (fault !== undefined) throw new Error(fault);
+    },
+    default: OutlierSettings.usual.ejectPerMille,
+    kind: 'whole',
+  },
   stopLimitMicroseconds: {
     doc: 'how long a stop may take',
     format: SettingFormats.whole,
@@ -57,6 +68,7 @@
       imports: text('imports') !== 'no',
       name: text('name'),
       agentAddress: text('agent'),
+      outliers: { ...OutlierSettings.usual, ejectPerMille: Number(settings['ejectPerMille']) },
     },
     address: text('address'),
     limits: { ...HttpLimits.usual, conns: Number(settings['conns']) },
--- /dev/null
+++ b/source/edge-proxy/outliers/outlierDetector.ts
@@ -0,0 +1,197 @@
+import type { Clock } from '../../shared/effects/clock/clock';
+import type { Log } from '../../shared/log/log';
+import type { LoadFact } from '../../shared/news/factTypes';
+import { Rendezvous } from '../../shared/rendezvous/rendezvous';
+import { AnswerCounts } from './answerCounts';
+import { EjectionBound } from './ejectionBound';
+import type { OutlierSettings } from './outlierSettings';
+import { OutlierStates, type OutlierEvent, type OutlierState } from './outlierStates';
+import { OutlierVerdicts, type Evidence } from './outlierVerdicts';
+
+/** How an engine stands that may get work: missing, as any other; the others go first; or on probation. */
+export type Standing = 'suspected' | 'probation';
+
+/** What an ended send says of its engine. `silent`: given up without a word from it. */
+export type AnswerEnd = 'good' | 'failed' | 'silent';
+
+type Told = Readonly<{ good: number; failed: number; tellers: number }>;
+type Pool = Readonly<{ names: readonly string[]; daemons: readonly string[] }>;
+type Member = Readonly<{ name: string; capacity: number; inFlight: number }>;
+
+const untold: Told = { good: 0, failed: 0, tellers: 0 };
+
+/**
+ * Outlier detection: what answers tell of engines, and which ones are left out for it. It has no timer: counts are kept
+ * as answers end, and everything else happens when the proxy is fed. Where nothing fails, nothing is worked out or told.
+ */
+export class OutlierDetector {
+  /** Only of engines that do not stand as any other. */
+  private readonly states = new Map<string, OutlierState>();
+  private readonly counts: AnswerCounts;
+  private readonly goodAt = new Map<string, number>();
+  private readonly silentSince = new Map<string, Readonly<{ version: string; at: number }>>();
+  private readonly repeatableAt = new Map<string, number>();
+  private told: Readonly<{ of: readonly LoadFact[]; engines: ReadonlyMap<string, Told> }> | undefined;
+  private changeCount = 0;
+
+  public constructor(
+    private readonly self: string,
+    private readonly clock: Clock,
+    public readonly settings: OutlierSettings,
+    private readonly log: Log = () => undefined,
+  ) {
+    this.counts = new AnswerCounts(settings.halfWindowMicroseconds);
+  }
+
+  /** Rises whenever an engine stands otherwise than before. */
+  public get changes(): number {
+    return this.changeCount;
+  }
+
+  public stateOf(engine: string): OutlierState {
+    return this.states.get(engine) ?? OutlierStates.start;
+  }
+
+  /** Engines that do not stand as any other, for pages and tests. */
+  public standings(): Readonly<Record<string, OutlierState['kind']>> {
+    return Object.fromEntries([...this.states].map(([name, { kind }]) => [name, kind]));
+  }
+
+  /** An own order ended at the engine, `tookMicroseconds` after it was written. */
+  public answered(engine: string, end: AnswerEnd, tookMicroseconds = 0): void {
+    // Why: who did not wait long has not heard that the engine is silent.
+    if (end === 'silent' && tookMicroseconds < this.settings.silentMicroseconds) return;
+    const atMicroseconds = this.clock.nowMicroseconds();
+    const isGood = end === 'good';
+    if (isGood) this.goodAt.set(engine, atMicroseconds);
+    this.counts.count(engine, isGood, atMicroseconds);
+    this.step(engine, { kind: 'answered', atMicroseconds, isGood });
+  }
+
+  /**
+   * Whether the engine answers orders though its steward hears nothing of it. Why only answers since that word came: one
+   * from before says nothing that the steward did not know. `version`: that of the steward's word.
+   */
+  public answersThoughSilent(engine: string, version: string): boolean {
+    const now = this.clock.nowMicroseconds();
+    const known = this.silentSince.get(engine);
+    if (known?.version !== version) {
+      this.silentSince.set(engine, { version, at: now });
+      return false;
+    }
+    const good = this.goodAt.get(engine) ?? -Infinity;
+    return good > known.at && now - good < this.settings.speaksMicroseconds;
+  }
+
+  /** What this proxy tells the others: counts of engines that failed lately. Undefined: none did, and nothing is said. */
+  public telling(): LoadFact['failing'] {
+    const now = this.clock.nowMicroseconds();
+    if (!this.counts.hasFailures(now)) return undefined;
+    const failing = this.counts.failing(now);
+    return Object.keys(failing).length === 0 ? undefined : failing;
+  }
+
+  /** Called with news: judges the engines of each pool by all that is known. At rest it looks at two numbers. */
+  public review(others: readonly LoadFact[], pools: () => readonly Pool[]): void {
+    const atMicroseconds = this.clock.nowMicroseconds();
+    const told = this.toldBy(others);
+    if (this.states.size === 0 && told.size === 0 && !this.counts.hasFailures(atMicroseconds)) return;
+    for (const { names, daemons } of pools()) {
+      // Why not the others: only a pool where something failed, or is made good, has anything to judge.
+      if (
+        !names.some(
+          (name) => this.states.has(name) || told.has(name) || this.counts.of(name, atMicroseconds).failed > 0,
+        )
+      )
+        continue;
+      const inService = names.filter((name) => this.stateOf(name).kind !== 'ejected');
+      const evidence = inService.map((name): Evidence => ({
+        name,
+        own: this.counts.of(name, atMicroseconds),
+        others: told.get(name) ?? untold,
+      }));
+      for (const [name, verdict] of OutlierVerdicts.of(evidence, daemons.length, this.settings))
+        this.step(name, { kind: 'judged', atMicroseconds, verdict });
+      for (const name of names) {
+        const state = this.stateOf(name);
+        // Why only then: who tries first is worked out from all daemons.
+        if (state.kind !== 'ejected' || atMicroseconds < state.untilMicroseconds) continue;
+        const isProber = Rendezvous.order(`probe/${name}`, daemons)
+          .slice(0, this.settings.probeProxies)
+          .includes(this.self);
+        const othersFail = told.has(name);
+        this.step(name, { kind: 'passed', atMicroseconds, isProber, othersFail });
+      }
+    }
+  }
+
+  /**
+   * Engines of one pool that may get work, and how they stand. `isFree`: no own order is under way there, so that one on
+   * probation may get its next.
+   */
+  public standingsIn(
+    pool: readonly Member[],
+    isFree: (name: string) => boolean,
+  ): ReadonlyMap<string, Standing | 'out'> {
+    if (this.states.size === 0) return new Map();
+    const kinds = new Map(pool.map(({ name }) => [name, this.stateOf(name)] as const));
+    const out = EjectionBound.out(
+      pool.map((member) => {
+        const { kind = 'good', offences = 0 } = kinds.get(member.name) ?? {};
+        return { ...member, offences, isOut: kind === 'ejected' || kind === 'probation' };
+      }),
+      this.settings,
+    );
+    const standings = new Map<string, Standing | 'out'>();
+    for (const [name, { kind }] of kinds) {
+      if (kind === 'good') continue;
+      // Why suspected: it should be out and cannot be spared, so the others go first.
+      if (kind === 'suspected' || !out.has(name)) standings.set(name, 'suspected');
+      else standings.set(name, kind === 'probation' && isFree(name) ? 'probation' : 'out');
+    }
+    return standings;
+  }
+
+  /** Whether this order may try an engine on probation. Why not any: one that may run once is lost where the engine fails. */
+  public mayProbe(service: string, isRepeatable: boolean): boolean {
+    const now = this.clock.nowMicroseconds();
+    if (isRepeatable) this.repeatableAt.set(service, now);
+    return isRepeatable || now - (this.repeatableAt.get(service) ?? -Infinity) >= this.settings.repeatableMicroseconds;
+  }
+
+  /** Forgets engines that are on no list any more. */
+  public keepOnly(names: readonly string[]): void {
+    const kept = new Set(names);
+    this.counts.keepOnly(kept);
+    for (const book of [this.states, this.goodAt, this.silentSince])
+      for (const name of book.keys()) if (!kept.has(name)) book.delete(name);
+  }
+
+  private step(engine: string, event: OutlierEvent): void {
+    if (this.settings.ejectPerMille === 0) return;
+    const before = this.stateOf(engine);
+    const after = OutlierStates.step(before, event, this.settings);
+    if (after === before) return;
+    if (after.kind === 'good' && after.offences === 0) this.states.delete(engine);
+    else this.states.set(engine, after);
+    if (after.kind === before.kind) return;
+    this.changeCount += 1;
+    if ((after.kind !== 'suspected' && before.kind !== 'suspected') || after.kind === 'ejected')
+      this.log(`Engine ${engine} is ${after.kind}, it was ${before.kind}; ejected ${after.offences} times.`);
+  }
+
+  private toldBy(others: readonly LoadFact[]): ReadonlyMap<string, Told> {
+    // Why by the list itself: it is made anew with news, and only then.
+    if (this.told?.of === others) return this.told.engines;
+    const engines = new Map<string, Told>();
+    for (const { failing } of others) {
+      if (failing === undefined) continue;
+      for (const [name, [failed, good]] of Object.entries(failing)) {
+        const known = engines.get(name) ?? untold;
+        engines.set(name, { failed: known.failed + failed, good: known.good + good, tellers: known.tellers + 1 });
+      }
+    }
+    this.told = { of: others, engines };
+    return engines;
+  }
+}
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -45,6 +45,8 @@
   shortOutsideMicroseconds: number;
   /** What a part's first reader is drawn to its own engine by. */
   homeMicroseconds: number;
+  /** What keeps orders from an engine that some failed at lately. */
+  suspectMicroseconds: number;
 }>;
 
 export const WorkPlacementSettings = {
@@ -58,6 +60,7 @@
     longInLaneMicroseconds: 250_000,
     shortOutsideMicroseconds: 60_000,
     homeMicroseconds: 300_000,
+    suspectMicroseconds: 150_000,
   } satisfies WorkPlacementSettings,
 } as const;
 
@@ -89,6 +92,7 @@
           : settings.longInLaneMicroseconds;
     return (
       apart +
+      (offer.standing === 'suspected' ? settings.suspectMicroseconds : 0) +
       offer.moveMicroseconds +
       inFlight * settings.sendMicroseconds +
       turns * settings.turnMicroseconds +
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -11,6 +11,8 @@
   type StewardFact,
 } from '../../shared/news/factTypes';
 import type { Fence } from '../fence/fence';
+import { OutlierDetector, type Standing } from '../outliers/outlierDetector';
+import { OutlierSettings } from '../outliers/outlierSettings';
 import type { EngineWork, WorkSum } from './engineWork';
 
 export type Candidate = Readonly<{
@@ -23,6 +25,8 @@
   zone: string;
   /** Tokens that are being read for sends whose answers have not begun, and of all sends, as far as known. */
   work: WorkSum;
+  /** Missing: as any other. `suspected`: others go first. `probation`: it gets one order at a time, to see what becomes of it. */
+  standing?: Standing;
 }>;
 
 export type Store = Readonly<{ name: string; address: string; bootEpoch: string }>;
@@ -50,6 +54,8 @@
   mark: string;
   list: EngineList | undefined;
   blueprint: Blueprint | undefined;
+  /** Those that could take work, and those of them that get any. */
+  able: readonly Candidate[];
   candidates: readonly Candidate[];
 }>;
 const noneElsewhere: Elsewhere = { sends: 0, work: { reading: 0, tokens: 0 } };
@@ -73,6 +79,7 @@
     private readonly clock: Clock,
     public readonly work: EngineWork,
     private readonly roomPerMille = 1000,
+    public readonly outliers = new OutlierDetector(self, clock, OutlierSettings.usual),
   ) {}
 
   public began(engine: string): void {
@@ -152,9 +159,26 @@
 
   /** Engines of a service that new work may go to. */
   public candidates(service: string): readonly Candidate[] {
+    return this.workedOut(service).candidates;
+  }
+
+  /** Those and the ones left out because they fail: what was placed there before may still go. */
+  public able(service: string): readonly Candidate[] {
+    return this.workedOut(service).able;
+  }
+
+  /** Called with news: engines are judged by what became of orders, here and elsewhere. */
+  public review(): void {
+    this.outliers.review(this.othersNow().loads, () => {
+      const daemons = this.agents().map(({ name }) => name);
+      return [...this.servicesListed().values()].map((listed) => ({ names: listed.map(([name]) => name), daemons }));
+    });
+  }
+
+  private workedOut(service: string): WorkedOut {
     const now = this.clock.nowMicroseconds();
     const { engines: list, blueprint } = this.freshness;
-    const mark = `${this.facts.changes}/${this.ownChanges}/${this.work.changes}`;
+    const mark = `${this.facts.changes}/${this.ownChanges}/${this.work.changes}/${this.outliers.changes}`;
     const known = this.worked.get(service);
     // Why for a moment: one order asks several times on its way, and nothing has changed since.
     if (
@@ -164,10 +188,11 @@
       known.list === list &&
       known.blueprint === blueprint
     )
-      return known.candidates;
-    const candidates = this.workOut(service);
-    this.worked.set(service, { at: now, mark, list, blueprint, candidates });
-    return candidates;
+      return known;
+    const able = this.workOut(service);
+    const worked: WorkedOut = { at: now, mark, list, blueprint, able, candidates: this.withoutOutliers(able) };
+    this.worked.set(service, worked);
+    return worked;
   }
 
   private workOut(service: string): readonly Candidate[] {
@@ -194,8 +219,10 @@
           },
         ];
       const fact = this.wordOf(service, name, engine);
-      if (fact === undefined || !fact.reachable || !fact.accepting || fact.changing || fact.address !== engine.address)
-        return [];
+      if (fact === undefined || fact.changing || fact.address !== engine.address) return [];
+      // Why an engine its steward does not hear: it may be the way to its control side alone, while it answers orders.
+      const isHeard = fact.reachable && fact.accepting;
+      if (!isHeard && (fact.reachable || !this.outliers.answersThoughSilent(name, this.versionOf(name)))) return [];
       if (this.fence.weights(service, fact.weights) === 'forbidden') return [];
       if (this.isOther(name)) return [];
       const inFlight = this.isFull(name) ? Math.max(counted, fact.capacity) : counted;
@@ -209,28 +236,44 @@
           inFlight,
           zone: engine.zone,
           work,
+          ...(isHeard ? {} : { standing: 'suspected' as const }),
         },
       ];
     });
   }
 
+  private withoutOutliers(able: readonly Candidate[]): readonly Candidate[] {
+    const standings = this.outliers.standingsIn(able, (name) => this.ownInFlight(name) === 0);
+    if (standings.size === 0) return able;
+    return able.flatMap((candidate) => {
+      const standing = standings.get(candidate.name);
+      if (standing === undefined) return [candidate];
+      return standing === 'out' ? [] : [{ ...candidate, standing }];
+    });
+  }
+
   /** Whether the platform still lists the engine for new work. */
   public isListed(service: string, name: string): boolean {
     return this.listed(service).some(([engine]) => engine === name);
   }
 
   public capacity(service: string): number {
-    return this.candidates(service).reduce((sum, { capacity }) => sum + this.roomIn(capacity), 0);
+    return this.inService(service).reduce((sum, { capacity }) => sum + this.roomIn(capacity), 0);
   }
 
   /** Places that seem to be free at this moment; counts of other proxies are hints. */
   public free(service: string): number {
-    return this.candidates(service).reduce(
+    return this.inService(service).reduce(
       (sum, { capacity, inFlight }) => sum + Math.max(0, this.roomIn(capacity) - inFlight),
       0,
     );
   }
 
+  /** Why without those on probation: one order at a time is no room to count on. */
+  private inService(service: string): readonly Candidate[] {
+    return this.candidates(service).filter(({ standing }) => standing !== 'probation');
+  }
+
   /** Why more than its places: an engine lets its own waiting orders in by their urgency, sooner than any proxy could. */
   private roomIn(capacity: number): number {
     return Math.floor((capacity * this.roomPerMille) / 1000);
@@ -326,10 +369,14 @@
   }
 
   private listed(service: string): Listed {
+    return this.servicesListed().get(service) ?? [];
+  }
+
+  private servicesListed(): ReadonlyMap<string, Listed> {
     const list = this.freshness.engines;
-    if (list === undefined) return [];
+    if (list === undefined) return new Map();
     if (this.index?.of !== list) this.index = { of: list, services: byService(list) };
-    return this.index.services.get(service) ?? [];
+    return this.index.services;
   }
 
   private othersNow(): Others {
--- a/source/edge-proxy/placement/placePolicies.ts
+++ b/source/edge-proxy/placement/placePolicies.ts
@@ -7,6 +7,7 @@
 import { Refusals } from '../../shared/verdict/verdict';
 import type { Context, Order, Placed, Policy, Resolved, Step } from '../path/order';
 import type { Candidate, EngineView } from './engineView';
+import { Probes } from '../outliers/probes';
 import type { Placement, Scored } from './placements';
 import { Salts } from './salts';
 import type { WorkPlacer } from './workPlacer';
@@ -114,7 +115,11 @@
       const { resolved, keys, order } = context;
       if (resolved === undefined || keys === undefined) throw new Error('no keys looked up');
       const service = resolved.mapping.service;
-      const candidates = view.candidates(service).filter(({ name }) => !context.avoided.includes(name));
+      const offered = view.candidates(service).filter(({ name }) => !context.avoided.includes(name));
+      const isRepeatable = resolved.mapping.resumable || resolved.mapping.repeatable === true;
+      // Why only the first send: one that is made a second time goes where it will be answered.
+      const mayProbe = view.outliers.mayProbe(service, isRepeatable) && context.sends === 0;
+      const candidates = Probes.among(offered, mayProbe);
       const lookUps = new Map<string, LookUp>();
       const lookUp = (weights: string): LookUp => {
         const found =
--- a/source/edge-proxy/placement/placements.ts
+++ b/source/edge-proxy/placement/placements.ts
@@ -19,6 +19,8 @@
 
 const withRoom = (candidates: readonly Scored[]): readonly Scored[] => {
   const room = candidates.filter(({ inFlight, capacity }) => inFlight < capacity);
+  const sound = room.filter(({ standing }) => standing !== 'suspected');
+  if (sound.length > 0) return sound;
   // Why all when none: counts are hints, and the engine's own "busy" is the truth.
   return room.length > 0 ? room : candidates;
 };
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -1,4 +1,4 @@
-import type { BackEndSender, SendHead } from '../../shared/back-end/protocol';
+import type { BackEndSender, SendFailure, SendHead } from '../../shared/back-end/protocol';
 import type { BackEndWords, HeadMeaning } from '../../shared/back-end/words';
 import type { DirectoryNote } from '../../shared/directory/shardDirectory';
 import type { Clock } from '../../shared/effects/clock/clock';
@@ -15,6 +15,7 @@
 import type { EngineView } from '../placement/engineView';
 import type { ReadSpeeds } from '../placement/readSpeeds';
 import type { RetryBudget } from './retryBudget';
+import type { AnswerEnd } from '../outliers/outlierDetector';
 import { FinalEvent, SendStates, type SendEvent, type SendState } from './runningSend';
 import { WholeEvents } from './wholeEvents';
 
@@ -60,6 +61,9 @@
 /** Statuses that promise the caller that nothing has run; only an answer that says so itself may carry one. */
 const promises: readonly number[] = [408, 421, 429, 503];
 
+/** Why a send ended that its engine had said nothing to. */
+const silences: readonly string[] = ['engineSilent', 'userAgentGone'];
+
 /** What a send had to wait for when it began, to learn from its answer. */
 const fewBefore = 3;
 type Begun = Readonly<{ reading: number; inFlight: number }>;
@@ -127,7 +131,7 @@
         head: (head) => this.onHead(head),
         part: (bytes) => this.onPart(bytes),
         end: () => this.onEnd(),
-        failed: ({ kind, text }) => this.onFailed(kind, text),
+        failed: (failure) => this.onFailed(failure),
       },
     );
     this.cutSend = cut;
@@ -346,6 +350,11 @@
     }
   }
 
+  private tellOutliers(end: AnswerEnd): void {
+    const { view, clock } = this.parts;
+    view.outliers.answered(this.placed.engine, end, clock.nowMicroseconds() - this.sentMicroseconds);
+  }
+
   private tellDesk(good: boolean): void {
     if (this.placed.reserved !== true || this.deskTold) return;
     this.deskTold = true;
@@ -366,6 +375,8 @@
     if (!this.step({ kind: 'end' })) return;
     const { answer } = this.context;
     if (this.state.kind === 'over' && this.state.how === 'whole') {
+      // Why 5xx: it is the engine's own word that it failed.
+      this.tellOutliers((this.head?.status ?? 0) >= 500 ? 'failed' : 'good');
       this.begin();
       const rest = this.events.flush();
       if (rest !== undefined) void answer.part(rest);
@@ -377,7 +388,7 @@
     this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The answer of the engine broke off.'));
   }
 
-  private onFailed(kind: 'notRun' | 'mayHaveRun', text: string): void {
+  private onFailed({ kind, text, forgotten }: SendFailure): void {
     if (!this.step({ kind: 'failed' })) return;
     this.parts.log(`A send to ${this.placed.engine} failed: ${text}.`);
     if (kind === 'notRun') {
@@ -391,11 +402,13 @@
       this.again(Refusals.make(503, 'notRun', 'engineFailed', 'The engine could not be reached.', 1), 'unsent');
       return;
     }
-    this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine failed.'));
+    // Why not against the engine: it forgot an idle conn, and may be well. The order may have run all the same.
+    this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine failed.'), forgotten !== true);
   }
 
   /** A failure after bytes may have left: only a resumable order whose answer has not begun is sent again. */
-  private broken(refusal: Refusal): void {
+  private broken(refusal: Refusal, isOfEngine = true): void {
+    if (isOfEngine) this.tellOutliers('failed');
     this.parts.log(`An answer of ${this.placed.engine} broke off: ${refusal.text}`);
     if (!this.attested) this.parts.tell(this.fetch.abandoned);
     if (this.context.answer.begun() && !this.mayGoOnAfter()) {
@@ -407,7 +420,10 @@
   }
 
   private abandon(refusal: Refusal): void {
+    const isWaiting = this.state.kind === 'opening';
     if (!this.step({ kind: 'cut' })) return;
+    // Why the caller's leaving too: those who wait for a silent engine go sooner than any limit ends.
+    if (isWaiting && silences.includes(refusal.code)) this.tellOutliers('silent');
     this.parts.log(`A send to ${this.placed.engine} is given up: ${refusal.code}.`);
     if (!this.attested) this.parts.tell(this.fetch.abandoned);
     this.cutSend();
@@ -507,7 +523,8 @@
       return { kind: 'anew', context, refusal };
     }
     const stillThere = this.parts.view
-      .candidates(resolved.mapping.service)
+      // Why also those left out: it was placed there before, and one on probation counts this very order as its own.
+      .able(resolved.mapping.service)
       .some(
         ({ name, bootEpoch, weights }) =>
           name === placed.engine && bootEpoch === placed.bootEpoch && weights === placed.weights,
--- a/source/shared/back-end/protocol.ts
+++ b/source/shared/back-end/protocol.ts
@@ -221,7 +221,12 @@
 export type SendHead = Readonly<{ status: number; headers: Readonly<Record<string, string>>; framed: boolean }>;
 
 /** What became of a send that did not come to a whole answer. */
-export type SendFailure = Readonly<{ kind: 'notRun' | 'mayHaveRun'; text: string }>;
+export type SendFailure = Readonly<{
+  kind: 'notRun' | 'mayHaveRun';
+  text: string;
+  /** The conn was reset as the first bytes came: its back end had forgotten it while it was idle. */
+  forgotten?: true;
+}>;
 
 export interface SendSink {
   /** Asked when the conn stands, right before the first byte leaves. No means: cut, and nothing was written. */
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -40,6 +40,8 @@
   tenants: Readonly<Record<string, number>>;
   /** Tokens that its sends have an engine read before their first events, and tokens of all its sends there. */
   work?: Readonly<Record<string, readonly [reading: number, tokens: number]>>;
+  /** Answers that failed lately and good ones, only of engines where some failed; missing: none did anywhere. */
+  failing?: Readonly<Record<string, readonly [failed: number, good: number]>>;
 }>;
 
 export const FactKeys = {
--- /dev/null
+++ b/tests/outliers.test.ts
@@ -0,0 +1,432 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import fc from 'fast-check';
+import { AnswerCounts } from '../source/edge-proxy/outliers/answerCounts';
+import { EjectionBound, type PoolMember } from '../source/edge-proxy/outliers/ejectionBound';
+import { OutlierDetector } from '../source/edge-proxy/outliers/outlierDetector';
+import { OutlierSettings } from '../source/edge-proxy/outliers/outlierSettings';
+import { OutlierStates, type OutlierEvent, type OutlierState } from '../source/edge-proxy/outliers/outlierStates';
+import { OutlierVerdicts, type Evidence } from '../source/edge-proxy/outliers/outlierVerdicts';
+import { Probes } from '../source/edge-proxy/outliers/probes';
+import type { LoadFact } from '../source/shared/news/factTypes';
+import { HandClock } from './support/rawEngine';
+
+const settings = OutlierSettings.usual;
+
+const someEvent: fc.Arbitrary<(atMicroseconds: number) => OutlierEvent> = fc.oneof(
+  fc.constantFrom('sound', 'doubtful', 'outlier').map((verdict) => (atMicroseconds: number): OutlierEvent => ({
+    kind: 'judged',
+    atMicroseconds,
+    verdict: verdict as 'sound' | 'doubtful' | 'outlier',
+  })),
+  fc
+    .boolean()
+    .map((isGood) => (atMicroseconds: number): OutlierEvent => ({ kind: 'answered', atMicroseconds, isGood })),
+  fc.tuple(fc.boolean(), fc.boolean()).map(([isProber, othersFail]) => (atMicroseconds: number): OutlierEvent => ({
+    kind: 'passed',
+    atMicroseconds,
+    isProber,
+    othersFail,
+  })),
+);
+const someHistory = fc.array(fc.tuple(fc.integer({ min: 0, max: 20_000_000 }), someEvent), { maxLength: 60 });
+
+/** Each state with the event that led to it. */
+const walked = (
+  history: readonly (readonly [number, (at: number) => OutlierEvent])[],
+): readonly Readonly<{ before: OutlierState; event: OutlierEvent; after: OutlierState }>[] => {
+  let state = OutlierStates.start;
+  let at = 0;
+  return history.map(([pause, make]) => {
+    at += pause;
+    const before = state;
+    const event = make(at);
+    state = OutlierStates.step(before, event, settings);
+    return { before, event, after: state };
+  });
+};
+
+describe('states of an engine', () => {
+  test('the first ejection is short, each one in a row twice as long, and none is longer than the longest', () => {
+    let state = OutlierStates.start;
+    let at = 0;
+    const lengths: number[] = [];
+    for (let round = 0; round < 8; round += 1) {
+      state = OutlierStates.step(state, { kind: 'judged', verdict: 'outlier', atMicroseconds: at }, settings);
+      assert.equal(state.kind, 'ejected');
+      if (state.kind !== 'ejected') return;
+      lengths.push(state.untilMicroseconds - at);
+      at = state.untilMicroseconds;
+      const passed = { kind: 'passed', isProber: true, othersFail: false, atMicroseconds: at } as const;
+      state = OutlierStates.step(state, passed, settings);
+      for (let good = 0; good < settings.probeAnswers; good += 1)
+        state = OutlierStates.step(state, { kind: 'answered', isGood: true, atMicroseconds: at }, settings);
+      assert.equal(state.kind, 'good');
+    }
+    assert.deepEqual(
+      lengths.map((length) => length / 1_000_000),
+      [6, 12, 24, 48, 60, 60, 60, 60],
+    );
+  });
+
+  test('an engine that is good for long is no repeat offender any more', () => {
+    const state: OutlierState = { kind: 'good', offences: 3, atMicroseconds: 0 };
+    const sound = (atMicroseconds: number): OutlierState =>
+      OutlierStates.step(state, { kind: 'judged', verdict: 'sound', atMicroseconds }, settings);
+    assert.equal(sound(settings.forgetMicroseconds - 1), state);
+    assert.equal(sound(settings.forgetMicroseconds).offences, 0);
+  });
+
+  test('only those who try first end an ejection at its time; the others wait, and longer where it still fails', () => {
+    const state: OutlierState = { kind: 'ejected', offences: 1, atMicroseconds: 0, untilMicroseconds: 10 };
+    const passed = (atMicroseconds: number, isProber: boolean, othersFail: boolean): OutlierState =>
+      OutlierStates.step(state, { kind: 'passed', atMicroseconds, isProber, othersFail }, settings);
+    assert.equal(passed(10, true, true).kind, 'probation');
+    assert.equal(passed(10 + settings.laterMicroseconds - 1, false, false), state);
+    const later = 10 + settings.laterMicroseconds;
+    assert.equal(passed(later, false, false).kind, 'probation');
+    assert.deepEqual(passed(later, false, true), { ...state, untilMicroseconds: later + settings.ejectMicroseconds });
+  });
+
+  test('whatever happens: ways between states are the drawn ones, and what does not apply changes nothing', () => {
+    const ways: Readonly<Record<OutlierState['kind'], readonly OutlierState['kind'][]>> = {
+      good: ['good', 'suspected', 'ejected'],
+      suspected: ['good', 'suspected', 'ejected'],
+      ejected: ['ejected', 'probation'],
+      probation: ['probation', 'ejected', 'good'],
+    };
+    fc.assert(
+      fc.property(someHistory, (history) => {
+        for (const { before, event, after } of walked(history)) {
+          assert.ok(ways[before.kind].includes(after.kind), `${before.kind} to ${after.kind}`);
+          // Why: nobody is sent to a failing engine before its time, whatever is told.
+          if (before.kind === 'ejected' && after.kind === 'probation')
+            assert.ok(event.atMicroseconds >= before.untilMicroseconds);
+          if (after.kind === 'ejected' && before.kind !== 'ejected') {
+            const length = after.untilMicroseconds - event.atMicroseconds;
+            assert.ok(length >= settings.ejectMicroseconds && length <= settings.mostEjectMicroseconds);
+            assert.equal(after.offences, before.offences + 1);
+          }
+          if (before.kind === 'probation' && after.kind === 'good')
+            assert.equal(before.good, settings.probeAnswers - 1);
+          if (event.kind === 'answered' && before.kind !== 'probation') assert.equal(after, before);
+        }
+      }),
+    );
+  });
+
+  test('an engine that flaps is tried ever more seldom', () => {
+    let state = OutlierStates.start;
+    let tries = 0;
+    for (let at = 0; at < 300_000_000; at += 100_000) {
+      if (state.kind === 'good')
+        state = OutlierStates.step(state, { kind: 'judged', verdict: 'outlier', atMicroseconds: at }, settings);
+      const before = state.kind;
+      state = OutlierStates.step(
+        state,
+        { kind: 'passed', isProber: true, othersFail: false, atMicroseconds: at },
+        settings,
+      );
+      if (before === 'ejected' && String(state.kind) === 'probation') tries += 1;
+      // Good for just as long as it is looked at, then down again.
+      state = OutlierStates.step(state, { kind: 'answered', isGood: true, atMicroseconds: at }, settings);
+    }
+    // 300 s of the first length alone would be 47.
+    assert.ok(tries <= 9, `${tries}`);
+  });
+});
+
+const someMember: fc.Arbitrary<Omit<PoolMember, 'name'>> = fc.record({
+  capacity: fc.integer({ min: 0, max: 24 }),
+  inFlight: fc.integer({ min: 0, max: 30 }),
+  offences: fc.integer({ min: 0, max: 5 }),
+  isOut: fc.boolean(),
+});
+const named = (members: readonly Omit<PoolMember, 'name'>[]): readonly PoolMember[] =>
+  members.map((member, place) => ({ ...member, name: `e${place}` }));
+
+describe('the bound on ejections', () => {
+  test('never more than its part of a pool, never so that the others lack room, never one that should stay', () => {
+    fc.assert(
+      fc.property(
+        fc.array(someMember, { maxLength: 12 }),
+        fc.integer({ min: 0, max: OutlierSettings.mostEjectPerMille }),
+        (members, ejectPerMille) => {
+          const pool = named(members);
+          const out = EjectionBound.out(pool, { ...settings, ejectPerMille });
+          assert.ok(out.size * 1000 <= pool.length * ejectPerMille);
+          const rest = pool.filter(({ name }) => !out.has(name));
+          assert.ok(pool.every(({ name, isOut }) => isOut || !out.has(name)));
+          if (out.size === 0) return;
+          const places = rest.reduce((sum, { capacity }) => sum + capacity, 0);
+          const free = rest.reduce((sum, { capacity, inFlight }) => sum + Math.max(0, capacity - inFlight), 0);
+          assert.ok(places > 0 && free * 1000 >= places * settings.sparePerMille);
+        },
+      ),
+    );
+  });
+
+  test('all that know the same leave out the same, in whatever order they hold it', () => {
+    fc.assert(
+      fc.property(
+        fc.array(someMember, { maxLength: 12 }),
+        fc.infiniteStream(fc.double({ min: 0, max: 1, noNaN: true })),
+        (members, draws) => {
+          const pool = named(members);
+          const mixed = pool
+            .map((member) => ({ member, place: Number(draws.next().value) }))
+            .sort((one, two) => one.place - two.place)
+            .map(({ member }) => member);
+          assert.deepEqual(
+            [...EjectionBound.out(mixed, settings)].sort(),
+            [...EjectionBound.out(pool, settings)].sort(),
+          );
+        },
+      ),
+    );
+  });
+
+  test('an engine is not taken out of a pool of two, and one of three is', () => {
+    const pool = (count: number): readonly PoolMember[] =>
+      Array.from({ length: count }, (_, place) => ({
+        name: `e${place}`,
+        capacity: 6,
+        inFlight: 0,
+        offences: 1,
+        isOut: place === 0,
+      }));
+    assert.equal(EjectionBound.out(pool(2), settings).size, 0);
+    assert.deepEqual([...EjectionBound.out(pool(4), settings)], ['e0']);
+  });
+});
+
+const item = (
+  name: string,
+  own: [good: number, failed: number],
+  others: [number, number, number] = [0, 0, 0],
+): Evidence => ({
+  name,
+  own: { good: own[0], failed: own[1] },
+  others: { good: others[0], failed: others[1], tellers: others[2] },
+});
+const verdicts = (pool: readonly Evidence[], proxies = 4): Readonly<Record<string, string>> =>
+  Object.fromEntries(OutlierVerdicts.of(pool, proxies, settings));
+
+describe('verdicts', () => {
+  test('one engine that fails a part of its orders is an outlier, the others are sound', () => {
+    assert.deepEqual(verdicts([item('a', [10, 4]), item('b', [15, 0]), item('c', [15, 0])]), {
+      a: 'outlier',
+      b: 'sound',
+      c: 'sound',
+    });
+  });
+
+  test('few failures make an engine doubtful, no more', () => {
+    assert.equal(verdicts([item('a', [8, 1]), item('b', [9, 0]), item('c', [9, 0])])['a'], 'doubtful');
+  });
+
+  test('where no proxy sees enough alone, what all tell together is enough', () => {
+    const pool = [item('a', [0, 1], [2, 8, 7]), item('b', [1, 0]), item('c', [1, 0]), item('d', [1, 0])];
+    assert.equal(verdicts(pool, 30)['a'], 'outlier');
+  });
+
+  test('one proxy whose link fails speaks for nobody', () => {
+    const pool = [item('a', [5, 0], [0, 40, 1]), item('b', [5, 0]), item('c', [5, 0])];
+    assert.deepEqual(new Set(Object.values(verdicts(pool))), new Set(['sound']));
+  });
+
+  test('an engine that fails for others alone keeps the orders of those it answers', () => {
+    const pool = [item('a', [30, 0], [0, 60, 5]), item('b', [30, 0]), item('c', [30, 0])];
+    assert.equal(verdicts(pool)['a'], 'sound');
+  });
+
+  test('failures at all engines alike eject none, whatever their number', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 2, max: 42 }),
+        fc.integer({ min: 1, max: 50 }),
+        fc.integer({ min: 0, max: 50 }),
+        fc.integer({ min: 0, max: 70 }),
+        (engines, failed, good, tellers) => {
+          const pool = Array.from({ length: engines }, (_, place) =>
+            item(`e${place}`, [good, failed], [good, failed, tellers]),
+          );
+          assert.ok(Object.values(verdicts(pool, 70)).every((verdict) => verdict === 'sound'));
+        },
+      ),
+    );
+  });
+
+  test("the own link failing: all of a proxy's orders fail, unevenly, and no engine is ejected for it", () => {
+    const pool = [item('a', [0, 12]), item('b', [0, 4]), item('c', [1, 3]), item('d', [0, 6])];
+    assert.ok(!Object.values(verdicts(pool)).includes('outlier'));
+  });
+
+  test('no failures, no doubt', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 0, max: 99 }), { maxLength: 20 }), (goods) => {
+        const pool = goods.map((good, place) => item(`e${place}`, [good, 0]));
+        assert.ok(Object.values(verdicts(pool)).every((verdict) => verdict === 'sound'));
+      }),
+    );
+  });
+});
+
+test('answers count for one to two half windows', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.integer({ min: 0, max: 2_000_000 }), fc.boolean()), { maxLength: 40 }),
+      fc.integer({ min: 0, max: 9_000_000 }),
+      (answers, pause) => {
+        const half = settings.halfWindowMicroseconds;
+        const counts = new AnswerCounts(half);
+        let now = 0;
+        const all = answers.map(([after, isGood]) => {
+          now += after;
+          counts.count('e', isGood, now);
+          return { at: now, isGood };
+        });
+        now += pause;
+        const from = (Math.floor(now / half) - 1) * half;
+        const recent = all.filter(({ at }) => at >= from);
+        const failed = recent.filter(({ isGood }) => !isGood).length;
+        assert.deepEqual(counts.of('e', now), { failed, good: recent.length - failed });
+        assert.equal(counts.hasFailures(now), failed > 0);
+        assert.deepEqual(counts.failing(now), failed > 0 ? { e: [failed, recent.length - failed] } : {});
+      },
+    ),
+  );
+});
+
+const engines = ['e0', 'e1', 'e2', 'e3'];
+const setUp = (
+  given: OutlierSettings = settings,
+): Readonly<{
+  clock: HandClock;
+  detector: OutlierDetector;
+  review: (others?: readonly LoadFact[]) => void;
+  standing: (name: string, isFree?: boolean) => string | undefined;
+  calm: () => void;
+}> => {
+  const clock = new HandClock();
+  const detector = new OutlierDetector('p1', clock, given);
+  const daemons = ['p1', 'p2', 'p3'];
+  return {
+    clock,
+    detector,
+    review: (others = []) => detector.review(others, () => [{ names: engines, daemons }]),
+    standing: (name, isFree = true) =>
+      detector
+        .standingsIn(
+          engines.map((engine) => ({ name: engine, capacity: 6, inFlight: 0 })),
+          () => isFree,
+        )
+        .get(name),
+    calm: () => engines.forEach((name) => Array.from({ length: 6 }, () => detector.answered(name, 'good'))),
+  };
+};
+
+const fail = (detector: OutlierDetector, name: string, times: number): void => {
+  for (let time = 0; time < times; time += 1) detector.answered(name, 'failed');
+};
+
+describe('the detector', () => {
+  test('at rest nothing is told and no pool is looked at', () => {
+    const { detector, calm } = setUp();
+    calm();
+    assert.equal(detector.telling(), undefined);
+    detector.review([], () => assert.fail('looked at'));
+    assert.equal(detector.standingsIn([], () => true).size, 0);
+  });
+
+  test('an engine that fails is told of while it does, ejected, tried by one order at a time, and good again', () => {
+    const { clock, detector, review, standing, calm } = setUp();
+    calm();
+    fail(detector, 'e2', 3);
+    assert.deepEqual(detector.telling(), { e2: [3, 6] });
+    review();
+    assert.equal(standing('e2'), 'out');
+    clock.pass(settings.ejectMicroseconds);
+    assert.equal(detector.telling(), undefined, 'nothing is told of old failures');
+    review();
+    assert.equal(standing('e2'), 'probation');
+    assert.equal(standing('e2', false), 'out', 'one order at a time');
+    for (let time = 0; time < settings.probeAnswers; time += 1) detector.answered('e2', 'good');
+    assert.equal(standing('e2'), undefined);
+    calm();
+    fail(detector, 'e2', 6);
+    review();
+    clock.pass(settings.ejectMicroseconds);
+    review();
+    assert.equal(standing('e2'), 'out', 'a repeat offender stays out for longer');
+  });
+
+  test('a failure on probation ejects again', () => {
+    const { clock, detector, review, standing, calm } = setUp();
+    calm();
+    fail(detector, 'e2', 3);
+    review();
+    clock.pass(settings.ejectMicroseconds);
+    review();
+    fail(detector, 'e2', 1);
+    assert.equal(standing('e2'), 'out');
+  });
+
+  test('with the mechanism set to nothing no engine is ever left out', () => {
+    const { detector, review, standing, calm } = setUp({ ...settings, ejectPerMille: 0 });
+    calm();
+    fail(detector, 'e2', 30);
+    review();
+    assert.equal(standing('e2'), undefined);
+  });
+
+  test('what others tell counts, and a caller that left soon says nothing of the engine', () => {
+    const { detector, review, standing, calm } = setUp();
+    calm();
+    detector.answered('e1', 'silent', settings.silentMicroseconds - 1);
+    assert.equal(detector.telling(), undefined);
+    const load = (agent: string): LoadFact => ({
+      agent,
+      engines: {},
+      classes: {},
+      waiting: {},
+      tenants: {},
+      failing: { e3: [6, 6] },
+    });
+    review([load('p2'), load('p3')]);
+    assert.equal(standing('e3'), 'out');
+  });
+
+  test('an engine its steward does not hear goes on while its answers are good, those since that word', () => {
+    const { clock, detector } = setUp();
+    detector.answered('e1', 'good');
+    assert.equal(detector.answersThoughSilent('e1', '1.2'), false, 'older answers say nothing new');
+    clock.pass(1000);
+    detector.answered('e1', 'good');
+    assert.equal(detector.answersThoughSilent('e1', '1.2'), true);
+    assert.equal(detector.answersThoughSilent('e1', '1.3'), false, 'another word, other answers');
+    clock.pass(1000);
+    detector.answered('e1', 'good');
+    clock.pass(settings.speaksMicroseconds);
+    assert.equal(detector.answersThoughSilent('e1', '1.3'), false, 'not for ever');
+  });
+
+  test('orders that may run again try an engine first; others only where there are none of those', () => {
+    const { clock, detector } = setUp();
+    assert.equal(detector.mayProbe('pool', false), true);
+    assert.equal(detector.mayProbe('pool', true), true);
+    assert.equal(detector.mayProbe('pool', false), false);
+    clock.pass(settings.repeatableMicroseconds);
+    assert.equal(detector.mayProbe('pool', false), true);
+    const offered = [{ name: 'a' }, { name: 'b', standing: 'probation' as const }];
+    assert.deepEqual(Probes.among(offered, true), [offered[1]]);
+    assert.deepEqual(Probes.among(offered, false), [offered[0]]);
+  });
+
+  test('settings that cannot be used are told', () => {
+    assert.equal(OutlierSettings.fault(settings), undefined);
+    assert.match(OutlierSettings.fault({ ...settings, ejectPerMille: 501 }) ?? '', /per mille/);
+    assert.match(OutlierSettings.fault({ ...settings, ejectMicroseconds: 1 }) ?? '', /as long as/);
+    assert.match(OutlierSettings.fault({ ...settings, probeAnswers: -1 }) ?? '', /whole numbers/);
+  });
+});
