--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -394,6 +394,7 @@
       tenants: load.tenants,
       ...(load.work === undefined ? {} : { work: load.work }),
       ...(load.failing === undefined ? {} : { failing: load.failing }),
+      ...(load.answering === undefined ? {} : { answering: load.answering }),
     };
     this.sayLoad(value);
   }
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -362,12 +362,11 @@
    * the same rule: what it says has an age, and the fence is no wider. So the order of stops on a machine does not matter.
    */
   private async feed(): Promise<void> {
-    const failing = this.view.outliers.telling();
     const load = {
       engines: this.view.loads(),
       ...this.desk.loads(),
       work: this.view.work.sums(),
-      ...(failing === undefined ? {} : { failing }),
+      ...this.view.outliers.telling(),
     };
     const foster = this.feeders.foster();
     await Promise.all([
--- a/source/edge-proxy/outliers/outlierDetector.ts
+++ b/source/edge-proxy/outliers/outlierDetector.ts
@@ -15,6 +15,7 @@
 export type AnswerEnd = 'good' | 'failed' | 'silent';
 
 type Told = Readonly<{ good: number; failed: number; tellers: number }>;
+type Tellings = Readonly<{ engines: ReadonlyMap<string, Told>; answering: ReadonlySet<string> }>;
 type Pool = Readonly<{ names: readonly string[]; daemons: readonly string[] }>;
 type Member = Readonly<{ name: string; capacity: number; inFlight: number }>;
 
@@ -29,9 +30,11 @@
   private readonly states = new Map<string, OutlierState>();
   private readonly counts: AnswerCounts;
   private readonly goodAt = new Map<string, number>();
+  /** When an order last failed there, or did not come through at all. */
+  private readonly missedAt = new Map<string, number>();
   private readonly silentSince = new Map<string, Readonly<{ version: string; at: number }>>();
   private readonly repeatableAt = new Map<string, number>();
-  private told: Readonly<{ of: readonly LoadFact[]; engines: ReadonlyMap<string, Told> }> | undefined;
+  private told: (Tellings & Readonly<{ of: readonly LoadFact[] }>) | undefined;
   private changeCount = 0;
 
   public constructor(
@@ -63,38 +66,53 @@
     if (end === 'silent' && tookMicroseconds < this.settings.silentMicroseconds) return;
     const atMicroseconds = this.clock.nowMicroseconds();
     const isGood = end === 'good';
-    if (isGood) this.goodAt.set(engine, atMicroseconds);
+    (isGood ? this.goodAt : this.missedAt).set(engine, atMicroseconds);
     this.counts.count(engine, isGood, atMicroseconds);
     this.step(engine, { kind: 'answered', atMicroseconds, isGood });
   }
 
   /**
-   * Whether the engine answers orders though its steward hears nothing of it. Why only answers since that word came: one
-   * from before says nothing that the steward did not know. `version`: that of the steward's word.
+   * Whether the engine answers orders though its steward hears nothing of it. Why only answers from about when that word
+   * came, or later: an older one says nothing that the steward did not know. `version`: that of the steward's word.
    */
   public answersThoughSilent(engine: string, version: string): boolean {
     const now = this.clock.nowMicroseconds();
     const known = this.silentSince.get(engine);
     if (known?.version !== version) {
       this.silentSince.set(engine, { version, at: now });
-      return false;
+      return this.speaksFor(engine, now, now);
     }
-    const good = this.goodAt.get(engine) ?? -Infinity;
-    return good > known.at && now - good < this.settings.speaksMicroseconds;
+    // Why the others too: where many proxies share an engine, each of them seldom hears of it.
+    return this.speaksFor(engine, known.at, now) || this.isVouchedFor(engine, now);
+  }
+
+  /** A conn to the engine did not come up. It is no failure, and no answer either. */
+  public unreached(engine: string): void {
+    this.missedAt.set(engine, this.clock.nowMicroseconds());
   }
 
-  /** What this proxy tells the others: counts of engines that failed lately. Undefined: none did, and nothing is said. */
-  public telling(): LoadFact['failing'] {
+  /** Its steward hears the engine. */
+  public heardOf(engine: string): void {
+    if (this.silentSince.size > 0) this.silentSince.delete(engine);
+  }
+
+  /** What this proxy tells the others. While no engine fails, and stewards hear all of them, nothing. */
+  public telling(): Pick<LoadFact, 'failing' | 'answering'> {
     const now = this.clock.nowMicroseconds();
-    if (!this.counts.hasFailures(now)) return undefined;
-    const failing = this.counts.failing(now);
-    return Object.keys(failing).length === 0 ? undefined : failing;
+    const failing = this.settings.ejectPerMille === 0 ? {} : this.counts.failing(now);
+    const answering = [...this.silentSince].flatMap(([engine, { at }]) =>
+      this.speaksFor(engine, at, now) ? [engine] : [],
+    );
+    return {
+      ...(Object.keys(failing).length === 0 ? {} : { failing }),
+      ...(answering.length === 0 ? {} : { answering }),
+    };
   }
 
   /** Called with news: judges the engines of each pool by all that is known. At rest it looks at two numbers. */
   public review(others: readonly LoadFact[], pools: () => readonly Pool[]): void {
     const atMicroseconds = this.clock.nowMicroseconds();
-    const told = this.toldBy(others);
+    const told = this.toldBy(others).engines;
     if (this.states.size === 0 && told.size === 0 && !this.counts.hasFailures(atMicroseconds)) return;
     for (const { names, daemons } of pools()) {
       // Why not the others: only a pool where something failed, or is made good, has anything to judge.
@@ -163,7 +181,7 @@
   public keepOnly(names: readonly string[]): void {
     const kept = new Set(names);
     this.counts.keepOnly(kept);
-    for (const book of [this.states, this.goodAt, this.silentSince])
+    for (const book of [this.states, this.goodAt, this.missedAt, this.silentSince])
       for (const name of book.keys()) if (!kept.has(name)) book.delete(name);
   }
 
@@ -180,18 +198,33 @@
       this.log(`Engine ${engine} is ${after.kind}, it was ${before.kind}; ejected ${after.offences} times.`);
   }
 
-  private toldBy(others: readonly LoadFact[]): ReadonlyMap<string, Told> {
+  private speaksFor(engine: string, silentAt: number, now: number): boolean {
+    const good = this.goodAt.get(engine) ?? -Infinity;
+    const missed = this.missedAt.get(engine) ?? -Infinity;
+    const { speaksMicroseconds, wordMicroseconds } = this.settings;
+    return good > missed && good > silentAt - wordMicroseconds && now - good < speaksMicroseconds;
+  }
+
+  /** Why not where an own order failed just now: the engine may be gone, and word of that is on its way. */
+  private isVouchedFor(engine: string, now: number): boolean {
+    const missed = this.missedAt.get(engine) ?? -Infinity;
+    return this.told?.answering.has(engine) === true && now - missed >= this.settings.speaksMicroseconds;
+  }
+
+  private toldBy(others: readonly LoadFact[]): Tellings {
     // Why by the list itself: it is made anew with news, and only then.
-    if (this.told?.of === others) return this.told.engines;
+    if (this.told?.of === others) return this.told;
     const engines = new Map<string, Told>();
-    for (const { failing } of others) {
+    const vouched = new Set<string>();
+    for (const { failing, answering } of others) {
+      for (const name of answering ?? []) vouched.add(name);
       if (failing === undefined) continue;
       for (const [name, [failed, good]] of Object.entries(failing)) {
         const known = engines.get(name) ?? untold;
         engines.set(name, { failed: known.failed + failed, good: known.good + good, tellers: known.tellers + 1 });
       }
     }
-    this.told = { of: others, engines };
-    return engines;
+    this.told = { of: others, engines, answering: vouched };
+    return this.told;
   }
 }
--- a/source/edge-proxy/outliers/outlierSettings.ts
+++ b/source/edge-proxy/outliers/outlierSettings.ts
@@ -30,6 +30,8 @@
   silentMicroseconds: number;
   /** So long a good answer speaks for an engine whose control side is silent. */
   speaksMicroseconds: number;
+  /** A steward's word that it hears nothing is at least so old when it comes. */
+  wordMicroseconds: number;
 }>;
 
 /** Starting values, ours. */
@@ -51,6 +53,7 @@
   repeatableMicroseconds: 5_000_000,
   silentMicroseconds: 1_000_000,
   speaksMicroseconds: 1_500_000,
+  wordMicroseconds: 300_000,
 };
 
 /** Most that may be set: whoever takes out half of a pool has taken the pool out. */
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -221,8 +221,8 @@
       const fact = this.wordOf(service, name, engine);
       if (fact === undefined || fact.changing || fact.address !== engine.address) return [];
       // Why an engine its steward does not hear: it may be the way to its control side alone, while it answers orders.
-      const isHeard = fact.reachable && fact.accepting;
-      if (!isHeard && (fact.reachable || !this.outliers.answersThoughSilent(name, this.versionOf(name)))) return [];
+      if (fact.reachable) this.outliers.heardOf(name);
+      if (fact.reachable ? !fact.accepting : !this.outliers.answersThoughSilent(name, this.versionOf(name))) return [];
       if (this.fence.weights(service, fact.weights) === 'forbidden') return [];
       if (this.isOther(name)) return [];
       const inFlight = this.isFull(name) ? Math.max(counted, fact.capacity) : counted;
@@ -236,7 +236,6 @@
           inFlight,
           zone: engine.zone,
           work,
-          ...(isHeard ? {} : { standing: 'suspected' as const }),
         },
       ];
     });
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -398,6 +398,7 @@
         this.finish(this.stopped);
         return;
       }
+      this.parts.view.outliers.unreached(this.placed.engine);
       if (this.parts.unsentIsFree) this.parts.view.saidOther(this.placed.engine);
       this.again(Refusals.make(503, 'notRun', 'engineFailed', 'The engine could not be reached.', 1), 'unsent');
       return;
--- a/source/fleet-simulator/faults/backEndFaults.ts
+++ b/source/fleet-simulator/faults/backEndFaults.ts
@@ -66,4 +66,28 @@
       };
     await wait(trouble, 3_000_000, 5_000_000);
   },
+  /** Fails a part of its orders, by its own 500 or by answers that break off, while its status is good. */
+  engineGrey: async (trouble) => {
+    const mend = trouble.fleet.backEnds.sicken(someEngine(trouble), 'fails', between(trouble, 300, 800));
+    await wait(trouble, 7_000_000, 12_000_000);
+    mend();
+  },
+  /** Its control side says that it is well while it fails all orders, or says nothing while it answers all. */
+  engineHealthLies: async (trouble) => {
+    const { fleet } = trouble;
+    const isWell = fleet.world.random.fraction() < 0.5;
+    const mend = fleet.backEnds.sicken(someEngine(trouble), isWell ? 'controlSilent' : 'fails', isWell ? 0 : 1000);
+    await wait(trouble, 7_000_000, 10_000_000);
+    mend();
+  },
+  /** Goes down and up by turns. */
+  engineFlaps: async (trouble) => {
+    const engine = someEngine(trouble);
+    for (let round = 0; round < 6; round += 1) {
+      trouble.fleet.backEnds.kill(engine);
+      await wait(trouble, 100_000, 1_500_000);
+      trouble.fleet.backEnds.start(engine);
+      await wait(trouble, 300_000, 2_000_000);
+    }
+  },
 } satisfies Readonly<Record<string, Fault>>;
--- a/source/fleet-simulator/faults/faults.ts
+++ b/source/fleet-simulator/faults/faults.ts
@@ -1,12 +1,20 @@
 import { SimBlueprints } from '../machines/simFleet';
 import { BackEndFaults } from './backEndFaults';
+import { CallerFaults } from './callerFaults';
 import { ChangeFaults } from './changeFaults';
 import { CoreFaults } from './coreFaults';
 import { EdgeFaults } from './edgeFaults';
 import { PlannedFaults } from './plannedFaults';
 import type { Fault } from './trouble';
 
-export const Faults = { ...CoreFaults, ...EdgeFaults, ...BackEndFaults, ...ChangeFaults, ...PlannedFaults } as const;
+export const Faults = {
+  ...CoreFaults,
+  ...EdgeFaults,
+  ...BackEndFaults,
+  ...CallerFaults,
+  ...ChangeFaults,
+  ...PlannedFaults,
+} as const;
 
 export type FaultName = keyof typeof Faults;
 export const faultNames = Object.keys(Faults) as readonly FaultName[];
--- a/source/fleet-simulator/faults/scenario.ts
+++ b/source/fleet-simulator/faults/scenario.ts
@@ -36,6 +36,9 @@
 
 const weightsFaults: readonly FaultName[] = ['newWeights', 'weightsTwice', 'stewardSuspended'];
 
+/** Beside these, what engines that fail are sent can be judged: nothing else takes room or ways away. */
+const illFaults: readonly FaultName[] = ['engineGrey', 'engineHealthLies'];
+
 const serviceBackMicroseconds = 12_000_000;
 
 const keys: readonly (readonly [string, string])[] = [
@@ -86,6 +89,7 @@
   const world = new World(order.seed);
   const fleet = new SimFleet(world, order.shape ?? usualShape);
   await fleet.startAll();
+  fleet.backEnds.isTroubled = !order.faults.every((name) => illFaults.includes(name));
   const stopTraffic = traffic(fleet, fleet.shape.pauseMicroseconds);
   let intended: Blueprint = firstBlueprint('w1', fleet.shape.patience);
   let drained: readonly string[] = [];
--- a/source/fleet-simulator/judges/judges.ts
+++ b/source/fleet-simulator/judges/judges.ts
@@ -11,6 +11,8 @@
 const seconds = (microseconds: number): string => `${(microseconds / 1_000_000).toFixed(3)} s`;
 
 export const JudgeLimits = {
+  /** After so long it is known that an engine fails, or that it does not. */
+  outlierMicroseconds: 3_000_000,
   removedMicroseconds: 2_000_000,
   slipMicroseconds: 250_000,
   drainMicroseconds: 3_000_000,
@@ -106,6 +108,29 @@
         : [];
     }),
 
+  /** A failing engine must soon get less than the others; one that answers orders must not lose them for a silent control side. */
+  outliers: ({ fleet, tally }) =>
+    fleet.backEnds.ills.flatMap(({ engine, kind, fromMicroseconds, untilMicroseconds }) => {
+      const from = fromMicroseconds + JudgeLimits.outlierMicroseconds;
+      const until = Math.min(untilMicroseconds, fleet.world.nowMicroseconds);
+      if (fleet.backEnds.isTroubled || until - from < JudgeLimits.outlierMicroseconds) {
+        tally.skipped('outliers', 'other trouble, or too short');
+        return [];
+      }
+      tally.judged('outliers');
+      const count = (name: string): number =>
+        fleet.backEnds.arrivals.filter(
+          (arrival) => arrival.engine === name && arrival.atMicroseconds >= from && arrival.atMicroseconds < until,
+        ).length;
+      const ill = new Set(fleet.backEnds.ills.map((other) => other.engine));
+      const others = fleet.engineNames.filter((name) => !ill.has(name));
+      const usual = others.reduce((sum, name) => sum + count(name), 0) / Math.max(1, others.length);
+      const got = count(engine);
+      const text = `${engine} (${kind}) was sent ${got} orders in ${seconds(until - from)}, the others ${Math.round(usual)} each`;
+      if (kind === 'fails' && got * 4 > usual) return [broken('failingServed', text)];
+      return kind === 'controlSilent' && got * 4 < usual ? [broken('answeringLeftOut', text)] : [];
+    }),
+
   blocks: ({ fleet, blueprints, tally }) => {
     const callOf = new Map(fleet.callers.calls.map((call) => [call.nonce, call]));
     /** Whose the key may have been while the order was taken; and who is walled whichever blueprint is in force. */
--- a/source/fleet-simulator/machines/simBackEnds.ts
+++ b/source/fleet-simulator/machines/simBackEnds.ts
@@ -45,6 +45,16 @@
   readonly machine: string;
   readonly engine: StandInEngine | undefined;
   readonly kv: KvHolder;
+  /** Its control side answers nobody, though it takes orders. */
+  isControlSilent: boolean;
+};
+
+/** A time in which an engine failed orders, or in which only its control side was silent. */
+export type Ill = {
+  readonly engine: string;
+  readonly kind: 'fails' | 'controlSilent';
+  readonly fromMicroseconds: number;
+  untilMicroseconds: number;
 };
 
 const nonceIn = (body: string): string => /nonce:([A-Za-z0-9-]+)/.exec(body)?.[1] ?? '';
@@ -55,6 +65,9 @@
   public readonly arrivals: Arrival[] = [];
   public readonly sends: Sent[] = [];
   public readonly directives: Received[] = [];
+  public readonly ills: Ill[] = [];
+  /** Other troubles were caused besides, so that what ill engines get cannot be judged. */
+  public isTroubled = false;
   private readonly standing = new Map<string, Standing>();
 
   public constructor(
@@ -67,7 +80,7 @@
     const engine = new StandInEngine(settings, this.clockOf(name), this.world.random, this.neighboursOf(name), (line) =>
       this.runs.push(line),
     );
-    this.standing.set(name, { process, machine: name, engine, kv: engine.kv });
+    this.standing.set(name, { process, machine: name, engine, kv: engine.kv, isControlSilent: false });
     return `${name}:1`;
   }
 
@@ -77,6 +90,7 @@
       machine: name,
       engine: undefined,
       kv: new KvHolder(this.world.random.name(), 5000, this.world.random, () => this.world.nowMicroseconds),
+      isControlSilent: false,
     });
     return `${name}:1`;
   }
@@ -94,6 +108,21 @@
   public kill(name: string): void {
     this.get(name).process.kill();
     this.get(name).engine?.reboot();
+    this.get(name).isControlSilent = false;
+  }
+
+  /** Makes an engine ill; what is returned makes it well. */
+  public sicken(name: string, kind: Ill['kind'], failsPerMille = 0): () => void {
+    const standing = this.get(name);
+    const ill: Ill = { engine: name, kind, fromMicroseconds: this.world.nowMicroseconds, untilMicroseconds: Infinity };
+    this.ills.push(ill);
+    standing.isControlSilent = kind === 'controlSilent';
+    if (standing.engine !== undefined) standing.engine.failsPerMille = failsPerMille;
+    return () => {
+      ill.untilMicroseconds = this.world.nowMicroseconds;
+      standing.isControlSilent = false;
+      if (standing.engine !== undefined) standing.engine.failsPerMille = 0;
+    };
   }
 
   /** Comes back empty, on the weights it was installed with. */
@@ -123,7 +152,7 @@
             this.network.carry(name, agent.machine, () => agent.enter(() => resolve(result)));
           this.network.carry(agent.machine, name, () => {
             const standing = this.standing.get(name);
-            if (standing === undefined || !standing.process.alive) back(undefined);
+            if (standing === undefined || !standing.process.alive || standing.isControlSilent) back(undefined);
             else standing.process.enter(() => back(act(standing)));
           });
         }),
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -42,6 +42,8 @@
   work?: Readonly<Record<string, readonly [reading: number, tokens: number]>>;
   /** Answers that failed lately and good ones, only of engines where some failed; missing: none did anywhere. */
   failing?: Readonly<Record<string, readonly [failed: number, good: number]>>;
+  /** Engines whose stewards hear nothing of them, and that answered an order here all the same; missing: none. */
+  answering?: readonly string[];
 }>;
 
 export const FactKeys = {
--- a/source/stand-in-engine/standInEngine.ts
+++ b/source/stand-in-engine/standInEngine.ts
@@ -80,6 +80,8 @@
   public deaf = false;
   /** What is left of the capacity in a brown-out. */
   public capacityNow: number;
+  /** Of a thousand orders that it runs, so many fail, by its own 500 or by an answer that breaks off. */
+  public failsPerMille = 0;
   private weights: string;
   private highestTerm = 0;
   private loading: string | undefined;
@@ -121,6 +123,7 @@
     this.cancelLoad();
     this.loading = undefined;
     this.draining = false;
+    this.failsPerMille = 0;
     this.weights = weights;
     this.highestTerm = 0;
     this.kv.reboot(this.random.name());
@@ -185,6 +188,17 @@
     const prefix = await this.prefill(order, prompt, tenant, () => over);
     blocks = prefix.uses;
     if (over) return;
+    // Why no draw at rest: runs without this fault keep their histories.
+    const fails = this.failsPerMille > 0 && this.random.fraction() * 1000 < this.failsPerMille;
+    if (fails && this.random.fraction() < 0.5) {
+      sink.head(500, {
+        'content-type': 'application/json',
+        [BackEndHeaders.bootEpoch]: bootEpoch,
+        [BackEndHeaders.weights]: weightsAtStart,
+      });
+      sink.part('{"error":"failed"}');
+      return finish('whole');
+    }
     sink.head(200, {
       'content-type': body.stream === true ? 'text/event-stream' : 'application/json',
       [BackEndHeaders.bootEpoch]: bootEpoch,
@@ -197,6 +211,7 @@
     for (const word of words) {
       await Clocks.wait(this.clock, this.settings.partMicroseconds);
       if (over) return;
+      if (fails) return finish('cut');
       sent += 1;
       if (body.stream === true) sink.part(`data: ${JSON.stringify({ choices: [{ delta: { content: word } }] })}\n\n`);
     }
--- a/tests/outliers.test.ts
+++ b/tests/outliers.test.ts
@@ -334,7 +334,7 @@
   test('at rest nothing is told and no pool is looked at', () => {
     const { detector, calm } = setUp();
     calm();
-    assert.equal(detector.telling(), undefined);
+    assert.deepEqual(detector.telling(), {});
     detector.review([], () => assert.fail('looked at'));
     assert.equal(detector.standingsIn([], () => true).size, 0);
   });
@@ -343,11 +343,11 @@
     const { clock, detector, review, standing, calm } = setUp();
     calm();
     fail(detector, 'e2', 3);
-    assert.deepEqual(detector.telling(), { e2: [3, 6] });
+    assert.deepEqual(detector.telling(), { failing: { e2: [3, 6] } });
     review();
     assert.equal(standing('e2'), 'out');
     clock.pass(settings.ejectMicroseconds);
-    assert.equal(detector.telling(), undefined, 'nothing is told of old failures');
+    assert.deepEqual(detector.telling(), {}, 'nothing is told of old failures');
     review();
     assert.equal(standing('e2'), 'probation');
     assert.equal(standing('e2', false), 'out', 'one order at a time');
@@ -384,7 +384,7 @@
     const { detector, review, standing, calm } = setUp();
     calm();
     detector.answered('e1', 'silent', settings.silentMicroseconds - 1);
-    assert.equal(detector.telling(), undefined);
+    assert.deepEqual(detector.telling(), {});
     const load = (agent: string): LoadFact => ({
       agent,
       engines: {},
@@ -400,15 +400,35 @@
   test('an engine its steward does not hear goes on while its answers are good, those since that word', () => {
     const { clock, detector } = setUp();
     detector.answered('e1', 'good');
+    clock.pass(settings.wordMicroseconds);
     assert.equal(detector.answersThoughSilent('e1', '1.2'), false, 'older answers say nothing new');
     clock.pass(1000);
     detector.answered('e1', 'good');
     assert.equal(detector.answersThoughSilent('e1', '1.2'), true);
+    assert.deepEqual(detector.telling(), { answering: ['e1'] }, 'and is vouched for');
+    clock.pass(settings.wordMicroseconds);
     assert.equal(detector.answersThoughSilent('e1', '1.3'), false, 'another word, other answers');
+    detector.answered('e1', 'good');
+    assert.equal(detector.answersThoughSilent('e1', '1.3'), true);
+    clock.pass(1000);
+    detector.unreached('e1');
+    assert.equal(detector.answersThoughSilent('e1', '1.3'), false, 'a conn that does not come up speaks against it');
     clock.pass(1000);
     detector.answered('e1', 'good');
     clock.pass(settings.speaksMicroseconds);
     assert.equal(detector.answersThoughSilent('e1', '1.3'), false, 'not for ever');
+    detector.answered('e1', 'good');
+    detector.heardOf('e1');
+    assert.deepEqual(detector.telling(), {}, 'nothing more is told once its steward hears it');
+  });
+
+  test('an engine its steward does not hear goes on while another proxy vouches for it', () => {
+    const { detector, review } = setUp();
+    assert.equal(detector.answersThoughSilent('e1', '1.2'), false);
+    review([{ agent: 'p2', engines: {}, classes: {}, waiting: {}, tenants: {}, answering: ['e1'] }]);
+    assert.equal(detector.answersThoughSilent('e1', '1.2'), true);
+    review([]);
+    assert.equal(detector.answersThoughSilent('e1', '1.2'), false);
   });
 
   test('orders that may run again try an engine first; others only where there are none of those', () => {
--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -408,6 +408,45 @@
       ],
     ],
   },
+  {
+    point: 'failingServed',
+    what: 'engines whose answers fail stay as they are for placement',
+    faults: ['engineGrey'],
+    seeds: 4,
+    cuts: [
+      [
+        'edge-proxy/outliers/outlierDetector.ts',
+        'if (this.settings.ejectPerMille === 0) return;',
+        'if (this.settings.ejectPerMille >= 0) return;',
+      ],
+    ],
+  },
+  {
+    point: 'failingServed',
+    what: 'an engine whose control side says it is well stays, whatever its answers are',
+    faults: ['engineHealthLies'],
+    seeds: 8,
+    cuts: [
+      [
+        'edge-proxy/outliers/outlierDetector.ts',
+        'if (this.settings.ejectPerMille === 0) return;',
+        'if (this.settings.ejectPerMille >= 0) return;',
+      ],
+    ],
+  },
+  {
+    point: 'answeringLeftOut',
+    what: 'an engine its steward does not hear is lost, whatever it answers',
+    faults: ['engineHealthLies'],
+    seeds: 8,
+    cuts: [
+      [
+        'edge-proxy/outliers/outlierDetector.ts',
+        'return good > missed && good > silentAt - wordMicroseconds && now - good < speaksMicroseconds;',
+        'return good > missed && good > silentAt - wordMicroseconds && now - good < 0;',
+      ],
+    ],
+  },
 ];
 
 /** Finds the text whatever the line breaks of the formatter are; it must stand there exactly once. */
