Idle conns that an engine forgot: told apart, learned from, and no failure

Cause: engines may forget an idle conn sooner than usual without notice, and reset the next thing sent on it. What was written once was never written again before either (mayHaveRun), but the reset counted as any other failure of the engine, and the next order met the next forgotten conn; an order that may run once trusted a conn for 3 s whatever had happened. A reset within 0.15 s of the first byte, without one byte of answer, on a conn idle for 0.2 s or more now says `forgotten`: conns to that address idle for half as long are given up unused, orders that may run once trust them for a quarter, and that bound doubles with every quiet 10 s. Outlier detection does not count it. Left open: the first such order after an engine begins to forget, on a conn idle between that time and 3 s, is lost to a 502.

--- a/source/fleet-simulator/faults/backEndFaults.ts
+++ b/source/fleet-simulator/faults/backEndFaults.ts
@@ -80,6 +80,12 @@
     await wait(trouble, 7_000_000, 10_000_000);
     mend();
   },
+  /** Forgets kept conns without notice: what is sent on one is reset unread. The engine is well. */
+  connsForgotten: async (trouble) => {
+    const mend = trouble.fleet.backEnds.sicken(someEngine(trouble), 'forgetsConns', between(trouble, 100, 400));
+    await wait(trouble, 7_000_000, 10_000_000);
+    mend();
+  },
   /** Goes down and up by turns. */
   engineFlaps: async (trouble) => {
     const engine = someEngine(trouble);
--- a/source/fleet-simulator/faults/scenario.ts
+++ b/source/fleet-simulator/faults/scenario.ts
@@ -37,7 +37,7 @@
 const weightsFaults: readonly FaultName[] = ['newWeights', 'weightsTwice', 'stewardSuspended'];
 
 /** Beside these, what engines that fail are sent can be judged: nothing else takes room or ways away. */
-const illFaults: readonly FaultName[] = ['engineGrey', 'engineHealthLies'];
+const illFaults: readonly FaultName[] = ['engineGrey', 'engineHealthLies', 'connsForgotten'];
 
 const serviceBackMicroseconds = 12_000_000;
 
--- a/source/fleet-simulator/judges/judges.ts
+++ b/source/fleet-simulator/judges/judges.ts
@@ -108,12 +108,19 @@
         : [];
     }),
 
-  /** A failing engine must soon get less than the others; one that answers orders must not lose them for a silent control side. */
+  /** A failing engine must soon get less than the others; one that answers them must not lose them for other things. */
   outliers: ({ fleet, tally }) =>
     fleet.backEnds.ills.flatMap(({ engine, kind, fromMicroseconds, untilMicroseconds }) => {
       const from = fromMicroseconds + JudgeLimits.outlierMicroseconds;
       const until = Math.min(untilMicroseconds, fleet.world.nowMicroseconds);
-      if (fleet.backEnds.isTroubled || until - from < JudgeLimits.outlierMicroseconds) {
+      const alsoIll = fleet.backEnds.ills.some(
+        (other) =>
+          other.engine === engine &&
+          other.fromMicroseconds !== fromMicroseconds &&
+          other.fromMicroseconds < until &&
+          other.untilMicroseconds > fromMicroseconds,
+      );
+      if (fleet.backEnds.isTroubled || alsoIll || until - from < JudgeLimits.outlierMicroseconds) {
         tally.skipped('outliers', 'other trouble, or too short');
         return [];
       }
@@ -128,7 +135,7 @@
       const got = count(engine);
       const text = `${engine} (${kind}) was sent ${got} orders in ${seconds(until - from)}, the others ${Math.round(usual)} each`;
       if (kind === 'fails' && got * 4 > usual) return [broken('failingServed', text)];
-      return kind === 'controlSilent' && got * 4 < usual ? [broken('answeringLeftOut', text)] : [];
+      return kind !== 'fails' && got * 4 < usual ? [broken('answeringLeftOut', text)] : [];
     }),
 
   blocks: ({ fleet, blueprints, tally }) => {
--- a/source/fleet-simulator/machines/simBackEnds.ts
+++ b/source/fleet-simulator/machines/simBackEnds.ts
@@ -47,12 +47,14 @@
   readonly kv: KvHolder;
   /** Its control side answers nobody, though it takes orders. */
   isControlSilent: boolean;
+  /** Of a thousand orders so many are reset unread, as on a kept conn that it has forgotten. */
+  forgetsPerMille: number;
 };
 
-/** A time in which an engine failed orders, or in which only its control side was silent. */
+/** A time in which an engine failed orders, was silent to its steward alone, or forgot conns. */
 export type Ill = {
   readonly engine: string;
-  readonly kind: 'fails' | 'controlSilent';
+  readonly kind: 'fails' | 'controlSilent' | 'forgetsConns';
   readonly fromMicroseconds: number;
   untilMicroseconds: number;
 };
@@ -80,7 +82,14 @@
     const engine = new StandInEngine(settings, this.clockOf(name), this.world.random, this.neighboursOf(name), (line) =>
       this.runs.push(line),
     );
-    this.standing.set(name, { process, machine: name, engine, kv: engine.kv, isControlSilent: false });
+    this.standing.set(name, {
+      process,
+      machine: name,
+      engine,
+      kv: engine.kv,
+      isControlSilent: false,
+      forgetsPerMille: 0,
+    });
     return `${name}:1`;
   }
 
@@ -91,6 +100,7 @@
       engine: undefined,
       kv: new KvHolder(this.world.random.name(), 5000, this.world.random, () => this.world.nowMicroseconds),
       isControlSilent: false,
+      forgetsPerMille: 0,
     });
     return `${name}:1`;
   }
@@ -109,19 +119,24 @@
     this.get(name).process.kill();
     this.get(name).engine?.reboot();
     this.get(name).isControlSilent = false;
+    this.get(name).forgetsPerMille = 0;
   }
 
   /** Makes an engine ill; what is returned makes it well. */
-  public sicken(name: string, kind: Ill['kind'], failsPerMille = 0): () => void {
+  public sicken(name: string, kind: Ill['kind'], perMille = 0): () => void {
     const standing = this.get(name);
     const ill: Ill = { engine: name, kind, fromMicroseconds: this.world.nowMicroseconds, untilMicroseconds: Infinity };
     this.ills.push(ill);
-    standing.isControlSilent = kind === 'controlSilent';
-    if (standing.engine !== undefined) standing.engine.failsPerMille = failsPerMille;
+    // Why only its own kind: another illness of the same engine goes on.
+    const set = (isOn: boolean): void => {
+      if (kind === 'controlSilent') standing.isControlSilent = isOn;
+      else if (kind === 'forgetsConns') standing.forgetsPerMille = isOn ? perMille : 0;
+      else if (standing.engine !== undefined) standing.engine.failsPerMille = isOn ? perMille : 0;
+    };
+    set(true);
     return () => {
       ill.untilMicroseconds = this.world.nowMicroseconds;
-      standing.isControlSilent = false;
-      if (standing.engine !== undefined) standing.engine.failsPerMille = 0;
+      set(false);
     };
   }
 
@@ -193,11 +208,11 @@
           const nonce = nonceIn(body);
           this.sends.push({ proxy: proxyName, engine: name, nonce, atMicroseconds: this.world.nowMicroseconds });
         };
-        const failed = (kind: 'notRun' | 'mayHaveRun', text: string): void =>
+        const failed = (kind: 'notRun' | 'mayHaveRun', text: string, forgotten = false): void =>
           proxy.enter(() => {
             if (over) return;
             over = true;
-            sink.failed({ kind, text });
+            sink.failed({ kind, text, ...(forgotten ? { forgotten } : {}) });
           });
         // Why a row: a conn keeps its order, and a link cut under it breaks it for good.
         let row: Promise<void> = Promise.resolve();
@@ -268,6 +283,16 @@
             );
             return;
           }
+          // Why no draw at rest: runs without this fault keep their histories.
+          if (standing.forgetsPerMille > 0 && this.world.random.fraction() * 1000 < standing.forgetsPerMille) {
+            this.network.carry(
+              name,
+              proxy.machine,
+              () => failed('mayHaveRun', 'conn reset', true),
+              () => this.world.plan(2_000_000, () => failed('mayHaveRun', 'the link broke')),
+            );
+            return;
+          }
           proxy.whenDead(whenProxyDies);
           standing.process.whenDead(() =>
             this.network.carry(
--- a/source/shared/back-end/keptConns/keptConn.ts
+++ b/source/shared/back-end/keptConns/keptConn.ts
@@ -4,6 +4,7 @@
 import { Logs } from '../../log/log';
 import type { SendHandle, SendOrder, SendSink } from '../protocol';
 import { AnswerReader, type AnswerEvent } from './answerReader';
+import type { IdleLimitSettings } from './idleLimits';
 
 export type KeptConnLimits = Readonly<{
   /** How long making a conn may take. */
@@ -12,10 +13,17 @@
   probeMicroseconds: number;
   /** Most bytes of an answer's head, and of its trailers. */
   headBytes: number;
+  forgetting: IdleLimitSettings;
 }>;
 
 /** What becomes of a conn once its order is over. */
-export type ConnEnd = Readonly<{ kind: 'free'; keepMicroseconds: number | undefined }> | Readonly<{ kind: 'closed' }>;
+export type ConnEnd =
+  | Readonly<{ kind: 'free'; keepMicroseconds: number | undefined }>
+  | Readonly<{
+      kind: 'closed';
+      /** The back end had forgotten it while it was idle for so long. */
+      forgottenAfterMicroseconds?: number;
+    }>;
 
 type Run = {
   readonly sink: SendSink;
@@ -25,6 +33,10 @@
   /** Nobody wants the answer any more; it is read to its end for the sake of the conn. */
   left: boolean;
   leftBytes: number;
+  /** How long its conn had been idle before; undefined: the first order on it. */
+  readonly idleMicroseconds: number | undefined;
+  readonly writtenMicroseconds: number;
+  answered: boolean;
 };
 
 /** Most bytes of an answer nobody wants that are read for the sake of the conn. Ours. */
@@ -39,6 +51,7 @@
   private readonly socket: net.Socket;
   private run: Run | undefined;
   private over = false;
+  private hasServed = false;
   private reason = 'the conn closed';
   private cancelTimer: Cancel;
 
@@ -87,7 +100,11 @@
       held: false,
       left: false,
       leftBytes: 0,
+      idleMicroseconds: this.hasServed ? this.idleMicroseconds : undefined,
+      writtenMicroseconds: this.clock.nowMicroseconds(),
+      answered: false,
     };
+    this.hasServed = true;
     this.run = run;
     this.socket.write(bytes);
     return { cut: () => this.cut(run), leave: () => this.leave(run) };
@@ -114,8 +131,23 @@
     this.socket.destroy();
     const { run } = this;
     this.run = undefined;
-    this.onEnd({ kind: 'closed' });
-    if (run !== undefined && !run.left) run.sink.failed({ kind: 'mayHaveRun', text: reason });
+    const forgottenAfterMicroseconds = run === undefined ? undefined : this.forgottenAfter(run);
+    this.onEnd({ kind: 'closed', ...(forgottenAfterMicroseconds === undefined ? {} : { forgottenAfterMicroseconds }) });
+    if (run === undefined || run.left) return;
+    // Why still mayHaveRun: a back end that fell as it read the order looks the same from here.
+    run.sink.failed({
+      kind: 'mayHaveRun',
+      text: reason,
+      ...(forgottenAfterMicroseconds === undefined ? {} : { forgotten: true }),
+    });
+  }
+
+  /** Undefined: what ended it has nothing to do with its having been idle. */
+  private forgottenAfter({ answered, idleMicroseconds, writtenMicroseconds }: Run): number | undefined {
+    const { leastForgottenMicroseconds, resetWithinMicroseconds } = this.limits.forgetting;
+    if (answered || idleMicroseconds === undefined || idleMicroseconds < leastForgottenMicroseconds) return undefined;
+    const took = this.clock.nowMicroseconds() - writtenMicroseconds;
+    return took <= resetWithinMicroseconds ? idleMicroseconds : undefined;
   }
 
   private cut(run: Run): void {
@@ -140,6 +172,7 @@
     const { run } = this;
     // Why: bytes that nobody asked for belong to no order, and what follows them could be anything.
     if (run === undefined) return this.destroy('bytes came that no order waits for');
+    run.answered = true;
     run.reader.push(chunk);
     if (!run.held) this.pump(run);
   }
--- a/source/shared/back-end/keptConns/keptConnSender.ts
+++ b/source/shared/back-end/keptConns/keptConnSender.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../effects/clock/clock';
 import { Logs } from '../../log/log';
 import type { BackEndSender, SendHandle, SendOrder, SendSink } from '../protocol';
+import { IdleLimitDefaults, IdleLimits, type IdleLimitsState } from './idleLimits';
 import { KeepAlive } from './keepAlive';
 import { KeptConn, type KeptConnLimits } from './keptConn';
 import { OrderBytes } from './orderBytes';
@@ -28,6 +29,7 @@
   marginMicroseconds: 1_000_000,
   onceIdleMicroseconds: 3_000_000,
   onceNamedIdleMicroseconds: 6_000_000,
+  forgetting: IdleLimitDefaults,
 };
 
 type Book = { readonly conns: Set<KeptConn>; /** The one used last stands last. */ idle: readonly KeptConn[] };
@@ -42,6 +44,7 @@
   private readonly books = new Map<string, Book>();
   private readonly log = Logs.part('conns');
   private closed = false;
+  private limits: IdleLimitsState = IdleLimits.start;
 
   public constructor(
     private readonly clock: Clock,
@@ -86,6 +89,8 @@
   }
 
   private takeIdle(address: string, once: boolean): KeptConn | undefined {
+    const { forgetting } = this.settings;
+    const limit = IdleLimits.of(this.limits, address, this.clock.nowMicroseconds(), forgetting);
     for (;;) {
       const book = this.bookOf(address);
       const conn = book.idle.at(-1);
@@ -96,9 +101,15 @@
         conn.destroy('the conn was idle for long');
         continue;
       }
+      // Why given up: its back end has forgotten conns that were idle for not much longer.
+      if (idle >= limit) {
+        conn.destroy('its back end forgets conns sooner');
+        continue;
+      }
       // Why not the others: they were idle for longer.
       const { onceIdleMicroseconds, onceNamedIdleMicroseconds } = this.settings;
-      if (once && idle >= (conn.isTimeNamed ? onceNamedIdleMicroseconds : onceIdleMicroseconds)) return undefined;
+      const most = Math.min(conn.isTimeNamed ? onceNamedIdleMicroseconds : onceIdleMicroseconds, limit / 2);
+      if (once && idle >= most) return undefined;
       book.idle = book.idle.slice(0, -1);
       return conn;
     }
@@ -139,6 +150,7 @@
       (end) => {
         if (end.kind === 'free') return this.keep(conn, end.keepMicroseconds);
         this.forget(conn);
+        if (end.forgottenAfterMicroseconds !== undefined) this.learn(conn.address, end.forgottenAfterMicroseconds);
         // Why notRun: the conn never stood.
         if (state === 'dialling') {
           state = 'unwanted';
@@ -169,6 +181,15 @@
     if (book.conns.size === 0) this.books.delete(conn.address);
   }
 
+  /** Sends after this one trust idle conns to that back end for a shorter time. */
+  private learn(address: string, idleMicroseconds: number): void {
+    const { forgetting, idleMicroseconds: most } = this.settings;
+    const now = this.clock.nowMicroseconds();
+    const tidied = IdleLimits.tidy(this.limits, now, most, forgetting);
+    this.limits = IdleLimits.forgotten(tidied, address, idleMicroseconds, now, forgetting);
+    this.log(`The back end at ${address} forgot a conn idle for ${Math.round(idleMicroseconds / 1000)} ms.`);
+  }
+
   /** A conn without an order on it goes back among the idle ones, or ends. */
   private keep(conn: KeptConn, hint: number | undefined): void {
     const book = this.bookOf(conn.address);
--- a/tests/doors-sender.test.ts
+++ b/tests/doors-sender.test.ts
@@ -5,6 +5,7 @@
 import { HttpBackEndSender } from '../source/shared/back-end/httpBackEnds';
 import { AnswerReader, type AnswerEvent } from '../source/shared/back-end/keptConns/answerReader';
 import { ConnShares } from '../source/shared/back-end/keptConns/connShares';
+import { IdleLimitDefaults, IdleLimits } from '../source/shared/back-end/keptConns/idleLimits';
 import { KeepAlive } from '../source/shared/back-end/keptConns/keepAlive';
 import { KeptConnDefaults, KeptConnSender } from '../source/shared/back-end/keptConns/keptConnSender';
 import type { BackEndSender, SendHandle, SendOrder } from '../source/shared/back-end/protocol';
@@ -374,6 +375,117 @@
       },
     ));
 
+  /** An engine that forgets a conn without notice: it resets the next thing sent on it, and reads none of it. */
+  const forgetful = (work: (engine: RawEngine, forget: (does: boolean) => void) => Promise<void>): Promise<void> => {
+    let forgets = false;
+    const served = new Set<net.Socket>();
+    return withEngine(
+      (socket) => {
+        if (forgets && served.has(socket)) socket.resetAndDestroy();
+        else socket.write(answer('a'));
+        served.add(socket);
+      },
+      (engine) => work(engine, (does) => (forgets = does)),
+    );
+  };
+
+  test('a conn that its back end forgot: told apart, never written twice, and others are trusted for a shorter time', () =>
+    forgetful(async (engine, forget) => {
+      const clock = new HandClock();
+      const sender = kept(clock);
+      await sendRaw(sender, engine.address);
+      forget(true);
+      clock.pass(2_000_000);
+      const ended = await sendRaw(sender, engine.address);
+      assert.deepEqual([ended.end, ended.forgotten, engine.orders.length], ['mayHaveRun', true, 2]);
+      await sendRaw(sender, engine.address);
+      clock.pass(999_999);
+      forget(false);
+      await sendRaw(sender, engine.address);
+      assert.equal(engine.conns, 2, 'idle for less than half of that time: used');
+      clock.pass(1_000_000);
+      await sendRaw(sender, engine.address);
+      assert.equal(engine.conns, 3, 'idle for half of that time: given up unused');
+      clock.pass(500_000);
+      await sendRaw(sender, engine.address, { runsOnce: true });
+      assert.equal(engine.conns, 4, 'an order that may run once trusts it for half of that again');
+      clock.pass(499_999);
+      await sendRaw(sender, engine.address, { runsOnce: true });
+      assert.equal(engine.conns, 4);
+    }));
+
+  test('after a time conns are trusted for longer again', () =>
+    forgetful(async (engine, forget) => {
+      const clock = new HandClock();
+      const sender = kept(clock);
+      await sendRaw(sender, engine.address);
+      forget(true);
+      clock.pass(400_000);
+      assert.equal((await sendRaw(sender, engine.address)).forgotten, true);
+      forget(false);
+      clock.pass(30_000_000);
+      await sendRaw(sender, engine.address);
+      const { conns } = engine;
+      clock.pass(1_500_000);
+      await sendRaw(sender, engine.address, { runsOnce: false });
+      assert.equal(engine.conns, conns, '0.2 s doubled three times');
+    }));
+
+  test('a reset is no forgetting on a new conn, on one that was hardly idle, or long after the order', () =>
+    forgetful(async (engine, forget) => {
+      const clock = new HandClock();
+      const sender = kept(clock);
+      await sendRaw(sender, engine.address);
+      forget(true);
+      clock.pass(KeptConnDefaults.forgetting.leastForgottenMicroseconds - 1);
+      const busy = await sendRaw(sender, engine.address);
+      assert.deepEqual([busy.end, busy.forgotten], ['mayHaveRun', false]);
+      await withEngine(
+        (socket) => socket.resetAndDestroy(),
+        async (other) => assert.equal((await sendRaw(sender, other.address)).forgotten, false),
+      );
+      await withEngine(
+        (socket, _order, count) => {
+          if (count === 1) socket.write(answer('a'));
+        },
+        async (other) => {
+          await sendRaw(sender, other.address);
+          clock.pass(2_000_000);
+          const late = sendRaw(sender, other.address);
+          await other.until(() => other.orders.length === 2);
+          clock.pass(KeptConnDefaults.forgetting.resetWithinMicroseconds + 1);
+          other.sockets[0]?.resetAndDestroy();
+          assert.deepEqual([(await late).end, (await late).forgotten], ['mayHaveRun', false]);
+        },
+      );
+    }));
+
+  test('idle limits: never longer for a reset, never below the least, and twice as long with each quiet time', () => {
+    const settings = IdleLimitDefaults;
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.tuple(fc.nat(20_000_000), fc.integer({ min: settings.leastForgottenMicroseconds, max: 15_000_000 })),
+        ),
+        (resets) => {
+          let state = IdleLimits.start;
+          let now = 0;
+          for (const [pause, idle] of resets) {
+            now += pause;
+            const before = IdleLimits.of(state, 'a', now, settings);
+            state = IdleLimits.forgotten(state, 'a', idle, now, settings);
+            const after = IdleLimits.of(state, 'a', now, settings);
+            assert.ok(after >= settings.leastForgottenMicroseconds && after <= Math.max(idle, before));
+            assert.ok(after <= before || before < settings.leastForgottenMicroseconds);
+            assert.equal(IdleLimits.of(state, 'a', now + settings.doubleMicroseconds, settings), after * 2);
+            assert.equal(IdleLimits.of(state, 'b', now, settings), Infinity);
+          }
+          assert.deepEqual(IdleLimits.tidy(state, now + 20 * settings.doubleMicroseconds, 15_000_000, settings), {});
+        },
+      ),
+    );
+  });
+
   test('surplus bytes with an answer or after it: the conn is thrown away, the answer stands', async () => {
     await withEngine(
       (socket) => socket.write(answer('a') + answer('surplus')),
--- a/tests/support/rawEngine.ts
+++ b/tests/support/rawEngine.ts
@@ -75,7 +75,13 @@
   }
 }
 
-export type RawEnded = Readonly<{ head?: SendHead; text: string; end: 'whole' | SendFailure['kind']; why: string }>;
+export type RawEnded = Readonly<{
+  head?: SendHead;
+  text: string;
+  end: 'whole' | SendFailure['kind'];
+  why: string;
+  forgotten: boolean;
+}>;
 
 /** Sends one order and waits for what becomes of it. More than one end is a failure of the test. */
 export const sendRaw = (
@@ -88,10 +94,10 @@
     let head: SendHead | undefined;
     let text = '';
     let ends = 0;
-    const ended = (end: RawEnded['end'], why: string): void => {
+    const ended = (end: RawEnded['end'], why: string, forgotten = false): void => {
       ends += 1;
       if (ends > 1) reject(new Error('ended twice'));
-      resolve({ head, text, end, why });
+      resolve({ head, text, end, why, forgotten });
     };
     sender.send(
       { address, method: 'POST', path: '/x', headers: { 'content-type': 'application/json' }, body: '{}', ...order },
@@ -106,7 +112,7 @@
           return undefined;
         },
         end: () => ended('whole', ''),
-        failed: ({ kind, text: why }) => ended(kind, why),
+        failed: ({ kind, text: why, forgotten }) => ended(kind, why, forgotten === true),
       },
     );
   });
--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -447,6 +447,13 @@
       ],
     ],
   },
+  {
+    point: 'answeringLeftOut',
+    what: 'conns that were forgotten while idle count as failures of their engine',
+    faults: ['connsForgotten'],
+    seeds: 6,
+    cuts: [['edge-proxy/sends/sendPolicy.ts', 'forgotten !== true);', "forgotten !== true || kind === 'mayHaveRun');"]],
+  },
 ];
 
 /** Finds the text whatever the line breaks of the formatter are; it must stand there exactly once. */
