An engine's own 500 to an order that may run again goes to another engine

They are sent on within the same budget and bound of sends; where there is no other engine, no budget, or it is a 504, the answer goes to the caller as it is. Ruled out: doing so without another candidate (a service of one engine would only be held).

--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -275,6 +275,7 @@
       this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine failed.'));
       return;
     }
+    if (this.ownFailureSentAgain(head)) return;
     if (this.resolved.service.kind !== 'pool' || !this.parts.words.namesInstance) return;
     // Why before a byte reaches the caller: this engine is not the one that was confirmed.
     if (
@@ -287,6 +288,28 @@
       );
   }
 
+  /**
+   * The engine's own word that it failed, where another engine may be asked instead. Where none may, the answer goes to
+   * the caller as it is. Why not 504: its time was over, and so is the order's.
+   */
+  private ownFailureSentAgain(head: SendHead): boolean {
+    if (head.status < 500 || head.status === 504 || !this.isRepeatable()) return false;
+    const { engine } = this.placed;
+    const isElsewhere = ({ name }: Readonly<{ name: string }>): boolean =>
+      name !== engine && !this.context.avoided.includes(name);
+    if (!this.parts.view.candidates(this.resolved.mapping.service).some(isElsewhere)) return false;
+    const refusal = Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine failed.');
+    const context = this.contextAgain(refusal, 'again');
+    if (context === undefined) return false;
+    this.step({ kind: 'failed' });
+    this.tellOutliers('failed');
+    this.parts.tell(this.fetch.abandoned);
+    // Why left to end where conns are kept: the answer is short, and the conn may be used again.
+    if (this.parts.words.namesInstance) this.cutSend();
+    this.finish({ kind: 'again', context, refusal });
+    return true;
+  }
+
   /** An answer that should go on with an earlier one, and is none of its kind. */
   private startsAnew(head: SendHead, meaning: HeadMeaning): boolean {
     return this.context.answer.begun() && (head.status !== 200 || !meaning.events);
@@ -442,6 +465,16 @@
 
   /** `unsent`: the engine was never reached, so it is no send at all, and costs nothing of the budget. */
   private again(refusal: Refusal, how: 'again' | 'hold' | 'unsent' = 'again'): void {
+    const context = this.contextAgain(refusal, how);
+    this.finish(
+      context === undefined
+        ? { kind: 'refuse', refusal }
+        : { kind: how === 'hold' ? 'hold' : 'again', context, refusal },
+    );
+  }
+
+  /** What the next send goes out with, paid for; undefined: there may be none. */
+  private contextAgain(refusal: Refusal, how: 'again' | 'hold' | 'unsent'): Context | undefined {
     const kind = how === 'hold' ? 'hold' : 'again';
     const after = this.events.lastId ?? this.context.after;
     const context: Context = {
@@ -462,12 +495,9 @@
       !spent &&
       context.sends < most &&
       (free || (kind === 'hold' ? budget.mayHope(this.parts.holdingLeft(context)) : budget.spend()));
-    if (!mayGoOn) {
-      this.finish({ kind: 'refuse', refusal });
-      return;
-    }
+    if (!mayGoOn) return undefined;
     this.parts.metrics.count('postdrum_sends_again_total', { service: this.resolved.mapping.service });
-    this.finish({ kind, context: { ...context, owesSend: kind === 'hold' }, refusal });
+    return { ...context, owesSend: kind === 'hold' };
   }
 }
 
--- a/tests/outliers-fleet.test.ts
+++ b/tests/outliers-fleet.test.ts
@@ -94,6 +94,24 @@
   );
 });
 
+test("an engine's own 500 to an order that may run again goes to another engine, other orders get it as it is", async () => {
+  const { world, fleet } = await started(34, without);
+  const { calls, stop } = traffic(world, fleet);
+  await world.runFor(4_000_000);
+  fleet.backEnds.sicken(fleet.engineNames[1] ?? '', 'fails', 300);
+  await world.runFor(6_000_000);
+  stop();
+  await world.runFor(3_000_000);
+  const told = (resumable: boolean): number =>
+    calls.filter((call) => call.resumable === resumable && call.status === 500).length;
+  assert.ok(told(false) >= 3, `${told(false)}`);
+  assert.equal(told(true), 0);
+  assert.deepEqual(
+    judgeAll(fleet).broken.filter(({ point }) => point !== 'failingServed'),
+    [],
+  );
+});
+
 test('all engines failing alike are all kept', async () => {
   const { world, fleet } = await started(32);
   const { stop } = traffic(world, fleet);
