--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -461,6 +461,8 @@
       waiting: load.waiting,
       tenants: load.tenants,
       ...(load.work === undefined ? {} : { work: load.work }),
+      ...(load.failing === undefined ? {} : { failing: load.failing }),
+      ...(load.answering === undefined ? {} : { answering: load.answering }),
     };
     this.sayLoad(value);
   }
