--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -295,6 +295,9 @@
     this.metrics.watch(() => [
       ['postdrum_running_sends', {}, this.sends.count],
       ['postdrum_held_orders', {}, this.desk.heldCount()],
+      ...this.view.outliers
+        .countsByState()
+        .map(([state, count]) => ['postdrum_outlier_engines', { state }, count] as const),
       ...(Number.isFinite(this.freshness.ageMicroseconds())
         ? [['postdrum_freshness_age_microseconds', {}, this.freshness.ageMicroseconds()] as const]
         : []),
--- a/source/edge-proxy/outliers/outlierDetector.ts
+++ b/source/edge-proxy/outliers/outlierDetector.ts
@@ -55,9 +55,13 @@
     return this.states.get(engine) ?? OutlierStates.start;
   }
 
-  /** Engines that do not stand as any other, for pages and tests. */
-  public standings(): Readonly<Record<string, OutlierState['kind']>> {
-    return Object.fromEntries([...this.states].map(([name, { kind }]) => [name, kind]));
+  /** How many engines are in each state but good. */
+  public countsByState(): readonly (readonly [OutlierState['kind'], number])[] {
+    const kinds = [...this.states.values()].map(({ kind }) => kind);
+    return (['suspected', 'ejected', 'probation'] as const).map((state) => [
+      state,
+      kinds.filter((kind) => kind === state).length,
+    ]);
   }
 
   /** An own order ended at the engine, `tookMicroseconds` after it was written. */
