Probation by orders of whose prompts nothing is kept

Cause: a long order drawn to an engine on probation would have its shared context read again there, and be late for it. Only orders that may run again and have no shared blocks try an engine, others where there were none of those for 5 s.

--- a/source/edge-proxy/outliers/outlierDetector.ts
+++ b/source/edge-proxy/outliers/outlierDetector.ts
@@ -33,7 +33,7 @@
   /** When an order last failed there, or did not come through at all. */
   private readonly missedAt = new Map<string, number>();
   private readonly silentSince = new Map<string, Readonly<{ version: string; at: number }>>();
-  private readonly repeatableAt = new Map<string, number>();
+  private readonly fitAt = new Map<string, number>();
   private told: (Tellings & Readonly<{ of: readonly LoadFact[] }>) | undefined;
   private changeCount = 0;
 
@@ -174,11 +174,14 @@
     return standings;
   }
 
-  /** Whether this order may try an engine on probation. Why not any: one that may run once is lost where the engine fails. */
-  public mayProbe(service: string, isRepeatable: boolean): boolean {
+  /**
+   * Whether this order may try an engine on probation. `isFit`: little is lost where the engine fails. Why not any: one
+   * that may run once is lost then; where there are only such, they must do.
+   */
+  public mayProbe(service: string, isFit: boolean): boolean {
     const now = this.clock.nowMicroseconds();
-    if (isRepeatable) this.repeatableAt.set(service, now);
-    return isRepeatable || now - (this.repeatableAt.get(service) ?? -Infinity) >= this.settings.repeatableMicroseconds;
+    if (isFit) this.fitAt.set(service, now);
+    return isFit || now - (this.fitAt.get(service) ?? -Infinity) >= this.settings.fitMicroseconds;
   }
 
   /** Forgets engines that are on no list any more. */
--- a/source/edge-proxy/outliers/outlierSettings.ts
+++ b/source/edge-proxy/outliers/outlierSettings.ts
@@ -24,8 +24,8 @@
   probeProxies: number;
   /** So much later the other proxies try it. */
   laterMicroseconds: number;
-  /** An order that may run again is waited for so long before others try an engine. */
-  repeatableMicroseconds: number;
+  /** Orders that may run again, and of whose prompts nothing is kept, are waited for so long before others try an engine. */
+  fitMicroseconds: number;
   /** A send that was given up after less than this without a word from the engine says nothing of it. */
   silentMicroseconds: number;
   /** So long a good answer speaks for an engine whose control side is silent. */
@@ -50,7 +50,7 @@
   probeAnswers: 3,
   probeProxies: 3,
   laterMicroseconds: 2_000_000,
-  repeatableMicroseconds: 5_000_000,
+  fitMicroseconds: 5_000_000,
   silentMicroseconds: 1_000_000,
   speaksMicroseconds: 1_500_000,
   wordMicroseconds: 300_000,
--- a/source/edge-proxy/placement/placePolicies.ts
+++ b/source/edge-proxy/placement/placePolicies.ts
@@ -117,8 +117,10 @@
       const service = resolved.mapping.service;
       const offered = view.candidates(service).filter(({ name }) => !context.avoided.includes(name));
       const isRepeatable = resolved.mapping.resumable || resolved.mapping.repeatable === true;
+      // Why without shared blocks: what others keep of its prompt would be read again where it is tried.
+      const isFit = isRepeatable && keys.blocks === 0;
       // Why only the first send: one that is made a second time goes where it will be answered.
-      const mayProbe = view.outliers.mayProbe(service, isRepeatable) && context.sends === 0;
+      const mayProbe = view.outliers.mayProbe(service, isFit) && context.sends === 0;
       const candidates = Probes.among(offered, mayProbe);
       const lookUps = new Map<string, LookUp>();
       const lookUp = (weights: string): LookUp => {
--- a/tests/outliers.test.ts
+++ b/tests/outliers.test.ts
@@ -436,7 +436,7 @@
     assert.equal(detector.mayProbe('pool', false), true);
     assert.equal(detector.mayProbe('pool', true), true);
     assert.equal(detector.mayProbe('pool', false), false);
-    clock.pass(settings.repeatableMicroseconds);
+    clock.pass(settings.fitMicroseconds);
     assert.equal(detector.mayProbe('pool', false), true);
     const offered = [{ name: 'a' }, { name: 'b', standing: 'probation' as const }];
     assert.deepEqual(Probes.among(offered, true), [offered[1]]);
