--- a/source/postdrum/checking/blueprintCheck.ts
+++ b/source/postdrum/checking/blueprintCheck.ts
@@ -171,7 +171,8 @@
   findings: Finding[],
   wanted: number,
 ): void => {
-  const known = ready.flatMap((engine) => facts.get(engine) ?? []);
+  // Why only those with places: a steward that never reached its engine does not know how many it has.
+  const known = ready.flatMap((engine) => facts.get(engine) ?? []).filter(({ capacity }) => capacity > 0);
   for (const engine of ready)
     if (facts.get(engine)?.reachable !== true)
       findings.push({
--- a/tests/command-line-platform.test.ts
+++ b/tests/command-line-platform.test.ts
@@ -191,8 +191,8 @@
         agent.freshness.revision('blueprint') > 0 &&
           Object.keys(agent.freshness.engines?.engines ?? {}).length === 2 &&
           keeper.keeper.agents().length === 1 &&
-          // Why: the findings below are those of a fleet whose stewards have spoken.
-          (agent.facts.value<EngineFact>(FactKeys.engine('i-2'))?.capacity ?? 0) > 0,
+          // Why: the findings below are those of a fleet whose stewards have spoken, of engines that said nothing.
+          agent.facts.value<EngineFact>(FactKeys.engine('i-1'))?.reachable === false,
       ),
     );
     const status = await run(['status', '--json']);
