--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -91,6 +91,10 @@
   latelyMicroseconds: number;
 }>;
 
+/** Starting values, ours: among so many proxies each is fed as often as its settings say, and how much longer it may take. */
+const promptProxies = 24;
+const mostFeedPause = 2;
+
 export const ProxyDefaults = {
   freshMicroseconds: 1_500_000,
   feedMicroseconds: 60_000,
@@ -287,7 +291,7 @@
     this.tickers = [
       new Ticker(
         clock,
-        () => settings.feedMicroseconds,
+        () => this.feedPause(),
         () => this.feed(),
         failed,
       ),
@@ -408,6 +412,14 @@
     this.desk.serveAll();
   }
 
+  /**
+   * Why longer in a large fleet: each look takes in what all others said since, a proxy has a smaller part of the work
+   * there, and what it is told of others has been on its way for longer than this.
+   */
+  private feedPause(): number {
+    return this.settings.feedMicroseconds * Math.min(mostFeedPause, Math.max(1, this.view.proxies() / promptProxies));
+  }
+
   private async feedFrom(address: string, extra: Readonly<Record<string, unknown>>): Promise<void> {
     // Why from the own agent only: it stands on this machine, whatever became of other addresses.
     const learn = (message: Message): void => {
