--- a/tests/command-line-platform.test.ts
+++ b/tests/command-line-platform.test.ts
@@ -4,7 +4,6 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, describe, test } from 'node:test';
-import { build } from 'esbuild';
 import { request } from 'undici';
 import { platformDialect } from '../platform/operators/dialect';
 import { platformManner } from '../platform/operators/manner';
@@ -26,6 +25,7 @@
 import { freePort } from './support/freePort';
 import { platformDocument } from './support/platformDocument';
 import { until } from './support/realFleet';
+import { bundled } from './support/bundled';
 
 type Ran = Readonly<{ code: number | null; out: string; error: string }>;
 
@@ -106,18 +106,7 @@
   let own: KeeperProgram;
   const closing: (() => Promise<void>)[] = [];
   before(async () => {
-    await build({
-      entryPoints: { postdrum: path.join('platform', 'operators', 'commandLine.ts') },
-      outdir: folder,
-      bundle: true,
-      platform: 'node',
-      target: 'node20',
-      format: 'cjs',
-      outExtension: { '.js': '.cjs' },
-      external: ['msgpackr-extract'],
-      mainFields: ['module', 'main'],
-      logLevel: 'warning',
-    });
+    await bundled({ postdrum: path.join('platform', 'operators', 'commandLine.ts') }, folder);
     [keeper, own] = await Promise.all([
       keeperOf(platformOperatorsWords, platformDialect),
       keeperOf(ownOperatorsWords, ownDialect),
--- a/tests/platform-help.test.ts
+++ b/tests/platform-help.test.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, describe, test } from 'node:test';
-import { build } from 'esbuild';
+import { bundled, platformSources } from './support/bundled';
 
 const folder = mkdtempSync(path.join(tmpdir(), 'platform-help-'));
 after(() => rmSync(folder, { recursive: true, force: true }));
@@ -22,18 +22,7 @@
 
 describe("what the platform's programs say at their start", () => {
   before(async () => {
-    await build({
-      entryPoints: Object.fromEntries(programs.map((name) => [name, path.join('platform', name, 'main.ts')])),
-      outdir: folder,
-      bundle: true,
-      platform: 'node',
-      target: 'node20',
-      format: 'cjs',
-      outExtension: { '.js': '.cjs' },
-      external: ['msgpackr-extract'],
-      mainFields: ['module', 'main'],
-      logLevel: 'warning',
-    });
+    await bundled(platformSources(programs), folder);
   });
 
   test('help names every field that operators are told of, and needs no file', () => {
--- a/tests/settings-change.test.ts
+++ b/tests/settings-change.test.ts
@@ -4,7 +4,6 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, describe, test } from 'node:test';
-import { build } from 'esbuild';
 import { stringify } from 'yaml';
 import { PlatformAgentSettings } from '../platform/settings/agentSettings';
 import { PlatformSettings } from '../platform/settings/platformSettings';
@@ -22,6 +21,7 @@
 import { SettingsWatch } from '../source/shared/settings/settingsWatch';
 import { freePort } from './support/freePort';
 import { until } from './support/realFleet';
+import { bundled, platformSources } from './support/bundled';
 
 const file = {
   nodeName: 'edge-a-1',
@@ -242,18 +242,7 @@
     rmSync(folder, { recursive: true, force: true });
   });
   before(async () => {
-    await build({
-      entryPoints: Object.fromEntries(programs.map((name) => [name, path.join('platform', name, 'main.ts')])),
-      outdir: folder,
-      bundle: true,
-      platform: 'node',
-      target: 'node20',
-      format: 'cjs',
-      outExtension: { '.js': '.cjs' },
-      external: ['msgpackr-extract'],
-      mainFields: ['module', 'main'],
-      logLevel: 'warning',
-    });
+    await bundled(platformSources(programs), folder);
   });
 
   const changed: Readonly<Record<string, Readonly<{ settings: Record<string, unknown>; said: RegExp }>>> = {
