Agents of a large fleet exchange news, watch and read the core at longer pauses

The news measurement at 73 daemons shows a fixed cost a message, and 21 ms a second at rest. Ruled out: one thread a process (--single-threaded): 0.0418 and 0.0292 beside 0.0430 and 0.0295, within noise, not taken. A profile inside the simulated daemons: its samples fall on virtual time and tell little. Change: one pace of the fleet's size (FleetPace) for news, watch, shared reads of the core, feeds and patience with holders; in haste for a second after a document or a word on an engine changed. Ranks in line and whom to watch are worked out when asked for, not at each change of members. The list's ticker of those without the duty is slow once there is a list.

--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -27,9 +27,9 @@
   seeds: readonly string[];
   askMicroseconds: number;
   /** What colleagues have read not longer ago than this need not be read again; 0: each reads for itself. */
-  sharedReadMicroseconds: number;
+  sharedReadMicroseconds: () => number;
   /** At the latest after this it is read all the same. */
-  ownReadMicroseconds: number;
+  ownReadMicroseconds: () => number;
   /** Whether the keepers are where the list of engines comes from. */
   readsEngines: boolean;
 }>;
@@ -77,8 +77,8 @@
     const asked = this.effects.clock.nowMicroseconds();
     // Why: a statement tells its age, whoever read it; so a few reads serve all, and the youngest spread by themselves.
     if (
-      this.freshness.ageOf('blueprint') < this.settings.sharedReadMicroseconds &&
-      asked - this.readMicroseconds < this.settings.ownReadMicroseconds
+      this.freshness.ageOf('blueprint') < this.settings.sharedReadMicroseconds() &&
+      asked - this.readMicroseconds < this.settings.ownReadMicroseconds()
     )
       return;
     const addresses = this.addresses();
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -16,6 +16,7 @@
 import { FactKeys, type LoadFact } from '../shared/news/factTypes';
 import { NewsExchange } from '../shared/news/newsExchange';
 import { Pulses } from '../shared/news/pulses';
+import { FleetPace } from '../shared/pace/fleetPace';
 import { SettingsChanges } from '../shared/settings/settingsChange';
 import { CoreLink } from './core-link/coreLink';
 import { EngineListDefaults, EngineListKeeper, type EngineListSettings } from './engine-list/engineListKeeper';
@@ -138,6 +139,14 @@
 /** Starting value, ours: up to so many daemons each says its load as soon as its proxy does. */
 const promptLoads = 16;
 
+/** Starting values, ours: how much longer than their settings say these pauses are in a large fleet, at the most. */
+const mostNewsPause = 2.5;
+const mostWatchPause = 2;
+const mostReadPause = 1.75;
+
+/** Starting value, ours: so long after a document or the word on an engine changed here, news is exchanged as in a small fleet. */
+const urgentMicroseconds = 1_000_000;
+
 /** Starting value, ours: a proxy that did not ask for so long has stopped too. */
 const lingerMicroseconds = 400_000;
 
@@ -164,6 +173,8 @@
   private loadSequence = 0;
   private heardProxyMicroseconds = -Infinity;
   private saidLoadMicroseconds = -Infinity;
+  private urgentMark = '';
+  private urgentUntil = -Infinity;
 
   public constructor(
     given: Effects,
@@ -186,8 +197,8 @@
       {
         seeds: settings.seeds,
         askMicroseconds: settings.readAskMicroseconds,
-        sharedReadMicroseconds: settings.sharedReadMicroseconds,
-        ownReadMicroseconds: settings.ownReadMicroseconds,
+        sharedReadMicroseconds: () => settings.sharedReadMicroseconds * this.pace(mostReadPause),
+        ownReadMicroseconds: () => settings.ownReadMicroseconds * this.pace(mostReadPause),
         readsEngines: settings.engineList === 'kept',
       },
       () => this.facts.get(FactKeys.member(settings.name)) ?? null,
@@ -260,18 +271,20 @@
           );
     const { engineList } = this;
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
-    const tickers: readonly (readonly [number, () => Promise<void>])[] = [
-      [settings.readMicroseconds, () => this.link.read()],
-      [settings.newsMicroseconds, () => this.news()],
-      [settings.watchMicroseconds, () => this.watch()],
-      [settings.ballotMicroseconds, () => this.stewardship.ballot()],
-      [settings.tendMicroseconds, () => this.stewardship.tend()],
+    const tickers: readonly (readonly [() => number, () => Promise<void>])[] = [
+      [() => settings.readMicroseconds, () => this.link.read()],
+      [() => this.newsPause(), () => this.news()],
+      [() => settings.watchMicroseconds * this.pace(mostWatchPause), () => this.watch()],
+      [() => settings.ballotMicroseconds, () => this.stewardship.ballot()],
+      [() => settings.tendMicroseconds, () => this.stewardship.tend()],
     ];
-    // Why often where the duty is another's: it only looks whether there is a list.
+    // Why often while there is none: orders wait for it. Later it only looks whether the list has become old.
     const listPause = (): number =>
-      this.stewardship.listTerm() === undefined ? settings.tendMicroseconds : settings.listMicroseconds;
+      this.stewardship.listTerm() === undefined && this.freshness.engines === undefined
+        ? settings.tendMicroseconds
+        : settings.listMicroseconds;
     this.tickers = [
-      ...tickers.map(([pause, work]) => new Ticker(clock, () => pause, work, failed)),
+      ...tickers.map(([pause, work]) => new Ticker(clock, pause, work, failed)),
       ...(engineList === undefined ? [] : [new Ticker(clock, listPause, () => engineList.read(), failed)]),
     ];
   }
@@ -359,6 +372,24 @@
     if (address !== undefined) await this.exchange.ask(address, this.settings.newsAskMicroseconds, extra);
   }
 
+  private pace(most: number): number {
+    return FleetPace.of(this.membership.present().length, most);
+  }
+
+  /**
+   * Until its next exchange. Why shorter after a change: documents and the word on engines must be everywhere within a bound
+   * that does not grow with the fleet, and what changes all the time, loads and heartbeats, may wait.
+   */
+  private newsPause(): number {
+    const { newsMicroseconds } = this.settings;
+    const now = this.effects.clock.nowMicroseconds();
+    const revisions = (['blueprint', 'engines', 'core-members'] as const).map((key) => this.freshness.revision(key));
+    const mark = [...revisions, this.facts.changesOf('engine')].join('/');
+    if (mark !== this.urgentMark) this.urgentUntil = now + urgentMicroseconds;
+    this.urgentMark = mark;
+    return now < this.urgentUntil ? newsMicroseconds : newsMicroseconds * this.pace(mostNewsPause);
+  }
+
   /**
    * Of how many exchanges one goes to any zone. Why seldom: links between zones are long and paid for, and one exchange
    * brings what the whole other zone has. Why by the zone's daemons: a zone as a whole asks others about as often,
@@ -366,7 +397,9 @@
    */
   private farEvery(): number {
     const { farEvery } = this.settings;
-    return farEvery === 1 ? 1 : Math.max(farEvery, Math.ceil(this.membership.zoneSize() / 2));
+    return farEvery === 1
+      ? 1
+      : Math.max(farEvery, Math.ceil(this.membership.zoneSize() / 2 / this.pace(mostNewsPause)));
   }
 
   /** Looks after those it is a watcher of; before anybody is suspected another daemon has tried too. */
@@ -461,6 +494,7 @@
       waiting: load.waiting,
       tenants: load.tenants,
       ...(load.work === undefined ? {} : { work: load.work }),
+      ...(load.mix === undefined ? {} : { mix: load.mix }),
       ...(load.failing === undefined ? {} : { failing: load.failing }),
       ...(load.answering === undefined ? {} : { answering: load.answering }),
     };
--- a/source/edge-agent/membership/membership.ts
+++ b/source/edge-agent/membership/membership.ts
@@ -1,4 +1,5 @@
 import Emittery from 'emittery';
+import { once } from 'remeda';
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Log } from '../../shared/log/log';
 import type { FactBook } from '../../shared/news/facts';
@@ -26,9 +27,10 @@
   changes: number;
   all: readonly MemberFact[];
   present: readonly MemberFact[];
-  colleagues: readonly string[];
-  neighbours: readonly string[];
-  watched: readonly string[];
+  names: readonly string[];
+  colleagues: () => readonly string[];
+  neighbours: () => readonly string[];
+  watched: () => readonly string[];
   zoneSize: number;
 }>;
 
@@ -62,6 +64,11 @@
     return this.drawnNow().present;
   }
 
+  /** The names of those; the same list as long as no news of a member comes in. */
+  public presentNames(): readonly string[] {
+    return this.drawnNow().names;
+  }
+
   public alive(name: string): boolean {
     const member = this.member(name);
     return member !== undefined && MemberStates.isPresent(member);
@@ -73,12 +80,12 @@
 
   /** The few this daemon exchanges news with. */
   public colleagues(): readonly MemberFact[] {
-    return this.named(this.drawnNow().colleagues);
+    return this.named(this.drawnNow().colleagues());
   }
 
   /** As many again within its own zone: what is said there crosses no link between zones. */
   public neighbours(): readonly MemberFact[] {
-    return this.named(this.drawnNow().neighbours);
+    return this.named(this.drawnNow().neighbours());
   }
 
   /** Daemons in the own zone, this one included. */
@@ -88,7 +95,7 @@
 
   /** Those for whom this daemon is one of the watchers; each daemon is watched by the same number of others. */
   public watched(): readonly MemberFact[] {
-    return this.named(this.drawnNow().watched);
+    return this.named(this.drawnNow().watched());
   }
 
   /** After news came in: a worse word about oneself, or about an earlier life, is refuted with a higher incarnation. */
@@ -145,7 +152,10 @@
     }
   }
 
-  /** Why kept: whom all the others watch takes the square of the fleet to work out, and members change seldom. */
+  /**
+   * Why kept: whom all the others watch takes the square of the fleet to work out, and members change seldom. Why each only
+   * when it is asked for: while a whole fleet starts, members change far more often than anybody looks after others.
+   */
   private drawnNow(): Drawn {
     const changes = this.book.changesOf('member');
     if (this.drawn?.changes === changes) return this.drawn;
@@ -163,10 +173,11 @@
       changes,
       all,
       present,
-      colleagues: Rendezvous.colleagues(self.name, names, settings.colleagues),
-      neighbours: Rendezvous.colleagues(self.name, near, settings.colleagues),
+      names,
+      colleagues: once(() => Rendezvous.colleagues(self.name, names, settings.colleagues)),
+      neighbours: once(() => Rendezvous.colleagues(self.name, near, settings.colleagues)),
       zoneSize: near.length,
-      watched: names.filter((name) => name !== self.name && watches(name)),
+      watched: once(() => names.filter((name) => name !== self.name && watches(name))),
     };
     return this.drawn;
   }
--- a/source/edge-agent/stewards/dutyLine.ts
+++ b/source/edge-agent/stewards/dutyLine.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { FactBook } from '../../shared/news/facts';
 import { FactKeys, type StewardFact } from '../../shared/news/factTypes';
+import { FleetPace } from '../../shared/pace/fleetPace';
 import { Rendezvous } from '../../shared/rendezvous/rendezvous';
 import type { Membership } from '../membership/membership';
 import type { DutyHolder } from './dutyHolder';
@@ -23,9 +24,8 @@
   heartbeatMicroseconds: number;
 }>;
 
-/** Starting values, ours: among so many daemons news is everywhere at once, and how much longer it may take among more. */
-const promptDaemons = 24;
-const mostPatience = 2;
+/** Starting value, ours: how much longer word of a holder may take in a large fleet. */
+const mostPatience = 2.5;
 
 /** Who is next in line for a duty: when to stand for one that seems vacant, when to hand one over. */
 export class DutyLine {
@@ -35,6 +35,8 @@
   private readonly startedMicroseconds: number;
   private readonly said = new Map<string, number>();
   private minor = 0;
+  /** Places in line by subject, as long as the members are the same. */
+  private ranks: Readonly<{ of: readonly string[]; bySubject: Map<string, number> }> = { of: [], bySubject: new Map() };
 
   public constructor(
     private readonly self: string,
@@ -98,13 +100,22 @@
     if (now - this.startedMicroseconds < this.settings.settleMicroseconds) return false;
     const since = this.vacantSince.get(duty) ?? now;
     this.vacantSince.set(duty, since);
-    const rank = Rendezvous.rank(`steward/${subject.name}`, this.self, names);
-    return now - since >= Math.max(0, rank) * this.settings.rankMicroseconds;
+    return now - since >= Math.max(0, this.rankOf(subject, names)) * this.settings.rankMicroseconds;
+  }
+
+  /** Why kept: while a large fleet starts, every daemon looks at every duty again and again. */
+  private rankOf({ name }: DutySubject, names: readonly string[]): number {
+    if (this.ranks.of !== names) this.ranks = { of: names, bySubject: new Map() };
+    const known = this.ranks.bySubject.get(name);
+    if (known !== undefined) return known;
+    const rank = Rendezvous.rank(`steward/${name}`, this.self, names);
+    this.ranks.bySubject.set(name, rank);
+    return rank;
   }
 
   /** Why longer among many: word of the holder goes from one to the next, and must not seem to have ended on its way. */
   private vacantAfter(daemons: number): number {
-    return this.settings.vacantAfterMicroseconds * Math.min(mostPatience, Math.max(1, daemons / promptDaemons));
+    return this.settings.vacantAfterMicroseconds * FleetPace.of(daemons, mostPatience);
   }
 
   /** The one to hand the duty over to, once this agent has not been first in line for long enough. */
--- a/source/edge-agent/stewards/stewardship.ts
+++ b/source/edge-agent/stewards/stewardship.ts
@@ -81,7 +81,7 @@
     const engines = this.tended();
     for (const name of [...this.stewards.keys()]) if (!engines.some(([engine]) => engine === name)) this.drop(name);
     this.shards.keepOnly(engines.map(([name]) => name));
-    const names = this.membership.present().map(({ name }) => name);
+    const names = this.membership.presentNames();
     const wanted = this.settings.readsList && this.wantsList(names) ? [DutySubjects.list.duty] : [];
     for (const [engine] of engines) {
       const subject = DutySubjects.engine(engine);
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -32,6 +32,9 @@
   /** Given up: for so long no directive had left under this term, or any before it. */
   restMicroseconds?: number;
 }>;
+/** Work of short and of long orders that a proxy placed lately, in hundredths of a second of an engine's time. */
+export type WorkMix = readonly [short: number, long: number];
+
 export type LoadFact = Readonly<{
   agent: string;
   engines: Readonly<Record<string, number>>;
@@ -40,6 +43,8 @@
   tenants: Readonly<Record<string, number>>;
   /** Tokens that its sends have an engine read before their first events, and tokens of all its sends there. */
   work?: Readonly<Record<string, readonly [reading: number, tokens: number]>>;
+  /** By pool, faded with time; missing: none was placed lately. */
+  mix?: Readonly<Record<string, WorkMix>>;
   /** Answers that failed lately and good ones, only of engines where some failed; missing: none did anywhere. */
   failing?: Readonly<Record<string, readonly [failed: number, good: number]>>;
   /** Engines whose stewards hear nothing of them, and that answered an order here all the same; missing: none. */
--- a/source/shared/news/facts.ts
+++ b/source/shared/news/facts.ts
@@ -52,6 +52,11 @@
     return this.kindChanges.get(kind) ?? 0;
   }
 
+  /** How many facts of one kind are known. */
+  public countOf(kind: string): number {
+    return this.kinds.get(kind)?.size ?? 0;
+  }
+
   /** True when the fact was newer than what was known. */
   public put(fact: Fact): boolean {
     const known = this.facts.get(fact.key);
--- /dev/null
+++ b/tests/fleet-pace.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import fc from 'fast-check';
+import { test } from 'node:test';
+import { World } from '../source/fleet-simulator/world/world';
+import { FleetPace } from '../source/shared/pace/fleetPace';
+import { HeldFleet, type HeldAgent } from './support/heldFleet';
+
+test('pauses grow with the fleet, within their bound, and small fleets keep their own', () => {
+  const size = fc.integer({ min: 1, max: 2000 });
+  fc.assert(
+    fc.property(size, size, fc.integer({ min: 1, max: 4 }), (one, two, most) => {
+      const [few, many] = [FleetPace.of(Math.min(one, two), most), FleetPace.of(Math.max(one, two), most)];
+      assert.ok(few >= 1 && few <= many && many <= most);
+    }),
+    { seed: 8 },
+  );
+  assert.equal(FleetPace.of(9, 3), 1);
+  assert.equal(FleetPace.of(24, 3), 1);
+  assert.equal(FleetPace.of(60, 2.5), 2.5);
+});
+
+test('in a large fleet a daemon says less, and a document or an engine that leaves is known as soon', async () => {
+  const run = async (agents: number) => {
+    const fleet = new HeldFleet(new World(11), agents);
+    const names = fleet.addEngines(6);
+    await fleet.start();
+    assert.ok(await fleet.world.runUntil(() => fleet.settled(names), 15_000_000), `${agents} settle`);
+    await fleet.world.runFor(4_000_000);
+    const { network } = fleet.keepers;
+    const [messages, from] = [network.messages, fleet.world.clock.nowMicroseconds()];
+    await fleet.world.runFor(4_000_000);
+    const each = ((network.messages - messages) * 1_000_000) / (fleet.world.clock.nowMicroseconds() - from) / agents;
+    const until = async (what: string, known: (agent: HeldAgent) => boolean): Promise<number> => {
+      const begun = fleet.world.clock.nowMicroseconds();
+      assert.ok(await fleet.world.runUntil(() => fleet.agents.every(known), 6_000_000), what);
+      return fleet.world.clock.nowMicroseconds() - begun;
+    };
+    await fleet.name('w2');
+    const change = await until('the change', ({ agent }) => {
+      const pool = agent.freshness.blueprint?.services['pool'];
+      return pool?.kind === 'pool' && pool.weights === 'w2';
+    });
+    await fleet.world.runFor(3_000_000);
+    fleet.engines.get('engine-3').state = 'draining';
+    const draining = await until(
+      'the engine that leaves',
+      ({ agent }) => agent.freshness.engines?.engines['engine-3']?.state === 'draining',
+    );
+    return { each, change, draining };
+  };
+  const [small, large] = [await run(12), await run(60)];
+  assert.ok(large.each < small.each * 0.6, `${large.each} messages a second instead of ${small.each}`);
+  assert.ok(large.change < 1_200_000, `a change after ${large.change}`);
+  assert.ok(large.draining < 1_500_000, `an engine that leaves after ${large.draining}`);
+});
