A proxy counts its engines once a change, apart from the counts of sends

Cause: each order asked four to six times for all engines of its pool, made 42 candidates anew each time and summed the loads of 72 others twice a class; a process that runs 200 orders in its life pays that in cold code. Change: which engines are able stands until a word on one, the list, the blueprint or (only where engines are on weights that end, silent or not found) time changes it; free places are counted without making candidates; sums of others' classes are kept with the list they are of; members are counted when they change.

--- a/source/edge-proxy/holding/takeDesk.ts
+++ b/source/edge-proxy/holding/takeDesk.ts
@@ -42,6 +42,20 @@
 type Held = Readonly<{ order: TakeOrder; settle: (taken: Taken) => void; cancel: Cancel }>;
 type ClassDesk = { running: number; held: number; readonly tenants: Map<string, Held[]>; readonly starts: number[] };
 type ServiceDesk = Readonly<{ classes: Map<string, ClassDesk> }>;
+type OtherLoads = ReturnType<Room['otherLoads']>;
+/** What all other proxies run and hold, by class. */
+type OtherSums = Readonly<{
+  of: OtherLoads;
+  running: ReadonlyMap<string, number>;
+  held: ReadonlyMap<string, number>;
+}>;
+
+const summed = (records: readonly Readonly<Record<string, number>>[]): ReadonlyMap<string, number> => {
+  const sums = new Map<string, number>();
+  for (const record of records)
+    for (const [key, count] of Object.entries(record)) sums.set(key, (sums.get(key) ?? 0) + count);
+  return sums;
+};
 
 /** So many starts, or so long, are looked back at to tell how fast a class goes on. */
 const keptStarts = 32;
@@ -51,6 +65,7 @@
 export class TakeDesk {
   private readonly services = new Map<string, ServiceDesk>();
   private readonly tenantsRunning = new Map<string, number>();
+  private otherSums: OtherSums | undefined;
 
   public constructor(
     private readonly clock: Clock,
@@ -268,7 +283,7 @@
   }
 
   private classLoads(service: string, desk: ServiceDesk, capacity: number): readonly ClassLoad[] {
-    const others = this.room.otherLoads();
+    const others = this.sumsOf(this.room.otherLoads());
     return Object.entries(this.classesOf()).map(([name, settings]) => {
       const key = this.serviceKey(service, name);
       const own = desk.classes.get(name);
@@ -277,12 +292,21 @@
         rank: settings.rank,
         lends: settings.lends,
         entitled: (capacity * settings.sharePerMille) / 1000,
-        running: (own?.running ?? 0) + others.reduce((sum, load) => sum + (load.classes[key] ?? 0), 0),
-        held: (own?.held ?? 0) + others.reduce((sum, load) => sum + (load.waiting[key] ?? 0), 0),
+        running: (own?.running ?? 0) + (others.running.get(key) ?? 0),
+        held: (own?.held ?? 0) + (others.held.get(key) ?? 0),
       };
     });
   }
 
+  /** Why by the list itself: it is made anew with news, and only then. */
+  private sumsOf(others: OtherLoads): OtherSums {
+    if (this.otherSums?.of === others) return this.otherSums;
+    const running = summed(others.map(({ classes }) => classes));
+    const held = summed(others.map(({ waiting }) => waiting));
+    this.otherSums = { of: others, running, held };
+    return this.otherSums;
+  }
+
   /** When asking again makes sense: once those that wait now have had their turns. */
   private comeBack({ service, className }: TakeOrder): number {
     const desk = this.classDesk(service, className);
--- a/source/edge-proxy/outliers/outlierDetector.ts
+++ b/source/edge-proxy/outliers/outlierDetector.ts
@@ -51,6 +51,11 @@
     return this.changeCount;
   }
 
+  /** Whether any engine stands otherwise than all. */
+  public get hasAny(): boolean {
+    return this.states.size > 0;
+  }
+
   public stateOf(engine: string): OutlierState {
     return this.states.get(engine) ?? OutlierStates.start;
   }
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -9,6 +9,7 @@
   type LoadFact,
   type MemberFact,
   type StewardFact,
+  type WorkMix,
 } from '../../shared/news/factTypes';
 import type { Fence } from '../fence/fence';
 import { OutlierDetector, type Standing } from '../outliers/outlierDetector';
@@ -45,19 +46,47 @@
 
 type Full = Readonly<{ version: string; own: number; at: number }>;
 type Elsewhere = Readonly<{ sends: number; work: WorkSum }>;
-type Others = Readonly<{ changes: number; loads: readonly LoadFact[]; engines: ReadonlyMap<string, Elsewhere> }>;
+type Others = Readonly<{
+  mark: string;
+  loads: readonly LoadFact[];
+  engines: ReadonlyMap<string, Elsewhere>;
+  mixes: ReadonlyMap<string, WorkMix>;
+}>;
+type Agents = Readonly<{ changes: number; present: readonly MemberFact[] }>;
 
-/** So long the candidates of a service stand, if nothing changes before. */
+/** So long what depends on the time of day is good for, if nothing changes before. */
 const workedMicroseconds = 1_000;
-type WorkedOut = Readonly<{
+
+/** An engine that could take work, and all of it that does not change with each order. */
+type Able = Readonly<{
+  name: string;
+  address: string;
+  bootEpoch: string;
+  weights: string;
+  capacity: number;
+  zone: string;
+}>;
+type AbleOnes = Readonly<{
   at: number;
   mark: string;
   list: EngineList | undefined;
   blueprint: Blueprint | undefined;
+  /** Whether time alone changes nothing of it. */
+  isTimeless: boolean;
+  engines: readonly Able[];
+  /** Places that may be given away in all of them. */
+  room: number;
+}>;
+type WorkedOut = Readonly<{
+  at: number;
+  mark: string;
+  of: AbleOnes;
+  others: Others;
   /** Those that could take work, and those of them that get any. */
   able: readonly Candidate[];
   candidates: readonly Candidate[];
 }>;
+const noMix: WorkMix = [0, 0];
 const noneElsewhere: Elsewhere = { sends: 0, work: { reading: 0, tokens: 0 } };
 
 /** What this proxy knows of the back ends: the platform's list, the stewards' word, loads here and elsewhere. */
@@ -65,6 +94,8 @@
   private readonly own = new Map<string, number>();
   private readonly full = new Map<string, Full>();
   private readonly worked = new Map<string, WorkedOut>();
+  private readonly ableOnes = new Map<string, AbleOnes>();
+  private members: Agents | undefined;
   private ownChanges = 0;
   private readonly other = new Map<string, Readonly<{ version: string; at: number }>>();
   private readonly begins = new Map<string, readonly number[]>();
@@ -134,16 +165,24 @@
     return this.othersNow().loads;
   }
 
+  /** What all other proxies placed in a pool lately, short and long orders. */
+  public otherMix(service: string): WorkMix {
+    return this.othersNow().mixes.get(service) ?? noMix;
+  }
+
   public proxies(): number {
     return Math.max(1, this.agents().length);
   }
 
   /** Agents that seem to be there. */
   public agents(): readonly MemberFact[] {
-    return this.facts.withPrefix('member/').flatMap(({ value }) => {
-      const member = value as MemberFact;
-      return MemberStates.isPresent(member) ? [member] : [];
-    });
+    const changes = this.facts.changesOf('member');
+    // Why kept: they are counted at each feed and each order, and change seldom.
+    if (this.members?.changes !== changes) {
+      const all = this.facts.withPrefix('member/').map(({ value }) => value as MemberFact);
+      this.members = { changes, present: all.filter(MemberStates.isPresent) };
+    }
+    return this.members.present;
   }
 
   /** The agent that reads the list of engines, as far as known. */
@@ -154,7 +193,7 @@
 
   /** All that are known to have belonged to the fleet lately, in whatever state: doubt about one must not shrink it. */
   public daemonsEverSeen(): number {
-    return this.facts.withPrefix('member/').length;
+    return this.facts.countOf('member');
   }
 
   /** Engines of a service that new work may go to. */
@@ -167,8 +206,18 @@
     return this.workedOut(service).able;
   }
 
+  /** Whether an order that was placed at this engine, as it was then, may still go there. */
+  public isAble(service: string, { name, bootEpoch, weights }: Pick<Able, 'name' | 'bootEpoch' | 'weights'>): boolean {
+    return this.ableNow(service).engines.some(
+      (engine) => engine.name === name && engine.bootEpoch === bootEpoch && engine.weights === weights,
+    );
+  }
+
   /** Called with news: engines are judged by what became of orders, here and elsewhere. */
   public review(): void {
+    // Why here too: the word on an engine that has left the list is asked for by nobody, and would be kept for ever.
+    for (const engine of this.full.keys()) this.isFull(engine);
+    for (const engine of this.other.keys()) this.isOther(engine);
     this.outliers.review(this.othersNow().loads, () => {
       const daemons = this.agents().map(({ name }) => name);
       return [...this.servicesListed().values()].map((listed) => ({ names: listed.map(([name]) => name), daemons }));
@@ -177,68 +226,69 @@
 
   private workedOut(service: string): WorkedOut {
     const now = this.clock.nowMicroseconds();
-    const { engines: list, blueprint } = this.freshness;
-    const mark = `${this.facts.changes}/${this.ownChanges}/${this.work.changes}/${this.outliers.changes}`;
+    const of = this.ableNow(service);
+    const others = this.othersNow();
+    const mark = `${this.ownChanges}/${this.work.changes}/${this.outliers.changes}`;
     const known = this.worked.get(service);
-    // Why for a moment: one order asks several times on its way, and nothing has changed since.
+    // Why for a moment only where an engine said that it is full: that word loses its force with time.
+    const stands = this.full.size === 0 || now - (known?.at ?? 0) < workedMicroseconds;
+    if (known !== undefined && stands && known.of === of && known.others === others && known.mark === mark)
+      return known;
+    const able = of.engines.map((engine): Candidate => ({
+      ...engine,
+      inFlight: this.inFlightAt(engine),
+      work: this.workAt(engine.name),
+    }));
+    const worked: WorkedOut = { at: now, mark, of, others, able, candidates: this.withoutOutliers(able) };
+    this.worked.set(service, worked);
+    return worked;
+  }
+
+  private inFlightAt({ name, capacity }: Able): number {
+    const counted = this.ownInFlight(name) + (this.othersNow().engines.get(name) ?? noneElsewhere).sends;
+    return this.isFull(name) ? Math.max(counted, capacity) : counted;
+  }
+
+  private workAt(name: string): WorkSum {
+    const own = this.work.of(name);
+    const elsewhere = this.othersNow().engines.get(name) ?? noneElsewhere;
+    return { reading: own.reading + elsewhere.work.reading, tokens: own.tokens + elsewhere.work.tokens };
+  }
+
+  /** Why apart from the counts: these change with each order, and which engines there are hardly ever. */
+  private ableNow(service: string): AbleOnes {
+    const now = this.clock.nowMicroseconds();
+    const { engines: list, blueprint } = this.freshness;
+    const mark = `${this.facts.changesOf('engine')}/${this.outliers.changes}`;
+    const known = this.ableOnes.get(service);
     if (
       known !== undefined &&
-      now - known.at < workedMicroseconds &&
+      (known.isTimeless && this.other.size === 0 ? true : now - known.at < workedMicroseconds) &&
       known.mark === mark &&
       known.list === list &&
       known.blueprint === blueprint
     )
       return known;
-    const able = this.workOut(service);
-    const worked: WorkedOut = { at: now, mark, list, blueprint, able, candidates: this.withoutOutliers(able) };
-    this.worked.set(service, worked);
-    return worked;
-  }
-
-  private workOut(service: string): readonly Candidate[] {
-    const { engines } = this.othersNow();
-    return this.listed(service).flatMap(([name, engine]) => {
-      const elsewhere = engines.get(name) ?? noneElsewhere;
-      const counted = this.ownInFlight(name) + elsewhere.sends;
-      const own = this.work.of(name);
-      const work: WorkSum = {
-        reading: own.reading + elsewhere.work.reading,
-        tokens: own.tokens + elsewhere.work.tokens,
-      };
-      if (engine.kind === 'app')
-        return [
-          {
-            name,
-            address: engine.address,
-            bootEpoch: '',
-            weights: '',
-            capacity: appCapacity,
-            inFlight: counted,
-            zone: engine.zone,
-            work,
-          },
-        ];
+    let isTimeless = true;
+    const engines = this.listed(service).flatMap(([name, engine]): readonly Able[] => {
+      const { address, zone } = engine;
+      if (engine.kind === 'app') return [{ name, address, bootEpoch: '', weights: '', capacity: appCapacity, zone }];
       const fact = this.wordOf(service, name, engine);
-      if (fact === undefined || fact.changing || fact.address !== engine.address) return [];
+      if (fact === undefined || fact.changing || fact.address !== address) return [];
       // Why an engine its steward does not hear: it may be the way to its control side alone, while it answers orders.
       if (fact.reachable) this.outliers.heardOf(name);
+      else isTimeless = false;
       if (fact.reachable ? !fact.accepting : !this.outliers.answersThoughSilent(name, this.versionOf(name))) return [];
-      if (this.fence.weights(service, fact.weights) === 'forbidden') return [];
-      if (this.isOther(name)) return [];
-      const inFlight = this.isFull(name) ? Math.max(counted, fact.capacity) : counted;
-      return [
-        {
-          name,
-          address: engine.address,
-          bootEpoch: fact.bootEpoch,
-          weights: fact.weights,
-          capacity: fact.capacity,
-          inFlight,
-          zone: engine.zone,
-          work,
-        },
-      ];
+      const word = this.fence.weights(service, fact.weights);
+      if (word !== 'intended') isTimeless = false;
+      if (word === 'forbidden' || this.isOther(name)) return [];
+      const { bootEpoch, weights, capacity } = fact;
+      return [{ name, address, bootEpoch, weights, capacity, zone }];
     });
+    const room = engines.reduce((sum, { capacity }) => sum + this.roomIn(capacity), 0);
+    const made: AbleOnes = { at: now, mark, list, blueprint, isTimeless, engines, room };
+    this.ableOnes.set(service, made);
+    return made;
   }
 
   private withoutOutliers(able: readonly Candidate[]): readonly Candidate[] {
@@ -257,13 +307,16 @@
   }
 
   public capacity(service: string): number {
+    if (!this.outliers.hasAny) return this.ableNow(service).room;
     return this.inService(service).reduce((sum, { capacity }) => sum + this.roomIn(capacity), 0);
   }
 
   /** Places that seem to be free at this moment; counts of other proxies are hints. */
   public free(service: string): number {
-    return this.inService(service).reduce(
-      (sum, { capacity, inFlight }) => sum + Math.max(0, this.roomIn(capacity) - inFlight),
+    // Why not the candidates where no engine is left out: they are made for one placement, and this is asked far more often.
+    const engines = this.outliers.hasAny ? this.inService(service) : this.ableNow(service).engines;
+    return engines.reduce(
+      (sum, engine) => sum + Math.max(0, this.roomIn(engine.capacity) - this.inFlightAt(engine)),
       0,
     );
   }
@@ -379,9 +432,9 @@
   }
 
   private othersNow(): Others {
-    const { changes } = this.facts;
+    const mark = `${this.facts.changesOf('load')}/${this.facts.changesOf('member')}`;
     // Why not for a time: sums that are older than the news sent an order to an engine known to be full.
-    if (this.others?.changes === changes) return this.others;
+    if (this.others?.mark === mark) return this.others;
     const agents = new Set(this.agents().map(({ name }) => name));
     const loads = this.facts
       .withPrefix('load/')
@@ -397,7 +450,13 @@
           work: { reading: known.work.reading + reading, tokens: known.work.tokens + tokens },
         });
       }
-    this.others = { changes, loads, engines };
+    const mixes = new Map<string, WorkMix>();
+    for (const { mix } of loads)
+      for (const [service, [short, long]] of Object.entries(mix ?? {})) {
+        const [knownShort, knownLong] = mixes.get(service) ?? noMix;
+        mixes.set(service, [knownShort + short, knownLong + long]);
+      }
+    this.others = { mark, loads, engines, mixes };
     return this.others;
   }
 }
--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -553,14 +553,9 @@
       const refusal = Refusals.make(503, 'notRun', 'mappingRemoved', 'The mapping changed again and again.', 1);
       return { kind: 'anew', context, refusal };
     }
-    const stillThere = this.parts.view
-      // Why also those left out: it was placed there before, and one on probation counts this very order as its own.
-      .able(resolved.mapping.service)
-      .some(
-        ({ name, bootEpoch, weights }) =>
-          name === placed.engine && bootEpoch === placed.bootEpoch && weights === placed.weights,
-      );
-    if (stillThere) return undefined;
+    const { engine: name, bootEpoch, weights } = placed;
+    // Why also those left out: it was placed there before, and one on probation counts this very order as its own.
+    if (this.parts.view.isAble(resolved.mapping.service, { name, bootEpoch, weights })) return undefined;
     const refusal = Refusals.make(503, 'notRun', 'noEngine', 'The engine left while the order was placed.', 1);
     return { kind: 'hold', context, refusal };
   }
--- a/tests/engine-view.test.ts
+++ b/tests/engine-view.test.ts
@@ -3,11 +3,12 @@
 import { Fence } from '../source/edge-proxy/fence/fence';
 import { EngineView } from '../source/edge-proxy/placement/engineView';
 import { EngineWork } from '../source/edge-proxy/placement/engineWork';
-import { Made } from '../source/measure/hollow/made';
+import { Made, weights } from '../source/measure/hollow/made';
 import type { Clock } from '../source/shared/effects/clock/clock';
 import { seededRandom } from '../source/shared/effects/random/random';
 import { Freshness } from '../source/shared/freshness/freshness';
 import { FactBook } from '../source/shared/news/facts';
+import { WeightsClocks } from '../source/shared/weights/weightsClocks';
 
 /** One proxy's view of the engines of one service, with the clock in the hand of the test. */
 const setUp = (
@@ -15,6 +16,9 @@
 ): Readonly<{
   view: EngineView;
   facts: FactBook;
+  freshness: Freshness;
+  clock: Clock;
+  now: () => number;
   pass: (microseconds: number) => void;
   inFlight: () => number;
 }> => {
@@ -35,7 +39,7 @@
   );
   const inFlight = (): number =>
     view.candidates(Made.service(1)).find(({ name }) => name === Made.engine(1))?.inFlight ?? -1;
-  return { view, facts, inFlight, pass: (microseconds) => (now += microseconds) };
+  return { view, facts, freshness, clock, inFlight, now: () => now, pass: (microseconds) => (now += microseconds) };
 };
 
 /** A send that the engine turns away for want of room. */
@@ -108,3 +112,58 @@
   say(4, true, true);
   assert.equal(has(), true);
 });
+
+test('engines on weights whose time is over are candidates no more, though no news comes', () => {
+  const { view, freshness, clock, now, pass } = setUp(2);
+  const able = (): boolean =>
+    view.isAble(Made.service(1), { name: Made.engine(1), bootEpoch: Made.engineFact(1).bootEpoch, weights });
+  assert.equal(able(), true);
+  const next = JSON.parse(JSON.stringify(Made.blueprint(1, 1, 1))) as { services: Record<string, { weights: string }> };
+  for (const service of Object.values(next.services)) service.weights = 'w2';
+  Made.give(freshness, clock, 'blueprint', JSON.stringify(next), 2);
+  freshness.hear(
+    {
+      key: 'blueprint',
+      revision: 2,
+      digest: freshness.applied('blueprint')?.digest ?? '',
+      ageMicroseconds: 0,
+      weights: { [Made.service(1)]: { weights: 'w2', previous: weights, ageMicroseconds: 1_000_000 } },
+    },
+    now(),
+  );
+  assert.equal(able(), true, 'for a while');
+  assert.equal(view.candidates(Made.service(1)).length, 2);
+  pass(WeightsClocks.cutMicroseconds - 1_000_000 - 100);
+  assert.equal(able(), true, 'up to the last moment');
+  pass(2_000);
+  assert.equal(able(), false);
+  assert.equal(view.candidates(Made.service(1)).length, 0);
+  assert.equal(view.capacity(Made.service(1)), 0);
+});
+
+test('free places follow own orders and the news of others at once, candidates say the same', () => {
+  const { view, facts } = setUp(2);
+  const service = Made.service(1);
+  const places = 2 * Made.engineFact(1).capacity;
+  const agree = (free: number): void => {
+    assert.equal(view.free(service), free);
+    const counted = view
+      .candidates(service)
+      .reduce((sum, { capacity, inFlight }) => sum + Math.max(0, capacity - inFlight), 0);
+    assert.equal(counted, free);
+    assert.equal(view.capacity(service), places);
+  };
+  agree(places);
+  view.began(Made.engine(1));
+  agree(places - 1);
+  facts.put({ key: 'member/other', version: [1, 0], value: { ...Made.member(2), name: 'other' } });
+  const load = { agent: 'other', engines: { [Made.engine(2)]: 5 }, classes: {}, waiting: {}, tenants: {} };
+  facts.put({ key: 'load/other', version: [1, 1], value: load });
+  agree(places - 6);
+  facts.put({ key: 'member/other', version: [1, 3], value: { ...Made.member(2), name: 'other', state: 'left' } });
+  agree(places - 1);
+  view.ended(Made.engine(1));
+  agree(places);
+  turnedAway(view);
+  agree(places - Made.engineFact(1).capacity);
+});
