Lanes for short orders are worked out from what all proxies saw, not from one's own

Cause: of 181 short sends logged on eight daemons the late ones waited 250 to 580 ms at engines that read long prompts, of which their proxy knew nothing; 6 to 25 ms were spent before the send. Each proxy of 73 sees a long order every two seconds, so each kept other engines free, and long orders of one stood in the lane of another. Change: loads tell the mix of short and long work by pool; lanes come from the sum, alike everywhere. Random numbers are drawn by the thousand bytes (a placement draws one for each engine: 4.5% of an order's time).

--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -17,6 +17,7 @@
 import { FactBook } from '../shared/news/facts';
 import { NewsExchange } from '../shared/news/newsExchange';
 import { Pulses } from '../shared/news/pulses';
+import { FleetPace } from '../shared/pace/fleetPace';
 import type { Refusal } from '../shared/verdict/verdict';
 import { WeightsClocks } from '../shared/weights/weightsClocks';
 import { Feeders } from './feeding/feeders';
@@ -91,9 +92,8 @@
   latelyMicroseconds: number;
 }>;
 
-/** Starting values, ours: among so many proxies each is fed as often as its settings say, and how much longer it may take. */
-const promptProxies = 24;
-const mostFeedPause = 2;
+/** Starting value, ours: how much longer it may take until a proxy of a large fleet is fed again. */
+const mostFeedPause = 3;
 
 export const ProxyDefaults = {
   freshMicroseconds: 1_500_000,
@@ -159,6 +159,7 @@
   private readonly sends: SendPolicy;
   private readonly pipeline: Pipeline;
   private readonly exchange: NewsExchange;
+  private readonly lanes: Lanes;
   private readonly speeds: LinkSpeeds;
   private readonly readSpeeds: ReadSpeeds;
   private readonly feeders: Feeders;
@@ -195,6 +196,7 @@
     // Why a start of a thousand: these are ratios of what a move takes to what it should, in thousandths.
     const moves = new PartMoves(this.view, new LinkSpeeds(1000, 4096), settings.moves);
     this.readSpeeds = readSpeeds;
+    this.lanes = new Lanes(clock, settings.lanes);
     const desk = new DeskLink(
       this.effects.transport,
       clock,
@@ -276,7 +278,7 @@
             readSpeeds,
             random,
             settings.zone,
-            new Lanes(clock, settings.lanes),
+            this.lanes,
             desk,
             settings.workPlacement,
           ),
@@ -390,6 +392,7 @@
       engines: this.view.loads(),
       ...this.desk.loads(),
       work: this.view.work.sums(),
+      mix: this.lanes.mixes(),
       ...this.view.outliers.telling(),
     };
     const foster = this.feeders.foster();
@@ -417,7 +420,7 @@
    * there, and what it is told of others has been on its way for longer than this.
    */
   private feedPause(): number {
-    return this.settings.feedMicroseconds * Math.min(mostFeedPause, Math.max(1, this.view.proxies() / promptProxies));
+    return this.settings.feedMicroseconds * FleetPace.of(this.view.proxies(), mostFeedPause);
   }
 
   private async feedFrom(address: string, extra: Readonly<Record<string, unknown>>): Promise<void> {
--- a/source/edge-proxy/placement/lanes.ts
+++ b/source/edge-proxy/placement/lanes.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../../shared/effects/clock/clock';
+import type { WorkMix } from '../../shared/news/factTypes';
 import { Rendezvous } from '../../shared/rendezvous/rendezvous';
 
 export type LaneSettings = Readonly<{
@@ -23,13 +24,19 @@
 
 type Mix = { short: number; long: number; at: number };
 
+/** What mixes are told in. Why no finer: a mix that fades must not be news at each moment. */
+const toldMicroseconds = 10_000;
+const noMix: WorkMix = [0, 0];
+
 /**
  * Engines of a pool that short orders have to themselves while there is room elsewhere. Why: an engine reads one long
  * prompt after the other, and a short order that comes while it does waits for all of it. Proxies learn of each
- * other's reading too late to step aside each time; which engines are kept free all of them work out alike.
+ * other's reading too late to step aside each time; which engines are kept free all of them work out alike, from the mix
+ * of orders that all of them together have seen. Why not each from its own: in a large fleet one sees a long order now and
+ * then, so their lanes would differ, and long orders of one would stand in the lane of another.
  */
 export class Lanes {
-  private readonly mixes = new Map<string, Mix>();
+  private readonly seen = new Map<string, Mix>();
   private readonly orders = new Map<string, Readonly<{ of: string; names: readonly string[] }>>();
 
   public constructor(
@@ -53,12 +60,25 @@
     const work = readMicroseconds + (outputTokens * this.settings.outputMicroseconds) / Math.max(1, capacity);
     if (isShort) mix.short += work;
     else mix.long += work;
-    this.mixes.set(service, mix);
+    this.seen.set(service, mix);
+  }
+
+  /** What this proxy tells the others of its own orders, by pool. */
+  public mixes(): Readonly<Record<string, WorkMix>> {
+    return Object.fromEntries(
+      [...this.seen.keys()].flatMap((service): readonly (readonly [string, WorkMix])[] => {
+        const { short, long } = this.faded(service);
+        const told: WorkMix = [Math.round(short / toldMicroseconds), Math.round(long / toldMicroseconds)];
+        return told[0] + told[1] > 0 ? [[service, told]] : [];
+      }),
+    );
   }
 
-  /** The engines kept for short orders; none while there is nothing to keep apart. */
-  public of(service: string, engines: readonly string[]): ReadonlySet<string> {
-    const { short, long } = this.faded(service);
+  /** The engines kept for short orders; none while there is nothing to keep apart. `others`: the mix of all other proxies. */
+  public of(service: string, engines: readonly string[], others: WorkMix = noMix): ReadonlySet<string> {
+    const own = this.faded(service);
+    const short = own.short + others[0] * toldMicroseconds;
+    const long = own.long + others[1] * toldMicroseconds;
     if (engines.length < 2 || short === 0 || long === 0) return new Set();
     const part = (short / (short + long)) * (this.settings.headroomPerMille / 1000);
     const count = Math.min(engines.length - 1, Math.max(1, Math.round(engines.length * part)));
@@ -76,7 +96,7 @@
 
   private faded(service: string): Mix {
     const now = this.clock.nowMicroseconds();
-    const mix = this.mixes.get(service) ?? { short: 0, long: 0, at: now };
+    const mix = this.seen.get(service) ?? { short: 0, long: 0, at: now };
     const fade = Math.exp(-(now - mix.at) / this.settings.lookBackMicroseconds);
     return { short: mix.short * fade, long: mix.long * fade, at: now };
   }
--- a/source/shared/effects/random/random.ts
+++ b/source/shared/effects/random/random.ts
@@ -1,4 +1,4 @@
-import { randomBytes } from 'node:crypto';
+import { randomBytes, randomFillSync } from 'node:crypto';
 
 export interface Random {
   /** At least 0, below 1. */
@@ -6,8 +6,21 @@
   readonly name: () => string;
 }
 
+const words = new Uint32Array(256);
+let wordsLeft = 0;
+
+/** Why many at once: a placement draws one for each engine, and asking for each cost more than all else it does. */
+const nextWord = (): number => {
+  if (wordsLeft === 0) {
+    randomFillSync(words);
+    wordsLeft = words.length;
+  }
+  wordsLeft -= 1;
+  return words[wordsLeft] ?? 0;
+};
+
 export const realRandom: Random = {
-  fraction: () => randomBytes(4).readUInt32BE(0) / 2 ** 32,
+  fraction: () => nextWord() / 2 ** 32,
   name: () => randomBytes(12).toString('hex'),
 };
 
--- a/tests/named-parts.test.ts
+++ b/tests/named-parts.test.ts
@@ -194,6 +194,44 @@
   assert.equal(lanesAfter(1, 1000).size, 1);
 });
 
+test('proxies that each saw a long order now and then keep the same engines for short ones, by the mix of all', () => {
+  const engines = Array.from({ length: 42 }, (_, index) => `engine-${index}`);
+  const orders = fc.array(fc.tuple(fc.integer({ min: 0, max: 60 }), fc.integer({ min: 0, max: 6 })), {
+    minLength: 2,
+    maxLength: 40,
+  });
+  fc.assert(
+    fc.property(orders, (seen) => {
+      const proxies = seen.map(([short, long]) => {
+        const lanes = new Lanes(handClock(), LaneSettings.usual);
+        for (let turn = 0; turn < short; turn += 1) lanes.saw('s', 10_000, 0, 20, true);
+        for (let turn = 0; turn < long; turn += 1) lanes.saw('s', 200_000, 0, 20, false);
+        return lanes;
+      });
+      const sum = (but: number): readonly [number, number] =>
+        proxies.reduce<readonly [number, number]>(
+          ([short, long], lanes, index) => {
+            const told = index === but ? undefined : lanes.mixes()['s'];
+            return [short + (told?.[0] ?? 0), long + (told?.[1] ?? 0)];
+          },
+          [0, 0],
+        );
+      const kept = proxies.map((lanes, index) => [...lanes.of('s', engines, sum(index))].join(' '));
+      assert.equal(new Set(kept).size, 1);
+    }),
+    { seed: 9, numRuns: 100 },
+  );
+});
+
+test('a mix fades until nothing of it is told', () => {
+  const clock = handClock();
+  const lanes = new Lanes(clock, LaneSettings.usual);
+  lanes.saw('s', 200_000, 0, 20, false);
+  assert.deepEqual(lanes.mixes(), { s: [0, 20] });
+  clock.now = 60_000_000;
+  assert.deepEqual(lanes.mixes(), {});
+});
+
 const desk = (): Readonly<{ clock: ReturnType<typeof handClock>; desk: WorkDesk }> => {
   const clock = handClock();
   return { clock, desk: new WorkDesk(clock) };
