Engines about to change their weights stand behind the others; marks at the fleet's pace

Change: each proxy works out from the rounds, which all know, who is in the one that goes on and in the next, and lets the others go first (long orders 120 ms, short ones 30: less than leaving their lane costs); a steward waits after its mark for as long as news takes there; ballots half as often in a large fleet.

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -143,6 +143,7 @@
 const mostNewsPause = 2.5;
 const mostWatchPause = 2;
 const mostReadPause = 1.75;
+const mostBallotPause = 2;
 
 /** Starting value, ours: so long after a document or the word on an engine changed here, news is exchanged as in a small fleet. */
 const urgentMicroseconds = 1_000_000;
@@ -252,6 +253,7 @@
           weightsWithinMicroseconds: settings.weightsWithinMicroseconds,
           statusMicroseconds: settings.statusMicroseconds,
           leastPart: settings.leastPart,
+          markMicroseconds: () => HeldStewardDefaults.markMicroseconds() * this.pace(mostNewsPause),
         },
       },
       this.log,
@@ -275,7 +277,7 @@
       [() => settings.readMicroseconds, () => this.link.read()],
       [() => this.newsPause(), () => this.news()],
       [() => settings.watchMicroseconds * this.pace(mostWatchPause), () => this.watch()],
-      [() => settings.ballotMicroseconds, () => this.stewardship.ballot()],
+      [() => settings.ballotMicroseconds * this.pace(mostBallotPause), () => this.stewardship.ballot()],
       [() => settings.tendMicroseconds, () => this.stewardship.tend()],
     ];
     // Why often while there is none: orders wait for it. Later it only looks whether the list has become old.
--- a/source/edge-agent/stewards/heldSteward.ts
+++ b/source/edge-agent/stewards/heldSteward.ts
@@ -8,11 +8,11 @@
 import type { Log } from '../../shared/log/log';
 import type { FactBook } from '../../shared/news/facts';
 import { FactKeys, type EngineFact } from '../../shared/news/factTypes';
+import { WeightsRounds } from '../../shared/weights/weightsRounds';
 import { EngineWord } from './engineWord';
 import { EventReader, type EventReaderSettings } from './eventReader';
 import type { LiveSalts } from './liveSalts';
 import type { Steward } from './steward';
-import { WeightsRounds } from './weightsRounds';
 
 export type HeldStewardSettings = Readonly<{
   askMicroseconds: number;
@@ -21,7 +21,7 @@
   statusMicroseconds: number;
   changingLookMicroseconds: number;
   /** So long after it was said that an engine changes it is told to: by then no proxy chooses it. */
-  markMicroseconds: number;
+  markMicroseconds: () => number;
   /** So long after its duty began a steward gives no directive: the one before may have given one until then. */
   directiveWaitMicroseconds: number;
   /** Within this time of their taking new weights stand everywhere. */
@@ -33,7 +33,7 @@
 export const HeldStewardDefaults = {
   statusMicroseconds: 30_000_000,
   changingLookMicroseconds: 250_000,
-  markMicroseconds: 300_000,
+  markMicroseconds: () => 300_000,
   directiveWaitMicroseconds: 0,
   weightsWithinMicroseconds: 12_000_000,
   leastPart: 512,
@@ -226,7 +226,7 @@
       this.changingSince = this.clock.nowMicroseconds();
     }
     this.say();
-    if (this.clock.steadyMicroseconds() - this.markedMicroseconds < this.settings.markMicroseconds) return;
+    if (this.clock.steadyMicroseconds() - this.markedMicroseconds < this.settings.markMicroseconds()) return;
     if (status.busy !== true && this.mayDirect(wanted.weights)) await this.direct(wanted);
   }
 
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -47,6 +47,9 @@
   homeMicroseconds: number;
   /** What keeps orders from an engine that some failed at lately. */
   suspectMicroseconds: number;
+  /** What keeps long orders, and short ones, from an engine that is about to change its weights. */
+  longChangesSoonMicroseconds: number;
+  shortChangesSoonMicroseconds: number;
 }>;
 
 export const WorkPlacementSettings = {
@@ -61,6 +64,9 @@
     shortOutsideMicroseconds: 60_000,
     homeMicroseconds: 300_000,
     suspectMicroseconds: 150_000,
+    longChangesSoonMicroseconds: 120_000,
+    // Why less than to leave a lane: one that is turned away is soon sent again, one behind a long read is late.
+    shortChangesSoonMicroseconds: 30_000,
   } satisfies WorkPlacementSettings,
 } as const;
 
@@ -90,9 +96,16 @@
         : demand.isShort
           ? settings.shortOutsideMicroseconds
           : settings.longInLaneMicroseconds;
+    const soon =
+      offer.changesSoon !== true
+        ? 0
+        : demand.isShort
+          ? settings.shortChangesSoonMicroseconds
+          : settings.longChangesSoonMicroseconds;
     return (
       apart +
       (offer.standing === 'suspected' ? settings.suspectMicroseconds : 0) +
+      soon +
       offer.moveMicroseconds +
       inFlight * settings.sendMicroseconds +
       turns * settings.turnMicroseconds +
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -11,6 +11,7 @@
   type StewardFact,
   type WorkMix,
 } from '../../shared/news/factTypes';
+import { WeightsRounds } from '../../shared/weights/weightsRounds';
 import type { Fence } from '../fence/fence';
 import { OutlierDetector, type Standing } from '../outliers/outlierDetector';
 import { OutlierSettings } from '../outliers/outlierSettings';
@@ -28,6 +29,8 @@
   work: WorkSum;
   /** Missing: as any other. `suspected`: others go first. `probation`: it gets one order at a time, to see what becomes of it. */
   standing?: Standing;
+  /** It is on the weights before, and about to be given the new ones: what it has not begun then it turns away. */
+  changesSoon?: boolean;
 }>;
 
 export type Store = Readonly<{ name: string; address: string; bootEpoch: string }>;
@@ -65,6 +68,7 @@
   weights: string;
   capacity: number;
   zone: string;
+  changesSoon?: boolean;
 }>;
 type AbleOnes = Readonly<{
   at: number;
@@ -96,6 +100,7 @@
   private readonly worked = new Map<string, WorkedOut>();
   private readonly ableOnes = new Map<string, AbleOnes>();
   private members: Agents | undefined;
+  private readonly weightOrders = new Map<string, Readonly<{ of: string; engines: readonly string[] }>>();
   private ownChanges = 0;
   private readonly other = new Map<string, Readonly<{ version: string; at: number }>>();
   private readonly begins = new Map<string, readonly number[]>();
@@ -270,7 +275,8 @@
     )
       return known;
     let isTimeless = true;
-    const engines = this.listed(service).flatMap(([name, engine]): readonly Able[] => {
+    let hasOld = false;
+    const found = this.listed(service).flatMap(([name, engine]): readonly Able[] => {
       const { address, zone } = engine;
       if (engine.kind === 'app') return [{ name, address, bootEpoch: '', weights: '', capacity: appCapacity, zone }];
       const fact = this.wordOf(service, name, engine);
@@ -281,16 +287,35 @@
       if (fact.reachable ? !fact.accepting : !this.outliers.answersThoughSilent(name, this.versionOf(name))) return [];
       const word = this.fence.weights(service, fact.weights);
       if (word !== 'intended') isTimeless = false;
+      if (word === 'untilChanged') hasOld = true;
       if (word === 'forbidden' || this.isOther(name)) return [];
       const { bootEpoch, weights, capacity } = fact;
       return [{ name, address, bootEpoch, weights, capacity, zone }];
     });
+    const soon = hasOld ? this.changingSoon(service) : undefined;
+    const engines = soon === undefined ? found : found.map((one) => ({ ...one, changesSoon: soon.has(one.name) }));
     const room = engines.reduce((sum, { capacity }) => sum + this.roomIn(capacity), 0);
     const made: AbleOnes = { at: now, mark, list, blueprint, isTimeless, engines, room };
     this.ableOnes.set(service, made);
     return made;
   }
 
+  private changingSoon(service: string): ReadonlySet<string> {
+    const { blueprint } = this.freshness;
+    const pool = blueprint?.services[service];
+    if (pool?.kind !== 'pool') return new Set();
+    const names = this.listed(service).flatMap(([name, { kind }]) => (kind === 'engine' ? [name] : []));
+    const of = `${pool.weights} ${names.join(' ')}`;
+    let order = this.weightOrders.get(service);
+    if (order?.of !== of) {
+      order = { of, engines: WeightsRounds.order(service, pool.weights, names) };
+      this.weightOrders.set(service, order);
+    }
+    const hasChanged = (name: string): boolean =>
+      this.facts.value<EngineFact>(FactKeys.engine(name))?.weights === pool.weights;
+    return new Set(WeightsRounds.soon(order.engines, hasChanged));
+  }
+
   private withoutOutliers(able: readonly Candidate[]): readonly Candidate[] {
     const standings = this.outliers.standingsIn(able, (name) => this.ownInFlight(name) === 0);
     if (standings.size === 0) return able;
--- a/source/edge-agent/stewards/weightsRounds.ts
+++ b/source/shared/weights/weightsRounds.ts
@@ -1,6 +1,6 @@
-import { Rendezvous } from '../../shared/rendezvous/rendezvous';
-import type { WeightsSince } from '../../shared/freshness/freshness';
-import type { EngineFact } from '../../shared/news/factTypes';
+import type { WeightsSince } from '../freshness/freshness';
+import type { EngineFact } from '../news/factTypes';
+import { Rendezvous } from '../rendezvous/rendezvous';
 
 /** Starting value, ours: so much of the promised time the rounds may take; the rest is for what goes wrong. */
 const roundsPerMille = 550;
@@ -13,6 +13,22 @@
   roundOf: (engine: string, service: string, weights: string, engines: readonly string[]): number =>
     Math.floor(Rendezvous.rank(`weights/${service}/${weights}`, engine, engines) / WeightsRounds.width(engines.length)),
 
+  /** All engines of a pool, those that change first standing first. */
+  order: (service: string, weights: string, engines: readonly string[]): readonly string[] =>
+    Rendezvous.order(`weights/${service}/${weights}`, engines),
+
+  /**
+   * Those of the round that goes on and of the next one that have not changed yet, as far as known here. Why the next too:
+   * word that a round is over may be here later than at the stewards of the next.
+   */
+  soon: (order: readonly string[], hasChanged: (engine: string) => boolean): readonly string[] => {
+    const width = WeightsRounds.width(order.length);
+    const first = order.findIndex((engine) => !hasChanged(engine));
+    if (first < 0) return [];
+    const begin = Math.floor(first / width) * width;
+    return order.slice(begin, begin + 2 * width).filter((engine) => !hasChanged(engine));
+  },
+
   /** Whether an engine's turn has come: all rounds before are done, or their time is over. */
   isDue: (
     engine: string,
@@ -29,7 +45,7 @@
     // Why at once: nobody knows since when they are intended, so no time is left.
     if (intended.sinceMicroseconds === null) return true;
     // Why the order once: it is asked for by each engine of a pool that may be large.
-    const order = Rendezvous.order(`weights/${service}/${intended.weights}`, engines);
+    const order = WeightsRounds.order(service, intended.weights, engines);
     const width = WeightsRounds.width(engines.length);
     const round = Math.floor(order.indexOf(engine) / width);
     const begin = Math.max(intended.sinceMicroseconds, mayFromMicroseconds);
--- a/tests/engine-view.test.ts
+++ b/tests/engine-view.test.ts
@@ -132,6 +132,11 @@
     now(),
   );
   assert.equal(able(), true, 'for a while');
+  assert.deepEqual(
+    view.candidates(Made.service(1)).map(({ changesSoon }) => changesSoon),
+    [true, true],
+    'both are in the next two rounds',
+  );
   assert.equal(view.candidates(Made.service(1)).length, 2);
   pass(WeightsClocks.cutMicroseconds - 1_000_000 - 100);
   assert.equal(able(), true, 'up to the last moment');
--- a/tests/named-parts.test.ts
+++ b/tests/named-parts.test.ts
@@ -5,6 +5,7 @@
 import { Shares } from '../source/edge-proxy/fence/shares';
 import { ByWork, WorkPlacementSettings, type Offer } from '../source/edge-proxy/placement/byWork';
 import { Lanes, LaneSettings } from '../source/edge-proxy/placement/lanes';
+import { WeightsRounds } from '../source/shared/weights/weightsRounds';
 import { EngineWork } from '../source/edge-proxy/placement/engineWork';
 import { ReadSpeeds } from '../source/edge-proxy/placement/readSpeeds';
 import { WholeEvents } from '../source/edge-proxy/sends/wholeEvents';
@@ -223,6 +224,37 @@
   );
 });
 
+test('about to change are those of the round that goes on and the next one, until they have', () => {
+  const names = Array.from({ length: 42 }, (_, index) => `engine-${index}`);
+  const order = WeightsRounds.order('s', 'w2', names);
+  const width = WeightsRounds.width(names.length);
+  fc.assert(
+    fc.property(fc.uniqueArray(fc.nat(41)), (places) => {
+      const changed = new Set(places.map((place) => order[place]));
+      const soon = WeightsRounds.soon(order, (name) => changed.has(name));
+      assert.ok(soon.every((name) => !changed.has(name)) && soon.length <= 2 * width);
+      const first = order.find((name) => !changed.has(name));
+      assert.equal(first === undefined, soon.length === 0);
+      if (first !== undefined) assert.ok(soon.includes(first));
+    }),
+    { seed: 10 },
+  );
+  assert.deepEqual(
+    WeightsRounds.soon(order, () => false),
+    order.slice(0, 2 * width),
+  );
+});
+
+test('orders go elsewhere than to an engine that is about to change its weights, while that is not worth much more', () => {
+  const short = { tokens: 200, parts: [], zone: 'z', isShort: true };
+  const choose = (...offers: readonly Offer[]): string | undefined =>
+    ByWork.choose(offers, short, seededRandom(1), WorkPlacementSettings.usual)?.name;
+  assert.equal(choose(offer('a', { changesSoon: true }), offer('b', { inFlight: 5 })), 'b');
+  assert.equal(choose(offer('a', { changesSoon: true }), offer('b', { inFlight: 90 })), 'a');
+  const lanes = [offer('a', { changesSoon: true, lane: true }), offer('b')] as const;
+  assert.equal(choose(...lanes), 'a', 'a short one does not leave its lane for it');
+});
+
 test('a mix fades until nothing of it is told', () => {
   const clock = handClock();
   const lanes = new Lanes(clock, LaneSettings.usual);
