Keepers that began anew know their agents again after two readings

Cause, reproduced five times of five with real processes: the command line finds agents through the keepers, a keeper forgets them when it restarts, and an agent said who it is only with each tenth reading. For 2 s (all keepers knew all three agents after 0.97 to 2.05 s) `status` showed no daemon and `check` spoke of a fleet that nobody had seen; with shared readings, as on the platform, it would be up to 10 s. Ruled out: limits that passed (0.17 s in all), lapsed duties, agents' pages.

Now a keeper's words are confirmed only to who heard them since its start, and an agent says who it is again where the last answer was none, or all words anew instead of "as you know them". Nothing goes over the links in calm times that did not before. Virtual time: red before at the first restart, now within three readings for one keeper and all at once.

The test waits until each keeper has met all agents: nothing promises that to an operator who looks 0.2 s after a restart. What it asserts is as before.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -95,6 +95,7 @@
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
   private listener: Listener | undefined;
+  private readonly startedMicroseconds: number;
   /** Agents that named this keeper as a seed; a first contact only, bounded like all news. */
   private readonly askers = new Map<string, Readonly<{ fact: Fact; atMicroseconds: number }>>();
   private readonly repairing = new Set<DocumentKey>();
@@ -108,6 +109,7 @@
   ) {
     const dialect = rememberingDialect(givenDialect);
     const { clock, random } = given;
+    this.startedMicroseconds = clock.nowMicroseconds();
     const transport = new FleetTransport(given.transport, () => this.standing.fleet());
     this.effects = { ...given, transport };
     this.log = Logs.part(`keeper:${settings.name}`);
@@ -461,8 +463,11 @@
       words: this.words(),
     };
     // Why without the ages: they go on by themselves, and the asker counts them on.
+    // Why with the start: who asks then notices that this keeper began anew, and has forgotten whom it met.
     const known = Digests.of(
-      JSON.stringify(answer, (field, value: unknown) => (field === 'ageMicroseconds' ? value === null : value)),
+      JSON.stringify([this.startedMicroseconds, answer], (field, value: unknown) =>
+        field === 'ageMicroseconds' ? value === null : value,
+      ),
     );
     return message['known'] === known ? { kind: 'wordsSame', known } : { ...answer, known };
   }
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -11,6 +11,9 @@
 /** What one address said: the fleet it leads to, and a keeper's words. */
 type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined; led: readonly string[] }>;
 
+/** `words`: all its words, as a keeper does that has changed or has begun anew. `other`: that it has nothing new, or none. */
+type LastAnswer = 'silent' | 'words' | 'other';
+
 /** Starting value, ours: with how many readings of the keepers one also says who one is. */
 const ownWordEvery = 10;
 
@@ -42,8 +45,8 @@
   private view: WordsAnswer['view'] | undefined;
   private led: readonly string[] = [];
   private readonly kept = new KeptWords();
-  /** Those that did not answer when they were last asked. */
-  private readonly silent = new Set<string>();
+  /** What each address said when it was last asked. */
+  private readonly last = new Map<string, LastAnswer>();
   private reading = 0;
   private fetching = false;
   private seeds: readonly string[];
@@ -85,11 +88,11 @@
       return;
     const addresses = this.addresses();
     this.kept.only(addresses);
-    for (const address of this.silent) if (!addresses.includes(address)) this.silent.delete(address);
+    for (const address of this.last.keys()) if (!addresses.includes(address)) this.last.delete(address);
     const said = new Map<string, Said>();
     const asks = addresses.map(async (address) => void said.set(address, await this.words(address)));
     // Why not for those that were silent: each reading would be late by the whole patience, and the next one after it.
-    await Promise.all(asks.filter((_, index) => !this.silent.has(addresses[index] ?? '')));
+    await Promise.all(asks.filter((_, index) => this.last.get(addresses[index] ?? '') !== 'silent'));
     this.reading += 1;
     let read = this.judge(said);
     if (read.statements.length === 0) {
@@ -145,15 +148,16 @@
   }
 
   private async words(address: string): Promise<Said> {
-    // Why the own word only now and then: it is for operators and newcomers, and hardly ever changes.
-    const own = this.reading % ownWordEvery === 0 ? { own: this.own() } : {};
+    // Why the own word only now and then: it is for operators and newcomers, and hardly ever changes. Why also where one
+    // may have begun anew: it has forgotten whom it met, and operators find the daemons through it.
+    const saysOwn = this.reading % ownWordEvery === 0 || this.last.get(address) !== 'other';
+    const own = saysOwn ? { own: this.own() } : {};
     const answer = await this.effects.transport.ask(
       address,
       { kind: 'words', ...own, known: this.kept.known(address) },
       this.settings.askMicroseconds,
     );
-    if (answer.kind === 'answered') this.silent.delete(address);
-    else this.silent.add(address);
+    this.last.set(address, answer.kind === 'silent' ? 'silent' : answer.message.kind === 'words' ? 'words' : 'other');
     if (answer.kind !== 'answered') return { fleet: '', words: undefined, led: [] };
     const { message } = answer;
     const words = this.wordsIn(address, message);
--- a/tests/core-link.test.ts
+++ b/tests/core-link.test.ts
@@ -13,6 +13,7 @@
 
 const { readMicroseconds, readAskMicroseconds, sharedReadMicroseconds, ownReadMicroseconds } = AgentDefaults;
 const edgeMachine = '10.2.0.1';
+const self = { key: 'member/edge-1', version: [1, 1], value: { name: 'edge-1', address: `${edgeMachine}:1` } };
 
 /** One agent's link to three real keepers, on virtual time. */
 class LinkedFleet {
@@ -41,7 +42,7 @@
         ownReadMicroseconds,
         readsEngines: true,
       },
-      () => null,
+      () => self,
     );
     this.ticker = new Ticker(
       process.clock,
@@ -112,4 +113,21 @@
     await linked.fleet.world.runFor(readMicroseconds + readAskMicroseconds * 2);
     assert.ok((await linked.worstAge(2_000_000)) < readMicroseconds * 2);
   });
+
+  test('keepers that began anew soon know again whom they met, one alone and all at once', async () => {
+    const linked = await LinkedFleet.begin();
+    const { world, machines } = linked.fleet;
+    const meets = (number: number): boolean => linked.fleet.machine(number).keeper?.agents().length === 1;
+    // Why each of ten: wherever its count of readings stands, an agent must not wait for the next time it says who it is.
+    for (let turn = 0; turn < 10; turn += 1) {
+      const numbers = turn % 2 === 0 ? [(turn % 3) + 1] : [1, 2, 3];
+      assert.ok(await world.runUntil(() => [1, 2, 3].every(meets), 3_000_000));
+      await world.runFor(1_000_000 + turn * readMicroseconds);
+      for (const number of numbers) linked.fleet.machine(number).kill();
+      await world.runFor(turn * 30_000);
+      for (const number of numbers) linked.fleet.machine(number).start();
+      assert.ok(await world.runUntil(() => machines.every(({ votes }) => votes), 1_000_000));
+      assert.ok(await world.runUntil(() => numbers.every(meets), readMicroseconds * 3), `turn ${turn}`);
+    }
+  });
 });
--- a/tests/real-fleet.test.ts
+++ b/tests/real-fleet.test.ts
@@ -326,6 +326,13 @@
     };
     const file = path.join(folder, 'intended.json');
     writeFileSync(file, JSON.stringify(blueprint));
+    // Why wait: all keepers began anew in the tests before, and know an agent again from its second reading on.
+    await until('each keeper to have met all agents', async () => {
+      const pages = await Promise.all(
+        fleet.keepers.map(({ operatorsAddress }) => fleet.page(`http://${operatorsAddress}/status`)),
+      );
+      return pages.every((page) => page !== '' && (JSON.parse(page) as { agents: unknown[] }).agents.length === 3);
+    });
     const clean = run('blueprint', 'check', file);
     assert.equal(clean.code, 0, clean.out);
     assert.equal(run('blueprint', 'show').out, JSON.stringify(blueprint));
