Check claims nothing of engines that no daemon told of

With no daemon seen, `blueprint check` said of each ready engine that no steward reaches it. Nobody had looked. Now it is one finding a pool, "no daemon answered, so nothing is known of its engines"; the exit code stays 1. Where daemons answered, an engine that none of them tells of is named as before.

--- a/source/postdrum/checking/blueprintCheck.ts
+++ b/source/postdrum/checking/blueprintCheck.ts
@@ -128,7 +128,7 @@
           service,
           before,
           ready.map(([engine]) => engine),
-          facts,
+          agents.length === 0 ? undefined : facts,
           intended,
           concerned,
           findings,
@@ -165,16 +165,21 @@
   pool: Pool,
   before: Blueprint,
   ready: readonly string[],
-  facts: ReadonlyMap<string, EngineFact>,
+  /** Undefined: there was nobody to tell of engines. */
+  told: ReadonlyMap<string, EngineFact> | undefined,
   intended: Blueprint,
   concerned: string[],
   findings: Finding[],
   wanted: number,
 ): void => {
+  // Why not one for each engine: whether their stewards reach them was not seen at all.
+  if (told === undefined && ready.length > 0)
+    findings.push({ path: `/services/${name}`, finding: 'no daemon answered, so nothing is known of its engines' });
+  const facts = told ?? new Map<string, EngineFact>();
   // Why only those with places: a steward that never reached its engine does not know how many it has.
   const known = ready.flatMap((engine) => facts.get(engine) ?? []).filter(({ capacity }) => capacity > 0);
   for (const engine of ready)
-    if (facts.get(engine)?.reachable !== true)
+    if (told !== undefined && told.get(engine)?.reachable !== true)
       findings.push({
         path: `/services/${name}`,
         finding: `engine ${engine} is listed as ready and no steward reaches it`,
--- a/tests/blueprint-check.test.ts
+++ b/tests/blueprint-check.test.ts
@@ -41,6 +41,25 @@
   assert.deepEqual(findings(present, 7, 5), []);
 });
 
+test('check: of engines that no daemon told of nothing is claimed, and that is a finding too', () => {
+  const said = BlueprintChecks.run(present, present, engines, [], true).findings;
+  const pools = Object.entries(present.services).flatMap(([name, { kind }]) => (kind === 'pool' ? [name] : []));
+  assert.ok(pools.length > 1);
+  assert.deepEqual(
+    said,
+    pools.map((name) => ({
+      path: `/services/${name}`,
+      finding: 'no daemon answered, so nothing is known of its engines',
+    })),
+  );
+  const unreached = agentsWith(0, 0).map((status) => ({ ...status, engines: [] }));
+  assert.ok(
+    BlueprintChecks.run(present, present, engines, unreached, true).findings.some(
+      ({ finding }) => finding === 'engine e1 is listed as ready and no steward reaches it',
+    ),
+  );
+});
+
 test('check: new weights for a pool that needs more than half of its places', () => {
   const pool = present.services['pool'];
   assert.ok(pool?.kind === 'pool');
