--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -6,11 +6,14 @@
 import { FleetVotes, type FleetName } from '../../shared/fleet/fleetName';
 import { Logs } from '../../shared/log/log';
 import { KeptWords } from './keptWords';
-import { MajorityReads, type WordsAnswer } from './majorityRead';
+import { MajorityReads, type MajorityRead, type WordsAnswer } from './majorityRead';
 
 /** What one address said: the fleet it leads to, and a keeper's words. */
 type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined; led: readonly string[] }>;
 
+/** `words`: all its words, as a keeper does that has changed or has begun anew. `other`: that it has nothing new, or none. */
+type LastAnswer = 'silent' | 'words' | 'other';
+
 /** Starting value, ours: with how many readings of the keepers one also says who one is. */
 const ownWordEvery = 10;
 
@@ -42,6 +45,8 @@
   private view: WordsAnswer['view'] | undefined;
   private led: readonly string[] = [];
   private readonly kept = new KeptWords();
+  /** What each address said when it was last asked. */
+  private readonly last = new Map<string, LastAnswer>();
   private reading = 0;
   private fetching = false;
   private seeds: readonly string[];
@@ -83,16 +88,22 @@
       return;
     const addresses = this.addresses();
     this.kept.only(addresses);
-    const said = await Promise.all(addresses.map((address) => this.words(address)));
+    for (const address of this.last.keys()) if (!addresses.includes(address)) this.last.delete(address);
+    const said = new Map<string, Said>();
+    const asks = addresses.map(async (address) => void said.set(address, await this.words(address)));
+    // Why not for those that were silent: each reading would be late by the whole patience, and the next one after it.
+    await Promise.all(asks.filter((_, index) => this.last.get(addresses[index] ?? '') !== 'silent'));
     this.reading += 1;
-    // Why only until a list is known: keepers that stand by lead to the members, and no further.
-    if (this.view === undefined) this.led = said.flatMap(({ led }) => led);
-    if (this.fleetName.name === '') this.chooseFleet(said.filter((_, index) => this.isSeed(addresses[index] ?? '')));
-    // Why one answer a keeper: a seed and a member entry may name the same one.
-    const byKeeper = new Map(
-      said.flatMap(({ words }) => (words === undefined ? [] : [[words.stamp.keeper, words] as const])),
-    );
-    const read = MajorityReads.judge([...byKeeper.values()], this.fleetName.name, (key) => this.freshness.applied(key));
+    let read = this.judge(said);
+    if (read.statements.length === 0) {
+      // Why for them after all: the others are no majority, or none knows the fleet yet.
+      await Promise.all(asks);
+      // Why only until a list is known: keepers that stand by lead to the members, and no further.
+      if (this.view === undefined) this.led = [...said.values()].flatMap(({ led }) => led);
+      const bySeeds = addresses.filter((address) => this.seeds.includes(address));
+      if (this.fleetName.name === '') this.chooseFleet(bySeeds.flatMap((address) => said.get(address) ?? []));
+      read = this.judge(said);
+    }
     if (read.view !== undefined && (this.view === undefined || read.view.revision >= this.view.revision))
       this.view = read.view;
     if (read.statements.length > 0) this.readMicroseconds = asked;
@@ -101,15 +112,19 @@
       this.freshness.hear({ ...statement, ageMicroseconds: now - asked }, now);
     // Why only those that just answered: one that is gone would cost the whole patience. Why not waited for: the age of
     // what is applied goes on meanwhile, and readings keep it young.
-    void this.fetchBodies(addresses.filter((_, index) => said[index]?.words !== undefined));
+    void this.fetchBodies(addresses.filter((address) => said.get(address)?.words !== undefined));
   }
 
-  private reads(key: DocumentKey): boolean {
-    return key !== 'engines' || this.settings.readsEngines;
+  private judge(said: ReadonlyMap<string, Said>): MajorityRead {
+    // Why one answer a keeper: a seed and a member entry may name the same one.
+    const byKeeper = new Map(
+      [...said.values()].flatMap(({ words }) => (words === undefined ? [] : [[words.stamp.keeper, words] as const])),
+    );
+    return MajorityReads.judge([...byKeeper.values()], this.fleetName.name, (key) => this.freshness.applied(key));
   }
 
-  private isSeed(address: string): boolean {
-    return this.seeds.includes(address);
+  private reads(key: DocumentKey): boolean {
+    return key !== 'engines' || this.settings.readsEngines;
   }
 
   private chooseFleet(said: readonly Said[]): void {
@@ -133,13 +148,16 @@
   }
 
   private async words(address: string): Promise<Said> {
-    // Why the own word only now and then: it is for operators and newcomers, and hardly ever changes.
-    const own = this.reading % ownWordEvery === 0 ? { own: this.own() } : {};
+    // Why the own word only now and then: it is for operators and newcomers, and hardly ever changes. Why also where one
+    // may have begun anew: it has forgotten whom it met, and operators find the daemons through it.
+    const saysOwn = this.reading % ownWordEvery === 0 || this.last.get(address) !== 'other';
+    const own = saysOwn ? { own: this.own() } : {};
     const answer = await this.effects.transport.ask(
       address,
       { kind: 'words', ...own, known: this.kept.known(address) },
       this.settings.askMicroseconds,
     );
+    this.last.set(address, answer.kind === 'silent' ? 'silent' : answer.message.kind === 'words' ? 'words' : 'other');
     if (answer.kind !== 'answered') return { fleet: '', words: undefined, led: [] };
     const { message } = answer;
     const words = this.wordsIn(address, message);
