--- a/source/edge-proxy/sends/sendPolicy.ts
+++ b/source/edge-proxy/sends/sendPolicy.ts
@@ -390,7 +390,7 @@
     const { order } = context;
     const tokens = order.parts?.map(({ size }) => size).join('+') ?? '';
     this.parts.logRead(
-      `Order ${order.id} (${tokens}) at ${placed.engine}, weights ${placed.weights}, kept ${placed.matched}, ${fetch.fills[0] ?? ''}, from ${fetch.source?.holder ?? 'nobody'} ${fetch.move === undefined ? 'by guess' : `in ${Math.round(fetch.move.microseconds / 1000)}`}, to store ${fetch.target === undefined ? 'no' : 'yes'}, read ${placed.toRead} behind ${this.begunWith.reading}, ${this.begunWith.inFlight} running: first event after ${Math.round(took / 1000)} ms, ${Math.round((this.sentMicroseconds - order.arrivedMicroseconds) / 1000)} ms after it came.`,
+      `Order ${order.id} (${tokens}) at ${placed.engine}, weights ${placed.weights}, kept ${placed.matched}, ${fetch.salt}/${order.parts?.[0]?.name ?? ''}, from ${fetch.source?.holder ?? 'nobody'} ${fetch.move === undefined ? 'by guess' : `in ${Math.round(fetch.move.microseconds / 1000)}`}, to store ${fetch.target === undefined ? 'no' : 'yes'}, read ${placed.toRead} behind ${this.begunWith.reading}, ${this.begunWith.inFlight} running: first event after ${Math.round(took / 1000)} ms, ${Math.round((this.sentMicroseconds - order.arrivedMicroseconds) / 1000)} ms after it came.`,
     );
   }
 
