Demand: the fleet agrees which shared prefixes are most wanted, and places copies by it

- Each proxy counts prefixes in a fading space-saving sketch (shared/demand/heavyHitters), whatever the weights, and its agent tells the top few: every 2 s at most, only on real change, fewer and more seldom in a large fleet.
- All who hold the same facts come to the same order (PrefixDemand.ranked) and the same places (CopyPlaces): rendezvous hashing with bounded load, the more wanted first, more copies for more of the demand.
- A copy on an engine where none belongs costs what it pushes out; where one belongs its move counts for nothing.
The desk gets that with each offer.
- A store over 60% full is sent only what is wanted, or kept by somebody already, which is asked for again.
- Nothing is read or moved but for an order that a caller sent.
Off by one setting; lost news means the choices of before.

--- a/source/edge-agent/desk/workDesk.ts
+++ b/source/edge-agent/desk/workDesk.ts
@@ -50,13 +50,15 @@
     const now = this.clock.nowMicroseconds();
     const kept = prefix === '' ? undefined : this.keptNow(prefix, now);
     let best: Readonly<{ engine: string; cost: number; read: number }> | undefined;
-    for (const [engine, cost, read, rest, move] of offers) {
+    for (const [engine, cost, read, rest, move, copy = 0] of offers) {
       const elsewhere = kept !== undefined && kept.engine !== engine;
       // Why only once it is read: before, there is nothing to move, and reading it twice costs all more than waiting.
       const moves = elsewhere && kept.done && rest + move < read;
       const again = elsewhere && !moves ? (read - rest) * this.settings.rereadFactor : 0;
       const reads = kept?.engine === engine ? rest : moves ? rest + move : read;
-      const all = cost + reads + again + this.waitMicroseconds(engine, now);
+      // Why nothing where it was just read: the asker may not know of that copy yet.
+      const copies = kept?.engine === engine ? 0 : copy;
+      const all = cost + reads + again + copies + this.waitMicroseconds(engine, now);
       if (best === undefined || all < best.cost) best = { engine, cost: all, read: reads };
     }
     if (best === undefined) return { engine: '', joined: false, keeper: '' };
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -21,6 +21,7 @@
 import { EngineListDefaults, EngineListKeeper, type EngineListSettings } from './engine-list/engineListKeeper';
 import type { EngineLister } from './engine-list/engineLister';
 import { Membership } from './membership/membership';
+import { DemandTeller } from './demand/demandTeller';
 import { WorkDesk } from './desk/workDesk';
 import { AgentPages } from './pages/agentPages';
 import { DutyHolder } from './stewards/dutyHolder';
@@ -153,6 +154,7 @@
   private readonly exchange: NewsExchange;
   private readonly duties: DutyHolder;
   private readonly desk: WorkDesk;
+  private readonly demand: DemandTeller;
   private readonly engineList: EngineListKeeper | undefined;
   private readonly notice = Logs.part('agent:notice');
   private readonly tickers: readonly Ticker[];
@@ -202,6 +204,13 @@
     };
     this.desk = new WorkDesk(clock);
     this.membership = new Membership(self, this.facts, clock, settings, this.log);
+    this.demand = new DemandTeller(
+      settings.name,
+      this.facts,
+      clock,
+      () => this.membership.selfIncarnation,
+      () => this.membership.present().length,
+    );
     this.exchange = new NewsExchange(
       {
         fleet: this.fleet,
@@ -449,6 +458,7 @@
   private forgetProxy(): void {
     if (this.effects.clock.nowMicroseconds() - this.heardProxyMicroseconds < proxySilentMicroseconds) return;
     this.sayLoad({ agent: this.settings.name, engines: {}, classes: {}, waiting: {}, tenants: {} });
+    this.demand.clear();
   }
 
   private hearProxy(message: Message): void {
@@ -465,6 +475,7 @@
       ...(load.answering === undefined ? {} : { answering: load.answering }),
     };
     this.sayLoad(value);
+    this.demand.hear(message['demand']);
   }
 
   private sayLoad(value: LoadFact): void {
--- a/source/edge-agent/membership/membership.ts
+++ b/source/edge-agent/membership/membership.ts
@@ -140,6 +140,7 @@
       } else if (member.state !== 'suspect' && now - since >= this.settings.forgetMicroseconds) {
         this.book.forget(FactKeys.member(member.name));
         this.book.forget(FactKeys.load(member.name));
+        this.book.forget(FactKeys.demand(member.name));
         this.suspectSince.delete(member.name);
       }
     }
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -19,6 +19,7 @@
 import { Pulses } from '../shared/news/pulses';
 import type { Refusal } from '../shared/verdict/verdict';
 import { WeightsClocks } from '../shared/weights/weightsClocks';
+import { DemandSettings, DemandView } from './demand/demandView';
 import { Feeders } from './feeding/feeders';
 import { NotePost } from './feeding/notePost';
 import { Fence } from './fence/fence';
@@ -89,6 +90,8 @@
   outliers: OutlierSettings;
   /** How long a part that was read counts as kept before the holder's events say so. */
   latelyMicroseconds: number;
+  /** How the fleet agrees which prefixes are most in demand, and what it does about them. */
+  demand: DemandSettings;
 }>;
 
 /** Starting values, ours: among so many proxies each is fed as often as its settings say, and how much longer it may take. */
@@ -126,6 +129,7 @@
   moves: MoveSettings.usual,
   outliers: OutlierSettings.usual,
   latelyMicroseconds: 3_000_000,
+  demand: DemandSettings.usual,
 } as const;
 
 /**
@@ -155,6 +159,7 @@
   private readonly fence: Fence;
   private readonly pulses: Pulses;
   private readonly view: EngineView;
+  private readonly demand: DemandView;
   private readonly desk: TakeDesk;
   private readonly sends: SendPolicy;
   private readonly pipeline: Pipeline;
@@ -191,6 +196,7 @@
       settings.roomPerMille,
       new OutlierDetector(settings.name, clock, settings.outliers, Logs.part(`proxy:${settings.name}:outliers`)),
     );
+    this.demand = new DemandView(this.facts, clock, settings.demand);
     const readSpeeds = new ReadSpeeds();
     // Why a start of a thousand: these are ratios of what a move takes to what it should, in thousandths.
     const moves = new PartMoves(this.view, new LinkSpeeds(1000, 4096), settings.moves);
@@ -229,7 +235,7 @@
       { grant: (engine, fill, epoch, keys) => this.grant(engine, fill, epoch, keys) },
       { ...settings, margin: settings.importMargin },
       this.metrics,
-      new PartsPlanner(this.view, this.shards, moves, readSpeeds, this.metrics),
+      new PartsPlanner(this.view, this.shards, moves, readSpeeds, this.metrics, this.demand),
     );
     this.sends = new SendPolicy({
       sender,
@@ -263,7 +269,7 @@
         FencePolicies.identifyTenant(this.identifier),
         FencePolicies.resolveMapping(this.identifier),
         TakePolicies.take(this.desk, this.identifier, (service) => this.budgetOf(service)),
-        PlacePolicies.lookUp(),
+        PlacePolicies.lookUp((prefix) => this.demand.saw(prefix)),
         PlacePolicies.place({
           view: this.view,
           shards: this.shards,
@@ -279,6 +285,8 @@
             new Lanes(clock, settings.lanes),
             desk,
             settings.workPlacement,
+            this.demand,
+            this.metrics,
           ),
         }),
         planner.policy(),
@@ -305,6 +313,7 @@
     this.metrics.watch(() => [
       ['postdrum_running_sends', {}, this.sends.count],
       ['postdrum_held_orders', {}, this.desk.heldCount()],
+      ['postdrum_wanted_prefixes', {}, this.demand.wanted().length],
       ...this.view.outliers
         .countsByState()
         .map(([state, count]) => ['postdrum_outlier_engines', { state }, count] as const),
@@ -395,7 +404,7 @@
     const foster = this.feeders.foster();
     await Promise.all([
       // Why the load only here: the own agent is the one that says it to the fleet.
-      this.feedFrom(this.settings.agentAddress, { load }),
+      this.feedFrom(this.settings.agentAddress, { load, ...this.demand.telling() }),
       ...(foster === undefined ? [] : [this.feedFrom(foster, {})]),
     ]);
     const listed = this.freshness.engines?.engines;
--- a/source/edge-proxy/fetch/partsPlanner.ts
+++ b/source/edge-proxy/fetch/partsPlanner.ts
@@ -3,6 +3,7 @@
 import type { ShardBook } from '../../shared/directory/shardBook';
 import type { Metrics } from '../../shared/metrics/metrics';
 import { Rendezvous } from '../../shared/rendezvous/rendezvous';
+import type { DemandView } from '../demand/demandView';
 import type { Placed, Resolved } from '../path/order';
 import type { EngineView, Store } from '../placement/engineView';
 import type { PromptKeys } from '../placement/placePolicies';
@@ -15,12 +16,15 @@
  * plan made under wrong news finds nothing and does no harm; there is nothing to register and nothing to grant.
  */
 export class PartsPlanner {
+  private readonly told = new Map<string, Readonly<{ mark: string; tokens: number }>>();
+
   public constructor(
     private readonly view: EngineView,
     private readonly shards: ShardBook,
     private readonly moves: PartMoves,
     private readonly speeds: ReadSpeeds,
     private readonly metrics: Metrics,
+    private readonly demand: DemandView,
   ) {}
 
   public plan(placed: Placed, { service }: Resolved, keys: PromptKeys, lookUp: LookUp): FetchPlan {
@@ -35,13 +39,13 @@
     const move = this.moves.best(engine, service, parts, placed.matched, lookUp);
     const names = parts.map(({ name }) => name);
     const store = this.storeFor(parts);
-    const lacks = store !== undefined && !this.holdsShared(store, parts);
+    const fills = store !== undefined && !this.holdsShared(store, parts) && this.mayFill(store, keys, placed, lookUp);
     const guess = move === undefined ? this.guess(placed, parts, store, lookUp) : undefined;
     if (move !== undefined) this.metrics.count('postdrum_imports_total', { from: this.kindOf(move.holder) });
     return {
       ...noFetch,
       salt,
-      target: lacks ? { store: store.address, keys: names } : undefined,
+      target: fills ? { store: store.address, keys: names } : undefined,
       source:
         move === undefined
           ? guess
@@ -100,6 +104,33 @@
     return other?.holder ?? store?.name;
   }
 
+  /**
+   * Whether the store had better keep these parts. Why not all: it drops what was used longest ago, and what is asked for once
+   * pushes out what is asked for again and again. A part that somebody keeps already has been asked for before.
+   */
+  private mayFill({ name }: Store, keys: PromptKeys, { matched }: Placed, lookUp: LookUp): boolean {
+    const { settings } = this.demand;
+    const room = ((this.view.storeShape(name)?.keptTokens ?? 0) * settings.storeRoomPerMille) / 1000;
+    if (!settings.isOn || room === 0 || this.toldTokens(name) < room) return true;
+    const isAskedAgain = matched > 0 || (lookUp.kind !== 'miss' && lookUp.found.length > 0);
+    const fills = isAskedAgain || this.demand.isWanted(keys.prefix());
+    this.metrics.count('postdrum_store_fills_total', { fill: fills ? 'wanted' : 'spared' });
+    return fills;
+  }
+
+  /** Tokens of all parts that the holder is known to keep. Why kept by the version: a store has thousands of them. */
+  private toldTokens(holder: string): number {
+    const shard = this.shards.get(holder);
+    if (shard === undefined) return 0;
+    const { term, epoch, version } = shard.present;
+    const mark = `${term}/${epoch}/${version}`;
+    const known = this.told.get(holder);
+    if (known?.mark === mark) return known.tokens;
+    const tokens = shard.entries().reduce((sum, { size = 0 }) => sum + size, 0);
+    this.told.set(holder, { mark, tokens });
+    return tokens;
+  }
+
   private holdsShared({ name }: Store, parts: readonly PartKey[]): boolean {
     const shard = this.shards.get(name);
     const shared = parts.slice(0, -1).map(({ physical }) => physical);
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -15,6 +15,8 @@
     tokensPerMillisecond: number;
     /** Tokens that running orders and kept parts share; 0: not known. */
     keptTokens: number;
+    /** What speaks against one more copy of its shared parts there; less than nothing: one is wanted there. Missing: nothing. */
+    copyMicroseconds?: number;
     /** Kept for short orders while there is room elsewhere. */
     lane: boolean;
   }>;
@@ -26,6 +28,8 @@
   parts: readonly PartKey[];
   zone: string;
   isShort: boolean;
+  /** Where copies of its shared parts belong, the first one first; missing: nobody has said. */
+  places?: readonly string[];
 }>;
 
 export type WorkPlacementSettings = Readonly<{
@@ -70,7 +74,10 @@
     const { work, toRead, tokensPerMillisecond } = offer;
     const reading = ((work.reading + toRead) * 1000) / tokensPerMillisecond;
     return (
-      reading + ByWork.costBesides(offer, demand, settings) - (offer.name === home ? settings.homeMicroseconds : 0)
+      reading +
+      (offer.copyMicroseconds ?? 0) +
+      ByWork.costBesides(offer, demand, settings) -
+      (offer.name === home ? settings.homeMicroseconds : 0)
     );
   },
 
@@ -123,7 +130,7 @@
     settings: WorkPlacementSettings,
   ): Offer | undefined => {
     const known = offers.some(({ matched, moveMicroseconds }) => matched > 0 || moveMicroseconds > 0);
-    const home = known ? undefined : ByWork.homeOf(demand.parts, offers);
+    const home = known ? undefined : (demand.places?.[0] ?? ByWork.homeOf(demand.parts, offers));
     let best: Readonly<{ offer: Offer; cost: number }> | undefined;
     for (const offer of offers) {
       // Why a little chance: proxies that see the same numbers must not all choose the same engine.
--- a/source/edge-proxy/placement/placePolicies.ts
+++ b/source/edge-proxy/placement/placePolicies.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { HashChains, type BlockKey } from '../../shared/directory/hashChain';
 import { PromptParts, type PartKey, type PromptPart } from '../../shared/directory/promptParts';
 import { LookUps, type LookUp } from '../../shared/directory/lookup';
@@ -28,6 +29,7 @@
   private readonly named: readonly PromptPart[];
   private readonly byWeights = new Map<string, readonly BlockKey[]>();
   private readonly salts = new Map<string, string>();
+  private prefixName: string | undefined;
 
   public constructor(
     private readonly resolved: Resolved,
@@ -68,6 +70,19 @@
     return this.named.length > 0 ? (this.under(weights) as readonly PartKey[]) : [];
   }
 
+  /**
+   * Names what the order shares with others, whatever the weights: a demand outlives them. Empty: nothing worth it.
+   * Why a digest: it travels, and says neither whose prefix it is nor what.
+   */
+  public prefix(): string {
+    if (this.named.length === 0) return '';
+    this.prefixName ??= createHash('sha256')
+      .update([this.salt(''), ...this.named.slice(0, -1).map(({ name }) => name)].join('/'))
+      .digest('hex')
+      .slice(0, 12);
+    return this.prefixName;
+  }
+
   public salt(weights: string): string {
     const { service, trustDomain } = this.resolved;
     if (service.kind !== 'pool') return '';
@@ -97,15 +112,16 @@
 }>;
 
 export const PlacePolicies = {
-  lookUp: (): Policy => ({
+  /** `saw` hears of each order's shared prefix, once. */
+  lookUp: (saw: (prefix: string) => void = () => undefined): Policy => ({
     name: 'lookUp',
     apply: (context) => {
       const resolved = context.resolved;
       if (resolved === undefined) throw new Error('no mapping resolved');
-      return Promise.resolve({
-        kind: 'onward',
-        context: { ...context, keys: context.keys ?? new PromptKeys(resolved, context.order) },
-      });
+      const keys = context.keys ?? new PromptKeys(resolved, context.order);
+      // Why only then: an order that comes again from holding has been counted.
+      if (context.keys === undefined && context.rounds === 0) saw(keys.prefix());
+      return Promise.resolve({ kind: 'onward', context: { ...context, keys } });
     },
   }),
 
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -1,8 +1,10 @@
 import type { Service } from '../../shared/blueprint/types';
-import type { DeskWord } from '../../shared/desk/messages';
+import type { DeskOffer, DeskWord } from '../../shared/desk/messages';
 import type { PartKey } from '../../shared/directory/promptParts';
 import type { LookUp } from '../../shared/directory/lookup';
 import type { Random } from '../../shared/effects/random/random';
+import type { Metrics } from '../../shared/metrics/metrics';
+import type { DemandView } from '../demand/demandView';
 import { tokensIn, type PartMoves } from '../fetch/partMoves';
 import type { Order, Placed, Resolved } from '../path/order';
 import { ByWork, type Demand, type Offer, type WorkPlacementSettings } from './byWork';
@@ -26,6 +28,8 @@
     private readonly lanes: Lanes,
     private readonly desk: DeskLink,
     private readonly settings: WorkPlacementSettings,
+    private readonly demand: DemandView,
+    private readonly metrics: Metrics,
   ) {}
 
   public async place(
@@ -41,7 +45,7 @@
     );
     const prompt = order.promptTokens ?? (order.parts ?? []).reduce((sum, { size }) => sum + size, 0);
     const books = new Map<string, Kept>();
-    const offers = candidates.map((candidate): Offer => {
+    const offered = candidates.map((candidate): Offer => {
       const book = books.get(candidate.weights) ?? keptUnder(keys, candidate.weights, lookUp);
       // Why once for each weights: a large pool has many engines, and most run on the same.
       books.set(candidate.weights, book);
@@ -69,12 +73,15 @@
       };
     });
     const first = candidates[0];
+    const places = this.placesOf(mapping.service, keys, offered);
     const demand = {
       tokens: prompt + (order.mostTokens ?? usualOutput),
       parts: first === undefined ? [] : keys.parts(first.weights),
       zone: this.zone,
       isShort: this.lanes.isShort((prompt * 1000) / (first === undefined ? 1 : this.speeds.of(first.name))),
+      ...(places === undefined ? {} : { places }),
     };
+    const offers = this.withCopies(offered, demand);
     const prefix = prefixOf(demand.parts);
     const word = demand.isShort ? undefined : await this.askDesk(order, offers, demand, prompt, service);
     const own = offers.find(({ name }) => name === word?.engine);
@@ -93,7 +100,8 @@
       demand.isShort,
     );
     const keeper = word?.keeper === undefined || word.keeper === '' ? undefined : word.keeper;
-    const home = keeper ?? (demand.parts.length === 0 ? undefined : ByWork.homeOf(demand.parts, offers));
+    this.countCopy(chosen, matched, demand);
+    const home = keeper ?? places?.[0] ?? (demand.parts.length === 0 ? undefined : ByWork.homeOf(demand.parts, offers));
     return {
       engine: chosen.name,
       address: chosen.address,
@@ -106,6 +114,40 @@
     };
   }
 
+  /** Where copies of its shared parts belong; undefined: it shares none, or nobody counts. */
+  private placesOf(service: string, keys: PromptKeys, offers: readonly Offer[]): readonly string[] | undefined {
+    if (!this.demand.settings.isOn || keys.prefix() === '') return undefined;
+    const outside = offers.filter(({ lane }) => !lane);
+    const names = (outside.length > 0 ? outside : offers).map(({ name }) => name);
+    const places = this.demand.places(service, keys.prefix(), names);
+    return places.length === 0 ? undefined : places;
+  }
+
+  /**
+   * What one more copy costs. Why it does: an engine makes room for it by dropping what others may ask for next, and that is
+   * read again. Why less than nothing on an engine where one belongs: the next orders find it there, for a move now.
+   */
+  private withCopies(offers: readonly Offer[], { parts, places }: Demand): readonly Offer[] {
+    const shared = parts.length - 1;
+    // Why not where nobody keeps them: somebody has to read them, wherever that is.
+    if (places === undefined || !offers.some(({ matched }) => matched >= shared)) return offers;
+    const { copyMicrosecondsPerThousand } = this.demand.settings;
+    return offers.map((offer) => {
+      if (offer.matched >= shared) return offer;
+      const missing = tokensIn(parts, offer.matched, shared);
+      const copyMicroseconds = places.includes(offer.name)
+        ? -offer.moveMicroseconds
+        : (missing * copyMicrosecondsPerThousand) / 1000;
+      return { ...offer, copyMicroseconds };
+    });
+  }
+
+  private countCopy(chosen: Offer, matched: number, { parts, places }: Demand): void {
+    if (places === undefined) return;
+    const copy = matched >= parts.length - 1 ? 'kept' : places.includes(chosen.name) ? 'belongs' : 'elsewhere';
+    this.metrics.count('postdrum_prefix_copies_total', { copy });
+  }
+
   /** Long orders of all proxies are placed one after the other, so that none is read twice or waits in vain. */
   private askDesk(
     order: Order,
@@ -119,13 +161,17 @@
     return this.desk.reserve({
       order: order.id,
       prefix: prefixOf(parts),
-      offers: offers.map((offer) => [
-        offer.name,
-        Math.round(ByWork.costBesides(offer, demand, this.settings)),
-        Math.round((offer.toRead * 1000) / offer.tokensPerMillisecond),
-        Math.round((Math.min(offer.toRead, restOf(parts, prompt)) * 1000) / offer.tokensPerMillisecond),
-        Math.round(this.moves.usualMicroseconds(pool, tokensIn(parts, 0, parts.length - 1))),
-      ]),
+      offers: offers.map((offer): DeskOffer => {
+        const { copyMicroseconds: copy } = offer;
+        const five = [
+          offer.name,
+          Math.round(ByWork.costBesides(offer, demand, this.settings)),
+          Math.round((offer.toRead * 1000) / offer.tokensPerMillisecond),
+          Math.round((Math.min(offer.toRead, restOf(parts, prompt)) * 1000) / offer.tokensPerMillisecond),
+          Math.round(this.moves.usualMicroseconds(pool, tokensIn(parts, 0, parts.length - 1))),
+        ] as const;
+        return copy === undefined ? five : [...five, Math.round(copy)];
+      }),
     });
   }
 }
--- a/source/measure/measurements/placement.ts
+++ b/source/measure/measurements/placement.ts
@@ -8,6 +8,8 @@
 import { DeskLink } from '../../edge-proxy/placement/deskLink';
 import { EngineView } from '../../edge-proxy/placement/engineView';
 import { EngineWork } from '../../edge-proxy/placement/engineWork';
+import { DemandSettings, DemandView } from '../../edge-proxy/demand/demandView';
+import { Metrics } from '../../shared/metrics/metrics';
 import { Lanes, LaneSettings } from '../../edge-proxy/placement/lanes';
 import { PromptKeys } from '../../edge-proxy/placement/placePolicies';
 import { ReadSpeeds } from '../../edge-proxy/placement/readSpeeds';
@@ -111,6 +113,8 @@
     new Lanes(clock, LaneSettings.usual),
     new DeskLink(transport, clock, () => view.listHolder()?.address, 1_000_000),
     WorkPlacementSettings.usual,
+    new DemandView(facts, clock, DemandSettings.usual),
+    new Metrics(),
   );
   view.candidates(Made.service(1));
   const candidates = await Costs.each(() => view.candidates(Made.service(1)));
--- a/source/shared/desk/messages.ts
+++ b/source/shared/desk/messages.ts
@@ -1,8 +1,16 @@
 /**
  * One engine's offer, in whole microseconds: all that speaks against it but waiting for others; reading what it lacks;
- * reading what is left where the shared parts were there; having them moved there from another engine.
+ * reading what is left where the shared parts were there; having them moved there from another engine; what speaks against
+ * one more copy there, or for it where that is less than nothing.
  */
-export type DeskOffer = readonly [engine: string, cost: number, read: number, rest: number, move: number];
+export type DeskOffer = readonly [
+  engine: string,
+  cost: number,
+  read: number,
+  rest: number,
+  move: number,
+  copy?: number,
+];
 
 export type DeskOrder = Readonly<{
   order: string;
@@ -34,7 +42,10 @@
       order.offers.length <= DeskMessages.mostOffers &&
       order.offers.every(
         (offer: unknown) =>
-          Array.isArray(offer) && typeof offer[0] === 'string' && offer.length === 5 && offer.slice(1).every(isWhole),
+          Array.isArray(offer) &&
+          typeof offer[0] === 'string' &&
+          (offer.length === 5 || offer.length === 6) &&
+          offer.slice(1).every(isWhole),
       )
     );
   },
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -51,6 +51,8 @@
   engine: (name: string): string => `engine/${name}`,
   steward: (name: string): string => `steward/${name}`,
   load: (agent: string): string => `load/${agent}`,
+  /** What its proxy is asked for most. */
+  demand: (agent: string): string => `demand/${agent}`,
   /** Who reads the list of engines, and places long orders for all. */
   listDuty: 'duty/list',
 } as const;
--- a/tests/parts-planner.test.ts
+++ b/tests/parts-planner.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { DemandSettings, type DemandView } from '../source/edge-proxy/demand/demandView';
 import { LinkSpeeds } from '../source/edge-proxy/fetch/linkSpeeds';
 import { MoveSettings, PartMoves, type Move } from '../source/edge-proxy/fetch/partMoves';
 import { PartsPlanner } from '../source/edge-proxy/fetch/partsPlanner';
@@ -34,6 +35,7 @@
 const setUp = (
   keepers: readonly string[],
   hasStore = true,
+  { wanted = false, isOn = true, storeTokens = 0 } = {},
 ): Readonly<{ moves: PartMoves; lookUp: LookUp; keys: PromptKeys; plan: (placed: Partial<Placed>) => FetchPlan }> => {
   const keys = new PromptKeys(resolved, order);
   const shards = new ShardBook();
@@ -43,6 +45,12 @@
     const [shared] = keys.under('1');
     if (shared !== undefined && keepers.includes(holder)) shard.put({ ...shared, name: shared.physical, size: 13_000 });
   }
+  const store = shards.get('store');
+  if (storeTokens > 0) store?.put({ physical: 'x/y', logical: 'y', name: 'x/y', size: storeTokens });
+  const demand = {
+    settings: { ...DemandSettings.usual, isOn },
+    isWanted: () => wanted,
+  } as unknown as DemandView;
   const view = {
     addressOf: (holder: string) => `${holder}:1`,
     zoneOf: () => 'z',
@@ -50,7 +58,7 @@
     stores: () => (hasStore ? [{ name: 'store', address: 'store:1', bootEpoch: 'b' }] : []),
   } as unknown as EngineView;
   const moves = new PartMoves(view, new LinkSpeeds(1000, 64), MoveSettings.usual);
-  const planner = new PartsPlanner(view, shards, moves, new ReadSpeeds(), new Metrics());
+  const planner = new PartsPlanner(view, shards, moves, new ReadSpeeds(), new Metrics(), demand);
   const lookUp = LookUps.find(shards, keys.under('1'), () => 'b');
   const placed: Placed = { engine: 'e1', address: 'e1:1', bootEpoch: 'b', weights: '1', matched: 0 };
   return { moves, lookUp, keys, plan: (given) => planner.plan({ ...placed, ...given }, resolved, keys, lookUp) };
@@ -106,3 +114,15 @@
   for (let turn = 0; turn < 20; turn += 1) moves.measured('e1', best() ?? first, first.microseconds * 10);
   assert.ok((best()?.microseconds ?? Infinity) > first.microseconds * 5);
 });
+
+test('a store that is nearly full is sent what is wanted or asked for again, and what is asked for once only in vain', () => {
+  const target = (keepers: readonly string[], options: Parameters<typeof setUp>[2], matched = 0): boolean =>
+    setUp(keepers, true, options).plan({ matched }).target !== undefined;
+  const full = { storeTokens: 1_900_000 };
+  assert.ok(target([], { storeTokens: 1_000_000 }), 'there is room');
+  assert.ok(!target([], full), 'nobody keeps it and few ask for it');
+  assert.ok(target(['e2'], full), 'it was read before');
+  assert.ok(target([], full, 1), 'it is being read there');
+  assert.ok(target([], { ...full, wanted: true }), 'all agree that it is wanted');
+  assert.ok(target([], { ...full, isOn: false }), 'nobody counts');
+});
