--- a/tests/support/heldEngines.ts
+++ b/tests/support/heldEngines.ts
@@ -106,7 +106,9 @@
   }
 
   public listed(): readonly ListedEngine[] {
-    return [...this.engines.values()].map(({ name, machine, service, state, weights }) => ({
+    // Why without those of no service: a store stands on no list.
+    const listed = [...this.engines.values()].filter(({ service }) => service !== '');
+    return listed.map(({ name, machine, service, state, weights }) => ({
       name,
       service,
       address: `${machine}:1`,
--- a/tests/support/heldFleet.ts
+++ b/tests/support/heldFleet.ts
@@ -2,6 +2,7 @@
 import { SimBlueprints, SimFleet, usualShape } from '../../source/fleet-simulator/machines/simFleet';
 import { SimProcess } from '../../source/fleet-simulator/world/simProcess';
 import type { World } from '../../source/fleet-simulator/world/world';
+import { ownDialect, type Dialect } from '../../source/shared/blueprint/dialect';
 import type { Blueprint } from '../../source/shared/blueprint/types';
 import { HeldEngines, type GotDirective } from './heldEngines';
 
@@ -21,6 +22,7 @@
     public readonly world: World,
     agents: number,
     private readonly settings: Partial<AgentSettings> = {},
+    private readonly dialect: Dialect = ownDialect,
   ) {
     this.keepers = new SimFleet(world, { ...usualShape, edges: 0, engines: 0, spares: 0 });
     this.engines = new HeldEngines(world, this.keepers.network);
@@ -109,7 +111,13 @@
       weightsWithinMicroseconds,
       ...this.settings,
     };
-    const agent = new EdgeAgent(effects, this.engines.doorOf(process), settings, this.engines.listerOf(process));
+    const agent = new EdgeAgent(
+      effects,
+      this.engines.doorOf(process),
+      settings,
+      this.engines.listerOf(process),
+      this.dialect,
+    );
     return { name, machine, process, agent };
   }
 }
--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -14,7 +14,7 @@
 type Sabotage = Readonly<{
   point: string;
   what: string;
-  cuts: readonly (readonly [file: string, from: string, to: string])[];
+  cuts: Cuts;
   faults: readonly FaultName[];
   seeds: number;
   ending?: Ending;
@@ -456,6 +456,24 @@
   },
 ];
 
+/** Pieces of what keeps wanted prefixes warm, cut out; the simulated rush must show it. */
+export const demandSabotages: readonly Readonly<{ what: string; cuts: Cuts }>[] = [
+  {
+    what: 'no agent tells the fleet what its proxy is asked for',
+    cuts: [['edge-agent/demand/demandTeller.ts', 'if (!PrefixDemand.isFact(fact)) return;', 'return;']],
+  },
+  {
+    what: 'a store is sent every prefix that is read',
+    cuts: [
+      [
+        'edge-proxy/fetch/partsPlanner.ts',
+        'const fills = isAskedAgain || this.demand.isWanted(keys.prefix());',
+        'const fills = true;',
+      ],
+    ],
+  },
+];
+
 /** Finds the text whatever the line breaks of the formatter are; it must stand there exactly once. */
 const cutOut = (name: string, contents: string, from: string, to: string): string => {
   const letters = [...from.replace(/\s+/g, '')].map((letter) => letter.replace(/[.*+?^${}()|[\]\\/]/g, '\\$&'));
@@ -465,14 +483,18 @@
   return contents.replace(pattern, () => to);
 };
 
-const load = async (
-  sabotage: Sabotage,
-): Promise<Readonly<{ run: (order: ScenarioOrder) => Promise<ScenarioOutcome>; cut: number; end: () => void }>> => {
+type Cuts = readonly (readonly [file: string, from: string, to: string])[];
+
+/** A module of the simulator or of the tests, bundled with pieces of the sources cut out. */
+export const loadWithout = async <Module>(
+  entry: string,
+  cuts: Cuts,
+): Promise<Readonly<{ module: Module; cut: number; end: () => void }>> => {
   const folder = mkdtempSync(path.join(tmpdir(), 'postdrum-sabotage-'));
   let cut = 0;
   await build({
-    entryPoints: ['source/fleet-simulator/faults/scenario.ts'],
-    outfile: path.join(folder, 'scenario.cjs'),
+    entryPoints: [entry],
+    outfile: path.join(folder, 'entry.cjs'),
     bundle: true,
     platform: 'node',
     target: 'node20',
@@ -486,7 +508,7 @@
         setup: (given) => {
           given.onLoad({ filter: /source[\\/].*\.ts$/ }, async ({ path: file }) => {
             let contents = await readFile(file, 'utf8');
-            for (const [name, from, to] of sabotage.cuts) {
+            for (const [name, from, to] of cuts) {
               if (!file.endsWith(path.join('source', name))) continue;
               contents = cutOut(name, contents, from, to);
               cut += 1;
@@ -497,27 +519,32 @@
       },
     ],
   });
-  const { runScenario } = createRequire(path.join(process.cwd(), 'package.json'))(
-    path.join(folder, 'scenario.cjs'),
-  ) as { runScenario: (order: ScenarioOrder) => Promise<ScenarioOutcome> };
-  return { run: runScenario, cut, end: () => rmSync(folder, { recursive: true }) };
+  const module = createRequire(path.join(process.cwd(), 'package.json'))(path.join(folder, 'entry.cjs')) as Module;
+  return { module, cut, end: () => rmSync(folder, { recursive: true }) };
 };
 
+type ScenarioModule = Readonly<{ runScenario: (order: ScenarioOrder) => Promise<ScenarioOutcome> }>;
+
 /** Why in parts: node's test runner gives each file a process of its own, and these runs are long. */
 export const judgesSeeTheirPart = (part: number, parts: number): void => {
   describe(`each judge sees its mechanism broken, part ${part + 1} of ${parts}`, () => {
     for (const sabotage of sabotages.filter((_, index) => index % parts === part)) {
       test(`${sabotage.point}: ${sabotage.what}`, async () => {
-        const { run, cut, end } = await load(sabotage);
+        const { module, cut, end } = await loadWithout<ScenarioModule>(
+          'source/fleet-simulator/faults/scenario.ts',
+          sabotage.cuts,
+        );
         assert.equal(cut, sabotage.cuts.length);
         const seen: string[] = [];
         for (let seed = 1; seed <= sabotage.seeds && !seen.includes(sabotage.point); seed += 1) {
-          const outcome = await run({
-            seed: seed * 6007,
-            faults: sabotage.faults,
-            ending: sabotage.ending ?? 'healed',
-            shape: sabotage.shape,
-          }).catch((error: unknown) => ({ broken: [{ point: `threw ${String(error)}`, text: '' }] }));
+          const outcome = await module
+            .runScenario({
+              seed: seed * 6007,
+              faults: sabotage.faults,
+              ending: sabotage.ending ?? 'healed',
+              shape: sabotage.shape,
+            })
+            .catch((error: unknown) => ({ broken: [{ point: `threw ${String(error)}`, text: '' }] }));
           seen.push(...outcome.broken.map(({ point }) => point));
         }
         end();
