Demand: worked out once a second with weights kept, a setting for it, and tests of where orders go

Cause: each fact of the demand would have had every prefix weighed against every engine anew: 128 by 100 engines is 12,800 hashes, and with 73 daemons some eight facts come a second. A proxy tells its agent once a second instead of with each feed.

Not measured: what it costs in processor time.

--- a/source/edge-proxy/main.ts
+++ b/source/edge-proxy/main.ts
@@ -2,6 +2,7 @@
 import { HttpLimits } from '../shared/http/httpLimits';
 import { Programs } from '../shared/settings/program';
 import { SettingFormats, Settings, type SettingSchema } from '../shared/settings/settings';
+import { DemandSettings } from './demand/demandView';
 import { ProxyDefaults } from './edgeProxy';
 import { OutlierSettings } from './outliers/outlierSettings';
 import { ProxyProgram } from './proxyProgram';
@@ -22,6 +23,12 @@
     default: 'yes',
     kind: 'text',
   },
+  demand: {
+    doc: 'yes or no: whether the fleet agrees which shared prefixes are most in demand, and keeps those warm',
+    format: SettingFormats.oneOf(['yes', 'no']),
+    default: 'yes',
+    kind: 'text',
+  },
   bodyBytes: {
     doc: 'most bytes of a body',
     format: SettingFormats.whole,
@@ -68,6 +75,7 @@
       imports: text('imports') !== 'no',
       name: text('name'),
       agentAddress: text('agent'),
+      demand: { ...DemandSettings.usual, isOn: text('demand') === 'yes' },
       outliers: { ...OutlierSettings.usual, ejectPerMille: Number(settings['ejectPerMille']) },
     },
     address: text('address'),
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -73,7 +73,7 @@
       };
     });
     const first = candidates[0];
-    const places = this.placesOf(mapping.service, keys, offered);
+    const places = this.placesOf(keys, offered);
     const demand = {
       tokens: prompt + (order.mostTokens ?? usualOutput),
       parts: first === undefined ? [] : keys.parts(first.weights),
@@ -115,11 +115,11 @@
   }
 
   /** Where copies of its shared parts belong; undefined: it shares none, or nobody counts. */
-  private placesOf(service: string, keys: PromptKeys, offers: readonly Offer[]): readonly string[] | undefined {
+  private placesOf(keys: PromptKeys, offers: readonly Offer[]): readonly string[] | undefined {
     if (!this.demand.settings.isOn || keys.prefix() === '') return undefined;
     const outside = offers.filter(({ lane }) => !lane);
     const names = (outside.length > 0 ? outside : offers).map(({ name }) => name);
-    const places = this.demand.places(service, keys.prefix(), names);
+    const places = this.demand.places(keys.prefix(), names);
     return places.length === 0 ? undefined : places;
   }
 
--- a/source/shared/demand/copyPlaces.ts
+++ b/source/shared/demand/copyPlaces.ts
@@ -22,10 +22,12 @@
     return first === undefined ? [] : [first];
   },
 
+  /** `weigh`: whoever assigns again and again keeps the weights, which never change. */
   assign: (
     wanted: readonly Wanted[],
     engines: readonly string[],
     settings: CopyPlacesSettings,
+    weigh: (prefix: string, engine: string) => number = Rendezvous.weight,
   ): ReadonlyMap<string, readonly string[]> => {
     const places = new Map<string, readonly string[]>();
     if (engines.length === 0) return places;
@@ -33,14 +35,34 @@
     const most = Math.ceil(counts.reduce((sum, count) => sum + count, 0) / engines.length);
     const taken = new Map<string, number>();
     wanted.forEach(({ name }, index) => {
-      const order = Rendezvous.order(name, engines);
-      const room = order.filter((engine) => (taken.get(engine) ?? 0) < most);
+      const weighed = engines.map((engine) => ({ engine, weight: weigh(name, engine) }));
+      const room = weighed.filter(({ engine }) => (taken.get(engine) ?? 0) < most);
+      const chosen = heaviest(room, counts[index] ?? 1);
       // Why the full ones after: copies of one prefix stand on different engines, whatever that takes.
-      const rest = order.filter((engine) => !room.includes(engine));
-      const chosen = [...room, ...rest].slice(0, counts[index]);
+      const rest = weighed.filter(({ engine }) => !chosen.includes(engine));
+      chosen.push(...heaviest(rest, (counts[index] ?? 1) - chosen.length));
       for (const engine of chosen) taken.set(engine, (taken.get(engine) ?? 0) + 1);
       places.set(name, chosen);
     });
     return places;
   },
 } as const;
+
+type Weighed = Readonly<{ engine: string; weight: number }>;
+
+/** Why no sorting: most prefixes have one place, and there are many engines. */
+const heaviest = (weighed: readonly Weighed[], count: number): string[] => {
+  if (count <= 1) {
+    let best: Weighed | undefined;
+    for (const item of weighed) if (best === undefined || heavierFirst(item, best) < 0) best = item;
+    return count < 1 || best === undefined ? [] : [best.engine];
+  }
+  return [...weighed]
+    .sort(heavierFirst)
+    .slice(0, count)
+    .map(({ engine }) => engine);
+};
+
+/** Why by name where weights are equal: all must come to the same order. */
+const heavierFirst = (left: Weighed, right: Weighed): number =>
+  right.weight - left.weight || (left.engine < right.engine ? 1 : left.engine > right.engine ? -1 : 0);
--- a/source/shared/rendezvous/rendezvous.ts
+++ b/source/shared/rendezvous/rendezvous.ts
@@ -9,6 +9,9 @@
   right.weight - left.weight || (left.name < right.name ? 1 : left.name > right.name ? -1 : 0);
 
 export const Rendezvous = {
+  /** What a name weighs for a subject: the more, the sooner its turn. */
+  weight: weigh,
+
   /** All names, the one that weighs most for this subject first. */
   order: (subject: string, names: readonly string[]): readonly string[] =>
     names
--- a/tests/demand.test.ts
+++ b/tests/demand.test.ts
@@ -2,13 +2,29 @@
 import fc from 'fast-check';
 import { describe, test } from 'node:test';
 import { DemandTeller } from '../source/edge-agent/demand/demandTeller';
+import { WorkDesk } from '../source/edge-agent/desk/workDesk';
 import { DemandSettings, DemandView } from '../source/edge-proxy/demand/demandView';
+import { LinkSpeeds } from '../source/edge-proxy/fetch/linkSpeeds';
+import { MoveSettings, PartMoves } from '../source/edge-proxy/fetch/partMoves';
+import type { Order, Resolved } from '../source/edge-proxy/path/order';
+import { WorkPlacementSettings } from '../source/edge-proxy/placement/byWork';
+import type { DeskLink } from '../source/edge-proxy/placement/deskLink';
+import type { EngineView } from '../source/edge-proxy/placement/engineView';
+import { Lanes, LaneSettings } from '../source/edge-proxy/placement/lanes';
+import { PromptKeys } from '../source/edge-proxy/placement/placePolicies';
+import { ReadSpeeds } from '../source/edge-proxy/placement/readSpeeds';
+import { WorkPlacer } from '../source/edge-proxy/placement/workPlacer';
 import { CopyPlaces } from '../source/shared/demand/copyPlaces';
 import { HeavyHitters } from '../source/shared/demand/heavyHitters';
 import { DemandLimits, PrefixDemand, type DemandFact, type Wanted } from '../source/shared/demand/prefixDemand';
+import { DeskMessages, type DeskOffer, type DeskOrder } from '../source/shared/desk/messages';
+import type { LookUp } from '../source/shared/directory/lookup';
 import type { Clock } from '../source/shared/effects/clock/clock';
+import { seededRandom } from '../source/shared/effects/random/random';
+import { Metrics } from '../source/shared/metrics/metrics';
 import { FactBook } from '../source/shared/news/facts';
 import { FactKeys, type MemberState } from '../source/shared/news/factTypes';
+import { pool } from './support/pool';
 
 const handClock = (): Clock & { now: number } => {
   const clock = {
@@ -244,26 +260,43 @@
       ['a', 'b', 'c'],
     );
     for (const prefix of ['a', 'b', 'c', 'unknown'])
-      assert.deepEqual(one?.places('s', prefix, engines), two?.places('s', prefix, [...engines].reverse()), prefix);
-    assert.equal(one?.places('s', 'a', engines).length, 3, 'most of the demand');
-    assert.equal(one?.places('s', 'unknown', engines).length, 1);
+      assert.deepEqual(one?.places(prefix, engines), two?.places(prefix, [...engines].reverse()), prefix);
+    assert.equal(one?.places('a', engines).length, 3, 'most of the demand');
+    assert.equal(one?.places('unknown', engines).length, 1);
     assert.ok(one?.isWanted('b') === true && !one.isWanted('c') && !one.isWanted('unknown'));
   });
 
   test('what a daemon told counts while it is there', () => {
     const facts = new FactBook();
-    const view = new DemandView(facts, handClock(), DemandSettings.usual);
+    const clock = handClock();
+    const view = new DemandView(facts, clock, DemandSettings.usual);
+    const later = (): void => void (clock.now += 1_000_000);
     say(facts, 'p', [['a', 9]]);
     assert.deepEqual(view.wanted(), [], 'nobody knows that daemon');
     member(facts, 'p');
+    assert.deepEqual(view.wanted(), [], 'it is not worked out with every word');
+    later();
     assert.equal(view.wanted().length, 1);
     member(facts, 'p', 'gone', 2);
+    later();
     assert.deepEqual(view.wanted(), []);
     facts.put({ key: FactKeys.demand('q'), version: [1, 1], value: 'nonsense' });
     member(facts, 'q');
+    later();
     assert.deepEqual(view.wanted(), []);
   });
 
+  test('the agent is told once a second', () => {
+    const clock = handClock();
+    const view = new DemandView(new FactBook(), clock, DemandSettings.usual);
+    view.saw('a');
+    assert.deepEqual(view.telling(), { demand: { total: 1, prefixes: [['a', 1]] } });
+    assert.deepEqual(view.telling(), {});
+    clock.now = 1_000_000;
+    view.saw('a');
+    assert.deepEqual(view.telling().demand?.prefixes, [['a', 2]]);
+  });
+
   test('switched off it counts nothing, tells nothing and knows nothing', () => {
     const facts = new FactBook();
     member(facts, 'p');
@@ -332,3 +365,137 @@
     assert.equal(told(facts), undefined);
   });
 });
+
+const prefixOrder = (prefix: string, own: string): Order => ({
+  id: 'o',
+  method: 'POST',
+  path: '/',
+  key: '',
+  contentType: '',
+  body: '',
+  arrivedMicroseconds: 0,
+  parts: [
+    { name: prefix, size: 13_000 },
+    { name: own, size: 3_000 },
+  ],
+  promptTokens: 16_000,
+});
+
+/** Three engines of one pool, `keepers` of which keep the prefix; `waits`: tokens that each reads already. */
+const placed = async (
+  keepers: readonly string[],
+  belongs: readonly string[],
+  { isOn = true, waits = {} }: { isOn?: boolean; waits?: Readonly<Record<string, number>> } = {},
+): Promise<Readonly<{ engine: string | undefined; offers: readonly DeskOffer[]; counted: Metrics }>> => {
+  const clock = handClock();
+  const order = prefixOrder('rules', 'own');
+  const shape = { linkBytesPerSecond: 137_500_000_000, tokenBytes: 163_840, keptTokens: 150_000 };
+  const service = { ...pool, shape };
+  const resolved = { service, trustDomain: 'shared', mapping: { service: 'pool' } } as unknown as Resolved;
+  const keys = new PromptKeys(resolved, order);
+  const view = {
+    addressOf: (holder: string) => `${holder}:1`,
+    zoneOf: () => 'z',
+    storeShape: () => undefined,
+    work: { matched: (_engine: string, _boot: string, _names: readonly string[], kept: number) => kept },
+  } as unknown as EngineView;
+  const demandView = {
+    settings: { ...DemandSettings.usual, isOn },
+    places: () => belongs,
+  } as unknown as DemandView;
+  const offers: DeskOffer[] = [];
+  const desk = {
+    reserve: (asked: DeskOrder) => {
+      offers.push(...asked.offers);
+      return Promise.resolve(undefined);
+    },
+  } as unknown as DeskLink;
+  const counted = new Metrics();
+  const placer = new WorkPlacer(
+    view,
+    new PartMoves(view, new LinkSpeeds(1000, 64), MoveSettings.usual),
+    new ReadSpeeds(),
+    seededRandom(1),
+    'z',
+    new Lanes(clock, LaneSettings.usual),
+    desk,
+    WorkPlacementSettings.usual,
+    demandView,
+    counted,
+  );
+  const candidates = ['e1', 'e2', 'e3'].map((engine) => ({
+    name: engine,
+    address: `${engine}:1`,
+    bootEpoch: 'b',
+    weights: '1',
+    capacity: 24,
+    inFlight: 0,
+    zone: 'z',
+    work: { reading: waits[engine] ?? 0, tokens: 0 },
+  }));
+  const found = keepers.map((holder) => ({ holder, matched: 1, bootEpoch: 'b', epoch: 1 }));
+  const lookUp = (): LookUp => (found.length === 0 ? { kind: 'miss', reason: 'absent' } : { kind: 'prefixHit', found });
+  const chosen = await placer.place(candidates, order, resolved, keys, lookUp);
+  return { engine: chosen?.engine, offers, counted };
+};
+
+describe('where an order goes', () => {
+  test('an engine that keeps its prefix goes before one more copy, for longer where none belongs', async () => {
+    const busy = { waits: { e1: 5_000 } };
+    assert.equal((await placed(['e1'], ['e1'])).engine, 'e1');
+    assert.notEqual((await placed(['e1'], ['e1'], { ...busy, isOn: false })).engine, 'e1', 'nobody counts');
+    assert.equal((await placed(['e1'], ['e1'], busy)).engine, 'e1', 'the copy costs more than the wait');
+    assert.equal((await placed(['e1'], ['e1', 'e3'], busy)).engine, 'e3', 'a copy belongs there');
+    assert.notEqual((await placed(['e1'], ['e1'], { waits: { e1: 50_000 } })).engine, 'e1', 'no wait is for ever');
+  });
+
+  test('where nobody keeps it the first place reads it, and no copy costs anything', async () => {
+    for (const first of ['e1', 'e2', 'e3']) {
+      const { engine, offers } = await placed([], [first]);
+      assert.equal(engine, first);
+      assert.ok(offers.length === 3 && offers.every(({ length }) => length === 5));
+    }
+  });
+
+  test('the desk hears of it with each offer, and keeps to it', async () => {
+    const { offers, counted } = await placed(['e1'], ['e1', 'e3'], { waits: { e3: 1_000 } });
+    const copies = Object.fromEntries(offers.map(([engine, , , , , copy]) => [engine, copy]));
+    assert.equal(copies['e1'], undefined);
+    assert.equal(copies['e2'], 130_000);
+    assert.ok((copies['e3'] ?? 0) < 0);
+    assert.equal(counted.value('postdrum_prefix_copies_total', { copy: 'kept' }), 1);
+    assert.ok(DeskMessages.isOrder({ order: 'o', prefix: 'p', offers }));
+    const desk = new WorkDesk(handClock());
+    const offer = (engine: string, copy: number): DeskOffer => [engine, 0, 250_000, 50_000, 20_000, copy];
+    assert.equal(desk.reserve({ order: 'x', prefix: 'p', offers: [offer('a', 100_000), offer('b', 0)] }).engine, 'b');
+    desk.done('b', 'x', true);
+    const joined = desk.reserve({ order: 'y', prefix: 'p', offers: [offer('a', 0), offer('b', 100_000)] });
+    assert.equal(joined.engine, 'b', 'it has just been read there, which the asker may not know');
+  });
+
+  test('weights change, and the name that a prefix is counted under does not', () => {
+    const one = new PromptKeys(
+      { service: { ...pool, weights: '1' }, trustDomain: 'shared' } as unknown as Resolved,
+      prefixOrder('rules', 'own1'),
+    );
+    const two = new PromptKeys(
+      { service: { ...pool, weights: '2' }, trustDomain: 'shared' } as unknown as Resolved,
+      prefixOrder('rules', 'own2'),
+    );
+    const walled = new PromptKeys(
+      { service: pool, trustDomain: 'walled/a' } as unknown as Resolved,
+      prefixOrder('rules', 'own1'),
+    );
+    assert.equal(one.prefix(), two.prefix());
+    assert.notEqual(one.prefix(), walled.prefix());
+    assert.match(one.prefix(), /^[0-9a-f]{12}$/);
+    const short = new PromptKeys({ service: pool, trustDomain: 'shared' } as unknown as Resolved, {
+      ...prefixOrder('rules', 'own1'),
+      parts: [
+        { name: 'rules', size: 90 },
+        { name: 'own', size: 300 },
+      ],
+    });
+    assert.equal(short.prefix(), '', 'too short to be worth it');
+  });
+});
