--- a/tests/core-link.test.ts
+++ b/tests/core-link.test.ts
@@ -38,8 +38,8 @@
       {
         seeds: this.fleet.seeds,
         askMicroseconds: readAskMicroseconds,
-        sharedReadMicroseconds,
-        ownReadMicroseconds,
+        sharedReadMicroseconds: () => sharedReadMicroseconds,
+        ownReadMicroseconds: () => ownReadMicroseconds,
         readsEngines: true,
       },
       () => self,
