Among many proxies short orders spread by more chance

Change: the chance in a placement grows with the proxies, 3 ms of delay among up to nine, 24 ms among 73.

--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -74,6 +74,9 @@
   } satisfies WorkPlacementSettings,
 } as const;
 
+/** Starting value, ours: among so many proxies what is known of the others' sends is nearly right. */
+const promptProxies = 9;
+
 /** Which engine an order of named parts goes to: the one whose answer begins soonest, all costs counted as time. */
 export const ByWork = {
   cost: (offer: Offer, demand: Demand, home: string | undefined, settings: WorkPlacementSettings): number => {
@@ -141,13 +144,17 @@
     demand: Demand,
     random: Random,
     settings: WorkPlacementSettings,
+    /** Proxies that choose by the same numbers. */
+    proxies = 1,
   ): Offer | undefined => {
     const known = offers.some(({ matched, moveMicroseconds }) => matched > 0 || moveMicroseconds > 0);
     const home = known ? undefined : (demand.places?.[0] ?? ByWork.homeOf(demand.parts, offers));
+    // Why chance: proxies that see the same numbers must not all choose the same engine. Why more among many: all place
+    // orders by what was so half a second ago, and the engine that had least to do then would get them all.
+    const spread = settings.sendMicroseconds * Math.max(1, proxies / promptProxies);
     let best: Readonly<{ offer: Offer; cost: number }> | undefined;
     for (const offer of offers) {
-      // Why a little chance: proxies that see the same numbers must not all choose the same engine.
-      const cost = ByWork.cost(offer, demand, home, settings) + random.fraction() * settings.sendMicroseconds;
+      const cost = ByWork.cost(offer, demand, home, settings) + random.fraction() * spread;
       if (best === undefined || cost < best.cost) best = { offer, cost };
     }
     return best?.offer;
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -87,7 +87,7 @@
     const word = demand.isShort ? undefined : await this.askDesk(order, offers, demand, prompt, service);
     const own = offers.find(({ name }) => name === word?.engine);
     if (own !== undefined) await this.desk.read(prefix, word?.waitMicroseconds ?? 0);
-    const chosen = own ?? ByWork.choose(offers, demand, this.random, this.settings);
+    const chosen = own ?? ByWork.choose(offers, demand, this.random, this.settings, this.view.proxies());
     if (chosen === undefined) return undefined;
     const joined = own !== undefined && word?.joined === true;
     const matched = joined ? Math.max(chosen.matched, demand.parts.length - 1) : chosen.matched;
--- a/tests/named-parts.test.ts
+++ b/tests/named-parts.test.ts
@@ -255,6 +255,21 @@
   assert.equal(choose(...lanes), 'a', 'a short one does not leave its lane for it');
 });
 
+test('among many proxies short orders spread over engines that seem to differ a little, among few they do not', () => {
+  const short = { tokens: 200, parts: [], zone: 'z', isShort: true };
+  const chosen = (proxies: number, inFlight: number): number => {
+    const random = seededRandom(3);
+    const offers = [offer('a'), offer('b', { inFlight })];
+    return Array.from({ length: 400 }, () =>
+      ByWork.choose(offers, short, random, WorkPlacementSettings.usual, proxies),
+    ).filter((found) => found?.name === 'b').length;
+  };
+  assert.equal(chosen(1, 3), 0);
+  assert.equal(chosen(9, 3), 0);
+  assert.ok(chosen(73, 3) > 80, `${chosen(73, 3)} of 400`);
+  assert.equal(chosen(73, 12), 0, 'and none goes where there is much more to do');
+});
+
 test('a mix fades until nothing of it is told', () => {
   const clock = handClock();
   const lanes = new Lanes(clock, LaneSettings.usual);
