--- a/source/edge-agent/demand/demandTeller.ts
+++ b/source/edge-agent/demand/demandTeller.ts
@@ -8,7 +8,7 @@
 const promptDaemons = 16;
 
 /** Starting values, ours: entries that all daemons tell together, and the least that one tells. */
-const entriesOfAll = 160;
+const entriesOfAll = 288;
 const leastEntries = 4;
 
 type Told = Readonly<{ fact: DemandFact; atMicroseconds: number }>;
--- a/source/edge-proxy/fetch/partsPlanner.ts
+++ b/source/edge-proxy/fetch/partsPlanner.ts
@@ -7,6 +7,7 @@
 import type { Placed, Resolved } from '../path/order';
 import type { EngineView, Store } from '../placement/engineView';
 import type { PromptKeys } from '../placement/placePolicies';
+import { Salts } from '../placement/salts';
 import type { ReadSpeeds } from '../placement/readSpeeds';
 import { noFetch, type FetchPlan } from './fetchPlanner';
 import type { PartMoves } from './partMoves';
@@ -16,7 +17,7 @@
  * plan made under wrong news finds nothing and does no harm; there is nothing to register and nothing to grant.
  */
 export class PartsPlanner {
-  private readonly told = new Map<string, Readonly<{ mark: string; tokens: number }>>();
+  private readonly told = new Map<string, Readonly<{ mark: string; salts: ReadonlySet<string>; tokens: number }>>();
 
   public constructor(
     private readonly view: EngineView,
@@ -27,7 +28,7 @@
     private readonly demand: DemandView,
   ) {}
 
-  public plan(placed: Placed, { service }: Resolved, keys: PromptKeys, lookUp: LookUp): FetchPlan {
+  public plan(placed: Placed, { service, under }: Resolved, keys: PromptKeys, lookUp: LookUp): FetchPlan {
     const salt = keys.salt(placed.weights);
     const parts = keys.parts(placed.weights);
     if (parts.length === 0 || service.kind !== 'pool') return { ...noFetch, salt };
@@ -39,7 +40,10 @@
     const move = this.moves.best(engine, service, parts, placed.matched, lookUp);
     const names = parts.map(({ name }) => name);
     const store = this.storeFor(parts);
-    const fills = store !== undefined && !this.holdsShared(store, parts) && this.mayFill(store, keys, placed, lookUp);
+    const fills =
+      store !== undefined &&
+      !this.holdsShared(store, parts) &&
+      this.mayFill(store, keys, placed, lookUp, Salts.present(under, service, placed.weights));
     const guess = move === undefined ? this.guess(placed, parts, store, lookUp) : undefined;
     if (move !== undefined) this.metrics.count('postdrum_imports_total', { from: this.kindOf(move.holder) });
     return {
@@ -108,26 +112,37 @@
    * Whether the store had better keep these parts. Why not all: it drops what was used longest ago, and what is asked for once
    * pushes out what is asked for again and again. A part that somebody keeps already has been asked for before.
    */
-  private mayFill({ name }: Store, keys: PromptKeys, { matched }: Placed, lookUp: LookUp): boolean {
+  private mayFill(
+    { name }: Store,
+    keys: PromptKeys,
+    { matched }: Placed,
+    lookUp: LookUp,
+    salts: ReadonlySet<string>,
+  ): boolean {
     const { settings } = this.demand;
     const room = ((this.view.storeShape(name)?.keptTokens ?? 0) * settings.storeRoomPerMille) / 1000;
-    if (!settings.isOn || room === 0 || this.toldTokens(name) < room) return true;
+    if (!settings.isOn || room === 0 || this.toldTokens(name, salts) < room) return true;
     const isAskedAgain = matched > 0 || (lookUp.kind !== 'miss' && lookUp.found.length > 0);
     const fills = isAskedAgain || this.demand.isWanted(keys.prefix());
     this.metrics.count('postdrum_store_fills_total', { fill: fills ? 'wanted' : 'spared' });
     return fills;
   }
 
-  /** Tokens of all parts that the holder is known to keep. Why kept by the version: a store has thousands of them. */
-  private toldTokens(holder: string): number {
+  /**
+   * Tokens of the parts that the holder is known to keep and that may be asked for. Why without the others: parts of the weights
+   * before are the first that make room. Why kept by the version: a store has thousands of them.
+   */
+  private toldTokens(holder: string, salts: ReadonlySet<string>): number {
     const shard = this.shards.get(holder);
     if (shard === undefined) return 0;
     const { term, epoch, version } = shard.present;
     const mark = `${term}/${epoch}/${version}`;
     const known = this.told.get(holder);
-    if (known?.mark === mark) return known.tokens;
-    const tokens = shard.entries().reduce((sum, { size = 0 }) => sum + size, 0);
-    this.told.set(holder, { mark, tokens });
+    if (known?.mark === mark && known.salts === salts) return known.tokens;
+    const tokens = shard
+      .entries()
+      .reduce((sum, { name, size = 0 }) => (salts.has(name.slice(0, name.lastIndexOf('/'))) ? sum + size : sum), 0);
+    this.told.set(holder, { mark, salts, tokens });
     return tokens;
   }
 
--- a/source/shared/demand/prefixDemand.ts
+++ b/source/shared/demand/prefixDemand.ts
@@ -10,7 +10,7 @@
 
 export const DemandLimits = {
   /** Prefixes in one fact, and in the order that all agree on. */
-  perFact: 16,
+  perFact: 32,
   ranked: 128,
   nameLength: 32,
 } as const;
