--- a/source/edge-proxy/demand/demandView.ts
+++ b/source/edge-proxy/demand/demandView.ts
@@ -14,7 +14,7 @@
     halfLifeMicroseconds: number;
     /** What one more copy pushes out costs to read again, for a thousand tokens, in microseconds of delay. */
     copyMicrosecondsPerThousand: number;
-    /** A store that is fuller than this is sent only what is wanted or asked for again; in per mille of its memory. */
+    /** A store that is fuller than this is sent only what is wanted or asked for again; in per mille of its memory. 0: it is sent all. */
     storeRoomPerMille: number;
     /** How often all proxies together were asked lately for a prefix that counts as wanted. */
     leastCount: number;
@@ -33,6 +33,8 @@
     leastCount: 2,
   } satisfies DemandSettings,
   off: (settings: DemandSettings): DemandSettings => ({ ...settings, isOn: false }),
+  /** Places and copies by the demand; stores are sent every prefix that is read. */
+  fillingStores: (settings: DemandSettings): DemandSettings => ({ ...settings, storeRoomPerMille: 0 }),
 } as const;
 
 type Agreed = Readonly<{
