--- a/source/edge-agent/stewards/liveSalts.ts
+++ b/source/edge-agent/stewards/liveSalts.ts
@@ -40,12 +40,7 @@
     }
     const known = this.sets.get(key);
     if (known !== undefined) return known;
-    const domains = [
-      Identities.sharedDomain(blueprint.tenants),
-      ...Object.entries(blueprint.tenants).flatMap(([name, { walled }]) =>
-        walled ? [Identities.walledDomain(name)] : [],
-      ),
-    ];
+    const domains = Identities.domains(blueprint.tenants);
     const made = new Set(
       pairs.flatMap(([pool, weights]) => domains.map((domain) => PromptParts.salt(pool, weights, domain))),
     );
--- a/source/edge-proxy/placement/salts.ts
+++ b/source/edge-proxy/placement/salts.ts
@@ -26,10 +26,7 @@
     const before = sets.get(of);
     if (before !== undefined) return before;
     const { services, tenants } = blueprint;
-    const domains = [
-      Identities.sharedDomain(tenants),
-      ...Object.entries(tenants).flatMap(([name, { walled }]) => (walled ? [Identities.walledDomain(name)] : [])),
-    ];
+    const domains = Identities.domains(tenants);
     const pools = Object.values(services).flatMap((service) => (service.kind === 'pool' ? [service] : []));
     const made = new Set(
       pools.flatMap((one) =>
--- a/source/shared/directory/identity.ts
+++ b/source/shared/directory/identity.ts
@@ -45,6 +45,12 @@
     return walled.length === 0 ? 'shared' : `shared/${digest(delimited('WALL', walled.sort()))}`;
   },
 
+  /** All trust domains that orders may come under: the shared one and those of walled tenants. */
+  domains: (tenants: Readonly<Record<string, Readonly<{ walled: boolean }>>>): readonly string[] => [
+    Identities.sharedDomain(tenants),
+    ...Object.entries(tenants).flatMap(([name, { walled }]) => (walled ? [Identities.walledDomain(name)] : [])),
+  ],
+
   logicalBytes: (identity: CacheIdentity): Buffer =>
     delimited('GPCL', [
       identity.trustDomain,
--- a/tests/demand.test.ts
+++ b/tests/demand.test.ts
@@ -19,23 +19,13 @@
 import { DemandLimits, PrefixDemand, type DemandFact, type Wanted } from '../source/shared/demand/prefixDemand';
 import { DeskMessages, type DeskOffer, type DeskOrder } from '../source/shared/desk/messages';
 import type { LookUp } from '../source/shared/directory/lookup';
-import type { Clock } from '../source/shared/effects/clock/clock';
 import { seededRandom } from '../source/shared/effects/random/random';
 import { Metrics } from '../source/shared/metrics/metrics';
 import { FactBook } from '../source/shared/news/facts';
 import { FactKeys, type MemberState } from '../source/shared/news/factTypes';
+import { handClock } from './support/handClock';
 import { pool } from './support/pool';
 
-const handClock = (): Clock & { now: number } => {
-  const clock = {
-    now: 0,
-    nowMicroseconds: () => clock.now,
-    steadyMicroseconds: () => clock.now,
-    after: () => () => undefined,
-  };
-  return clock;
-};
-
 const name = fc.constantFrom(...'abcdefghijkl');
 const halfLife = 1_000_000;
 const stream = fc.array(fc.record({ name, pause: fc.nat(300_000) }), { minLength: 1, maxLength: 200 });
--- a/tests/named-parts.test.ts
+++ b/tests/named-parts.test.ts
@@ -13,20 +13,10 @@
 import type { Mapping } from '../source/shared/blueprint/types';
 import { DeskMessages, type DeskOffer, type DeskWord } from '../source/shared/desk/messages';
 import { PromptParts } from '../source/shared/directory/promptParts';
-import type { Clock } from '../source/shared/effects/clock/clock';
 import { seededRandom } from '../source/shared/effects/random/random';
+import { handClock } from './support/handClock';
 import { pool } from './support/pool';
 
-const handClock = (): Clock & { now: number } => {
-  const clock = {
-    now: 0,
-    nowMicroseconds: () => clock.now,
-    steadyMicroseconds: () => clock.now,
-    after: () => () => undefined,
-  };
-  return clock;
-};
-
 const eventText = fc.record({ id: fc.nat(999), data: fc.stringMatching(/^[a-z ]{0,20}$/) });
 
 test('events are cut at their borders only, in whatever pieces they come, and none is lost', () => {
