--- a/tests/demand.test.ts
+++ b/tests/demand.test.ts
@@ -387,6 +387,8 @@
     addressOf: (holder: string) => `${holder}:1`,
     zoneOf: () => 'z',
     storeShape: () => undefined,
+    otherMix: () => [0, 0],
+    proxies: () => 1,
     work: { matched: (_engine: string, _boot: string, _names: readonly string[], kept: number) => kept },
   } as unknown as EngineView;
   const demandView = {
