What no program asks for any more is gone; the salts of a pool only where they are needed

From the last read of the change: EngineView.able had only its test left, which now asks isAble (name, boot and weights, not the name alone); salts were worked out for each long order though stores are sent everything on the platform.

--- a/source/edge-proxy/fetch/partsPlanner.ts
+++ b/source/edge-proxy/fetch/partsPlanner.ts
@@ -43,7 +43,7 @@
     const fills =
       store !== undefined &&
       !this.holdsShared(store, parts) &&
-      this.mayFill(store, keys, placed, lookUp, Salts.present(under, service, placed.weights));
+      this.mayFill(store, keys, placed, lookUp, () => Salts.present(under, service, placed.weights));
     const guess = move === undefined ? this.guess(placed, parts, store, lookUp) : undefined;
     if (move !== undefined) this.metrics.count('postdrum_imports_total', { from: this.kindOf(move.holder) });
     return {
@@ -117,11 +117,11 @@
     keys: PromptKeys,
     { matched }: Placed,
     lookUp: LookUp,
-    salts: ReadonlySet<string>,
+    salts: () => ReadonlySet<string>,
   ): boolean {
     const { settings } = this.demand;
     const room = ((this.view.storeShape(name)?.keptTokens ?? 0) * settings.storeRoomPerMille) / 1000;
-    if (!settings.isOn || room === 0 || this.toldTokens(name, salts) < room) return true;
+    if (!settings.isOn || room === 0 || this.toldTokens(name, salts()) < room) return true;
     const isAskedAgain = matched > 0 || (lookUp.kind !== 'miss' && lookUp.found.length > 0);
     const fills = isAskedAgain || this.demand.isWanted(keys.prefix());
     this.metrics.count('postdrum_store_fills_total', { fill: fills ? 'wanted' : 'spared' });
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -86,8 +86,6 @@
   mark: string;
   of: AbleOnes;
   others: Others;
-  /** Those that could take work, and those of them that get any. */
-  able: readonly Candidate[];
   candidates: readonly Candidate[];
 }>;
 const noMix: WorkMix = [0, 0];
@@ -206,12 +204,7 @@
     return this.workedOut(service).candidates;
   }
 
-  /** Those and the ones left out because they fail: what was placed there before may still go. */
-  public able(service: string): readonly Candidate[] {
-    return this.workedOut(service).able;
-  }
-
-  /** Whether an order that was placed at this engine, as it was then, may still go there. */
+  /** Whether an order that was placed at this engine, as it was then, may still go there; also where it is left out by now. */
   public isAble(service: string, { name, bootEpoch, weights }: Pick<Able, 'name' | 'bootEpoch' | 'weights'>): boolean {
     return this.ableNow(service).engines.some(
       (engine) => engine.name === name && engine.bootEpoch === bootEpoch && engine.weights === weights,
@@ -244,7 +237,7 @@
       inFlight: this.inFlightAt(engine),
       work: this.workAt(engine.name),
     }));
-    const worked: WorkedOut = { at: now, mark, of, others, able, candidates: this.withoutOutliers(able) };
+    const worked: WorkedOut = { at: now, mark, of, others, candidates: this.withoutOutliers(able) };
     this.worked.set(service, worked);
     return worked;
   }
@@ -268,7 +261,7 @@
     const known = this.ableOnes.get(service);
     if (
       known !== undefined &&
-      (known.isTimeless && this.other.size === 0 ? true : now - known.at < workedMicroseconds) &&
+      ((known.isTimeless && this.other.size === 0) || now - known.at < workedMicroseconds) &&
       known.mark === mark &&
       known.list === list &&
       known.blueprint === blueprint
--- a/tests/engine-view.test.ts
+++ b/tests/engine-view.test.ts
@@ -86,7 +86,8 @@
   for (let count = 0; count < 4; count += 1) view.outliers.answered(Made.engine(2), 'failed');
   view.review();
   assert.ok(!names().includes(Made.engine(2)));
-  assert.ok(view.able(Made.service(1)).some(({ name }) => name === Made.engine(2)));
+  const { bootEpoch } = Made.engineFact(2);
+  assert.ok(view.isAble(Made.service(1), { name: Made.engine(2), bootEpoch, weights }));
   assert.equal(view.capacity(Made.service(1)), 3 * Made.engineFact(1).capacity);
 });
 
