--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -20,10 +20,11 @@
 import { KeeperCore } from './register/keeperCore';
 import type { Accept, ChangeOrder, ChangeOutcome, OwnerWord, Prepare } from './register/messages';
 import { Ownership } from './register/ownership';
+import { QuorumWatch } from './register/quorumWatch';
 import { WeightsAges } from './register/weightsAges';
-import { MemberPlans, type MemberHealth } from './standing/memberPlan';
+import { MemberChanges } from './standing/memberChanges';
 import { MemberWatch } from './standing/memberWatch';
-import { Replaced, StandingKeeper, type Hello } from './standing/standing';
+import { Replaced, StandingKeeper } from './standing/standing';
 
 export type KeeperSettings = Readonly<{
   name: string;
@@ -49,6 +50,14 @@
   membersWanted: number;
   /** A member that a majority has not heard for so long may lose its place to one that stands by. */
   memberSilentMicroseconds: number;
+  /** How long a changed list of members waits for its newcomer to catch up before it stands alone without it. */
+  learnerMicroseconds: number;
+  /** How long a member that stops goes on voting while its successor catches up. */
+  handOverMicroseconds: number;
+  /** No address here ever belongs to another fleet, so one seed that answers is enough to find the fleet. */
+  isOnlyFleet: boolean;
+  /** After so long a part of the seeds that is a majority founds the fleet without the others; only where `joins` is asks. */
+  foundingPatienceMicroseconds: number;
 }>;
 
 export const KeeperDefaults = {
@@ -65,6 +74,10 @@
   joins: 'named',
   membersWanted: 3,
   memberSilentMicroseconds: 2_000_000,
+  learnerMicroseconds: 5_000_000,
+  handOverMicroseconds: 3_000_000,
+  foundingPatienceMicroseconds: 1_500_000,
+  isOnlyFleet: false,
 } as const;
 
 /** Starting value, ours: how often a keeper that waits for an owner looks whether that one still lives. */
@@ -72,6 +85,12 @@
 
 const askerKeptMicroseconds = 20_000_000;
 
+/** A leader steps down once no majority has answered it for so many times the silence after which others look for one. */
+const quorumSilences = 2;
+
+/** How often whoever leads the list of members looks whether a newcomer has caught up. */
+const memberStepMicroseconds = 150_000;
+
 type Heard = Readonly<{ word: OwnerWord; owner: string; atMicroseconds: number }>;
 
 export type ReadOutcome = Readonly<{ kind: 'read'; revision: number; text: string }> | Readonly<{ kind: 'noMajority' }>;
@@ -91,7 +110,8 @@
   private readonly watch: MemberWatch;
   private readonly packer = new BodyPacker();
   private readonly telling = new Set<string>();
-  private takingIn = false;
+  private readonly quorum: QuorumWatch;
+  private readonly members: MemberChanges;
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
   private listener: Listener | undefined;
@@ -119,6 +139,20 @@
     this.duties = new DutyVoter(this.core, clock);
     this.ages = new WeightsAges(clock, dialect);
     this.watch = new MemberWatch(this.core, clock, settings.memberSilentMicroseconds);
+    this.quorum = new QuorumWatch(this.core, clock, settings.ownerSilentMicroseconds * quorumSilences);
+    this.members = new MemberChanges(
+      this.core,
+      clock,
+      transport,
+      this.watch,
+      {
+        leadership: () => this.ownership('core-members'),
+        words: () => this.words(),
+        read: (key) => this.read(key),
+        change: (order) => this.change(order),
+      },
+      settings,
+    );
     this.standing = new StandingKeeper(
       this.core,
       transport,
@@ -131,6 +165,8 @@
         founders: settings.founders,
         isFirstStart: settings.isFirstStart,
         joins: settings.joins,
+        isOnlyFleet: settings.isOnlyFleet,
+        foundingPatienceMicroseconds: settings.foundingPatienceMicroseconds,
       },
       Logs.part(`keeper:${settings.name}:notice`),
       () => this.duties.waitOneLease(settings.leaseMicroseconds),
@@ -140,6 +176,7 @@
       changeMicroseconds: settings.changeMicroseconds,
       firstMembersText: () => this.firstMembersText(),
       dialect,
+      learnMembers: (address: string) => this.learnMembers(address),
     };
     this.ownerships = new Map(
       DocumentKeys.map((key) => [
@@ -161,6 +198,12 @@
         () => this.heartbeat(),
         failed,
       ),
+      new Ticker(
+        clock,
+        () => memberStepMicroseconds,
+        () => this.members.step(),
+        failed,
+      ),
       new Ticker(
         clock,
         () => 100_000 + Math.floor(random.fraction() * 100_000),
@@ -182,6 +225,8 @@
     });
     const blueprint = KeeperStates.cell(this.core.state, 'blueprint').accepted;
     if (blueprint !== null) this.ages.restored(blueprint.entry);
+    if (opened.fresh && this.settings.isFirstStart)
+      void this.ledger.write([{ kind: 'firstStarted', seeds: this.settings.seeds }]);
     if (!opened.fresh) this.duties.waitOneLease(this.settings.leaseMicroseconds);
     this.listener = await this.effects.transport.listen(
       this.settings.listenAddress || this.settings.member.address,
@@ -197,6 +242,7 @@
 
   /** A planned stop: says that it leaves, so that others need not find out before they take its keys over. */
   public async leave(): Promise<void> {
+    await this.members.handOver(() => this.standingStep());
     for (const ticker of this.tickers) ticker.stop();
     const message = { kind: 'ownerLeaves', owner: this.settings.name };
     await Promise.all(
@@ -387,7 +433,7 @@
       case 'body':
         return this.body(message);
       case 'ballots':
-        return { kind: 'ballots', answers: await this.duties.vote(message['ballots'] as readonly Ballot[]) };
+        return this.vote(message);
       case 'withdraw':
         this.duties.withdraw(message['ballots'] as readonly Ballot[]);
         return { kind: 'heard' };
@@ -406,20 +452,8 @@
           outcome: ownership.state.kind === 'owning' ? ((await ownership.change(order)) ?? null) : null,
         };
       }
-      case 'entry': {
-        const key = message['key'];
-        const own = isDocumentKey(key) ? this.ownership(key).state : undefined;
-        return own?.kind === 'owning' && isDocumentKey(key)
-          ? ({
-              kind: 'accept',
-              fleet: this.core.state.fleet,
-              membersRevision: this.core.members().revision,
-              key,
-              epoch: own.epoch,
-              entry: own.entry,
-            } satisfies Accept)
-          : { kind: 'notOwner' };
-      }
+      case 'entry':
+        return this.acceptedEntry(message['key']);
       case 'passChange':
         return this.core.votes()
           ? { kind: 'changed', outcome: await this.change(message['order'] as ChangeOrder) }
@@ -429,9 +463,15 @@
         return this.core.votes() && isDocumentKey(key) ? await this.read(key) : { kind: 'noVote' };
       }
       case 'replace':
-        return this.replace(String(message['gone']), String(message['name']), message['member'] as CoreMember);
+        return this.members.replace(String(message['gone']), String(message['name']), message['member'] as CoreMember);
       case 'takeIn':
-        return this.takeIn(String(message['name']), message['member'] as CoreMember);
+        return this.members.takeIn(String(message['name']), message['member'] as CoreMember);
+      case 'memberLeaves':
+        return message['fleet'] === this.core.state.fleet
+          ? this.members.hearLeaving(String(message['keeper']))
+          : { kind: 'noVote' };
+      case 'mayLead':
+        return this.mayLead(message);
       case 'silentMembers':
         return this.core.votes()
           ? { kind: 'silentMembers', silent: this.watch.silent(), fleet: this.core.state.fleet }
@@ -448,6 +488,27 @@
     }
   }
 
+  private async vote(message: Message): Promise<Message> {
+    const membersRevision = Number(message['membersRevision'] ?? 0);
+    const answers = await this.duties.vote(message['ballots'] as readonly Ballot[], membersRevision);
+    const view = this.core.members();
+    // The candidate need not wait for its next reading to learn the list that it lacked.
+    return membersRevision < view.revision ? { kind: 'ballots', answers, view } : { kind: 'ballots', answers };
+  }
+
+  /** A pre-vote: whether this member answers under the same fleet, and whether it hears a leader other than the one asking. */
+  private mayLead(message: Message): Message {
+    const key = message['key'];
+    if (!this.core.votes() || message['fleet'] !== this.core.state.fleet || !isDocumentKey(key))
+      return { kind: 'noVote' };
+    const isLed = this.ownerAddress(key) !== undefined && this.heard.get(key)?.owner !== message['candidate'];
+    return {
+      kind: 'mayLead',
+      hearsLeader: isLed || this.ownership(key).state.kind === 'owning',
+      membersRevision: this.core.members().revision,
+    };
+  }
+
   private wordsFor(message: Message): Message {
     // Why here: agents read several times a second, so an operator who asks finds them all.
     this.hearAsker(message['own']);
@@ -506,6 +567,8 @@
     // Why silent when stalled: the others take the keys over while this disk hangs.
     if (!this.core.votes() || this.ledger.stalledMicroseconds() > this.settings.ownerSilentMicroseconds)
       return Promise.resolve();
+    for (const ownership of this.ownerships.values())
+      if (!this.quorum.isReached(ownership.ledSinceMicroseconds)) ownership.stepDown();
     const words = DocumentKeys.flatMap((key) => this.ownership(key).word() ?? []);
     // Why also without words: where places change hands, members must know who is still there.
     if (words.length === 0 && this.settings.joins !== 'asks') return Promise.resolve();
@@ -520,7 +583,9 @@
     this.telling.add(name);
     try {
       const answer = await this.effects.transport.ask(address, message, this.settings.askMicroseconds);
-      if (answer.kind === 'answered' && answer.message.kind === 'heard') this.watch.hear(name);
+      if (answer.kind !== 'answered' || answer.message.kind !== 'heard') return;
+      this.watch.hear(name);
+      this.quorum.answered(name);
     } finally {
       this.telling.delete(name);
     }
@@ -544,6 +609,33 @@
     return { kind: 'heard' };
   }
 
+  /** What this member has accepted, as it was offered to it: the offer holds for whoever has promised no higher epoch. */
+  private acceptedEntry(key: unknown): Message {
+    const accepted = isDocumentKey(key) ? KeeperStates.cell(this.core.state, key).accepted : null;
+    if (accepted === null || !isDocumentKey(key) || !this.core.votes()) return { kind: 'notOwner' };
+    return {
+      kind: 'accept',
+      fleet: this.core.state.fleet,
+      membersRevision: this.core.members().revision,
+      key,
+      epoch: accepted.epoch,
+      entry: accepted.entry,
+    } satisfies Accept;
+  }
+
+  private async takeEntry(key: DocumentKey, address: string): Promise<void> {
+    const answer = await this.effects.transport.ask(address, { kind: 'entry', key }, this.settings.askMicroseconds * 2);
+    if (answer.kind === 'answered' && answer.message.kind === 'accept')
+      await this.acceptor.accept(answer.message as unknown as Accept);
+  }
+
+  /** Where a higher epoch was promised meanwhile the offer is refused, and only a new one settles which list holds. */
+  private async learnMembers(address: string): Promise<void> {
+    const before = this.core.members().revision;
+    await this.takeEntry('core-members', address);
+    if (this.core.members().revision === before) await this.ownership('core-members').win('request');
+  }
+
   /** A keeper that was away takes what it missed from the owner, instead of staying behind until the next change. */
   private async repair(word: OwnerWord, owner: string): Promise<void> {
     const accepted = KeeperStates.cell(this.core.ledger.pending, word.key).accepted;
@@ -556,13 +648,7 @@
     if (!behind || !this.core.votes() || address === undefined || this.repairing.has(word.key)) return;
     this.repairing.add(word.key);
     try {
-      const answer = await this.effects.transport.ask(
-        address,
-        { kind: 'entry', key: word.key },
-        this.settings.askMicroseconds * 2,
-      );
-      if (answer.kind === 'answered' && answer.message.kind === 'accept')
-        await this.acceptor.accept(answer.message as unknown as Accept);
+      await this.takeEntry(word.key, address);
     } finally {
       this.repairing.delete(word.key);
     }
@@ -583,7 +669,7 @@
         const rank = Rendezvous.rank(`owner/${key}`, this.settings.name, Object.keys(this.core.members().members));
         this.quietUntil.set(key, now + Math.max(0, rank) * 250_000);
       } else if (now >= quiet) {
-        const won = await ownership.win();
+        const won = await ownership.win('vacancy');
         if (won) await this.heartbeat();
         this.quietUntil.set(key, now + 200_000 + Math.floor(this.effects.random.fraction() * 400_000));
       }
@@ -632,97 +718,4 @@
       fleet: this.core.state.fleet,
     };
   }
-
-  private async replace(gone: string, name: string, member: CoreMember): Promise<Message> {
-    return this.changeMembers(name, member, (members) =>
-      members[gone] === undefined ? undefined : { gone, says: `replace ${gone} by ${name}` },
-    );
-  }
-
-  /** One change of the list: `gone` leaves it, or nobody where it is empty, and the newcomer gets in. */
-  private async changeMembers(
-    name: string,
-    member: CoreMember,
-    plan: (members: Readonly<Record<string, CoreMember>>) => Readonly<{ gone: string; says: string }> | undefined,
-  ): Promise<Message> {
-    const read = await this.read('core-members');
-    if (read.kind !== 'read') return { kind: 'noVote' };
-    const members = { ...(JSON.parse(read.text) as { members: Record<string, CoreMember> }).members };
-    const planned = plan(members);
-    if (planned === undefined) return { kind: 'noVote' };
-    delete members[planned.gone];
-    members[name] = member;
-    const outcome = await this.change({
-      key: 'core-members',
-      form: 'whole',
-      text: JSON.stringify({ members }),
-      ifMatch: read.revision,
-      id: `${planned.says} at ${read.revision}`,
-    });
-    return { kind: 'changed', outcome };
-  }
-
-  /** A keeper without a place asks for one. It gets that of a member silent beyond doubt, or a new one. */
-  private async takeIn(name: string, member: CoreMember): Promise<Message> {
-    if (!this.core.votes() || this.settings.joins !== 'asks' || this.takingIn) return { kind: 'noVote' };
-    this.takingIn = true;
-    try {
-      const health = await this.health(name);
-      if (health === undefined) return { kind: 'noVote' };
-      // Why at once: it is the same machine under a new address, and its place is its own.
-      if (this.core.members().members[name] !== undefined)
-        return await this.changeMembers(name, member, () => ({
-          gone: name,
-          says: `move ${name} to ${member.address}`,
-        }));
-      const planned = MemberPlans.next(health, this.settings.membersWanted);
-      if (planned.kind === 'wait') return { kind: 'noVote' };
-      const gone = planned.kind === 'replace' ? planned.gone : '';
-      return await this.changeMembers(name, member, () => ({ gone, says: `take in ${name} for ${gone}` }));
-    } finally {
-      this.takingIn = false;
-    }
-  }
-
-  /** How the members are, by what a majority of them says; undefined while a change of the list is under way. */
-  private async health(newcomer: string): Promise<Readonly<Record<string, MemberHealth>> | undefined> {
-    const view = this.core.members();
-    if (view.sets.length !== 1) return undefined;
-    const names = Object.keys(view.members);
-    const answers = await Promise.all(
-      this.core.others().map(async ([name, { address }]) => {
-        const [hello, silent] = await Promise.all([
-          this.effects.transport.ask(
-            address,
-            { kind: 'hello', asker: this.settings.name },
-            this.settings.askMicroseconds,
-          ),
-          this.effects.transport.ask(address, { kind: 'silentMembers' }, this.settings.askMicroseconds),
-        ]);
-        return {
-          name,
-          hello: hello.kind === 'answered' ? (hello.message as unknown as Hello) : undefined,
-          silent:
-            silent.kind === 'answered' && silent.message.kind === 'silentMembers'
-              ? (silent.message['silent'] as readonly string[])
-              : undefined,
-        };
-      }),
-    );
-    const said = [
-      { silent: this.watch.silent() },
-      ...answers.flatMap(({ silent }) => (silent === undefined ? [] : [{ silent }])),
-    ];
-    const healthOf = (name: string): MemberHealth => {
-      const hello = answers.find((answer) => answer.name === name)?.hello;
-      if (hello === undefined) return MemberPlans.isSilent(names, name, said) ? 'silent' : 'doubtful';
-      if (hello.keeper !== name || hello.fleet !== this.core.state.fleet) return 'doubtful';
-      return hello.standing === 'voting' ? 'voting' : 'voiceless';
-    };
-    return Object.fromEntries(
-      names
-        .filter((name) => name !== newcomer)
-        .map((name) => [name, name === this.settings.name ? 'voting' : healthOf(name)]),
-    );
-  }
 }
--- a/source/core-keeper/duties/dutyVoter.ts
+++ b/source/core-keeper/duties/dutyVoter.ts
@@ -13,6 +13,9 @@
   floor: number;
 }>;
 
+/** A candidate with an older list of members learns the present one with its next reading of the core. */
+const outdatedMicroseconds = 200_000;
+
 type Lease = Readonly<{ holder: string; term: number; untilMicroseconds: number }>;
 
 const mostLeaseMicroseconds = 10_000_000;
@@ -59,9 +62,14 @@
     );
   }
 
-  public async vote(ballots: readonly Ballot[]): Promise<readonly BallotAnswer[]> {
+  /**
+   * Votes under the list of members that the candidate goes by. One that goes by an older list than this voter is refused:
+   * a majority of that list may have nobody in common with one of the present list, and both would grant the same duty.
+   */
+  public async vote(ballots: readonly Ballot[], membersRevision: number): Promise<readonly BallotAnswer[]> {
     const counted = ballots.slice(0, mostDuties);
     this.heard(counted);
+    if (membersRevision < this.core.members().revision) return counted.map((ballot) => this.outdated(ballot));
     const answers = await Promise.all(counted.map((ballot) => this.voteOne(ballot)));
     // Why not waited for: agents wait for the votes, and nothing hangs on when this reaches the disk.
     void this.forget();
@@ -105,6 +113,12 @@
     if (duties.length > 0) await this.core.ledger.write([{ kind: 'dutiesForgotten', duties }]);
   }
 
+  private outdated({ duty }: Ballot): BallotAnswer {
+    const { term, holder } = KeeperStates.duty(this.core.ledger.pending, duty);
+    const floor = this.core.ledger.pending.dutyFloor;
+    return { duty, granted: false, term, holder, waitMicroseconds: outdatedMicroseconds, floor };
+  }
+
   private async voteOne(ballot: Ballot): Promise<BallotAnswer> {
     const now = this.clock.steadyMicroseconds();
     const stored = KeeperStates.duty(this.core.ledger.pending, ballot.duty);
--- a/source/core-keeper/ledger/keeperState.ts
+++ b/source/core-keeper/ledger/keeperState.ts
@@ -1,5 +1,6 @@
 import type { CoreMember, DocumentKey } from '../../shared/blueprint/types';
 import { Epochs, type Accepted, type Entry, type Epoch, type Incarnations } from '../../shared/register/types';
+import { OutcomeHistories, type EarlierChange } from '../register/outcomeHistory';
 
 /**
  * empty: no file. forming: said yes to one new fleet. joining: lost its disk or is new, must not vote.
@@ -21,6 +22,11 @@
   duties: Readonly<Record<string, DutyTerm>>;
   /** The highest term of any duty that was forgotten: a duty that is not listed counts as having had this one. */
   dutyFloor: number;
+  /**
+   * The seeds that were told when the whole system started for the first time; empty where this disk was not there then, or
+   * was lost since. Only these seeds may found a fleet, whatever seeds are told later.
+   */
+  firstSeeds: readonly string[];
 }>;
 
 /** Why the floor may be missing: a keeper of an earlier build forgot none. */
@@ -28,6 +34,7 @@
   Partial<Pick<KeeperState, 'dutyFloor'>>;
 
 export type KeeperEvent =
+  | Readonly<{ kind: 'firstStarted'; seeds: readonly string[] }>
   | Readonly<{ kind: 'forming'; fleet: string; members: FirstMembers }>
   | Readonly<{ kind: 'formed' }>
   | Readonly<{ kind: 'joining'; fleet: string; incarnation: number }>
@@ -40,6 +47,25 @@
   | Readonly<{ kind: 'dutiesForgotten'; duties: readonly string[] }>
   | Readonly<{ kind: 'whole'; state: KeeperState }>;
 
+/** An entry as it may stand in a file or a snapshot; builds before this one kept whole digests of the last 128 changes. */
+type StoredEntry = Entry | (Omit<Entry, 'outcomes'> & Readonly<{ changes: readonly EarlierChange[] }>);
+
+const presentEntry = (stored: StoredEntry): Entry => {
+  if ('outcomes' in stored) return stored;
+  const { changes, ...entry } = stored;
+  return { ...entry, outcomes: OutcomeHistories.ofEarlierBuild(changes) };
+};
+
+const presentAccepted = (accepted: Accepted | null): Accepted | null =>
+  accepted === null ? null : { epoch: accepted.epoch, entry: presentEntry(accepted.entry) };
+
+const presentCells = (cells: KeeperState['cells']): KeeperState['cells'] => {
+  const present: Partial<Record<DocumentKey, Cell>> = {};
+  for (const [key, cell] of Object.entries(cells) as readonly (readonly [DocumentKey, Cell])[])
+    present[key] = { promised: cell.promised, accepted: presentAccepted(cell.accepted) };
+  return present;
+};
+
 const emptyCell: Cell = { promised: Epochs.none, accepted: null };
 
 const higher = (left: Epoch, right: Epoch): Epoch => (Epochs.compare(left, right) >= 0 ? left : right);
@@ -93,6 +119,7 @@
     cells: {},
     duties: {},
     dutyFloor: 0,
+    firstSeeds: [],
   } as KeeperState,
   cell: (state: KeeperState, key: DocumentKey): Cell => state.cells[key] ?? emptyCell,
   outranks,
@@ -103,6 +130,8 @@
   /** The one function for every change of a keeper's durable state. */
   reduce: (state: KeeperState, event: KeeperEvent): KeeperState => {
     switch (event.kind) {
+      case 'firstStarted':
+        return { ...state, firstSeeds: event.seeds };
       case 'forming':
         return { ...state, standing: 'forming', fleet: event.fleet, firstMembers: event.members };
       case 'formed':
@@ -113,7 +142,7 @@
         return event.frames.reduce<KeeperState>(
           (joined, frame) => ({
             ...joined,
-            cells: joinCells(joined.cells, frame.cells),
+            cells: joinCells(joined.cells, presentCells(frame.cells)),
             ...joinDuties(joined, { duties: frame.duties, dutyFloor: frame.dutyFloor ?? 0 }),
             known: joinKnown(joined.known, frame.known),
             firstMembers: Object.keys(joined.firstMembers).length > 0 ? joined.firstMembers : frame.firstMembers,
@@ -139,7 +168,7 @@
             ...state.cells,
             [event.key]: {
               promised: higher(cell.promised, event.epoch),
-              accepted: { epoch: event.epoch, entry: event.entry },
+              accepted: { epoch: event.epoch, entry: presentEntry(event.entry) },
             },
           },
         };
@@ -154,7 +183,7 @@
         };
       case 'whole':
         // Why over the start: a frame of an earlier build lacks what came later.
-        return { ...KeeperStates.start, ...event.state };
+        return { ...KeeperStates.start, ...event.state, cells: presentCells(event.state.cells) };
     }
   },
 } as const;
--- a/source/core-keeper/register/changes.ts
+++ b/source/core-keeper/register/changes.ts
@@ -5,10 +5,9 @@
 import type { CoreMembers } from '../../shared/blueprint/types';
 import type { Entry } from '../../shared/register/types';
 import type { ChangeOrder, ChangeOutcome } from './messages';
+import { OutcomeHistories } from './outcomeHistory';
 
-const keptChanges = 128;
-
-export const emptyEntry: Entry = { revision: 0, digest: '', text: '', changes: [] };
+export const emptyEntry: Entry = { revision: 0, digest: '', text: '', outcomes: OutcomeHistories.none };
 
 export const Digests = {
   of: (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 32),
@@ -49,15 +48,17 @@
 export const Changes = {
   /** What an operator's order makes of the present value: the next entry, or an answer at once. A pure function. */
   plan: (entry: Entry, order: ChangeOrder, dialect: Dialect = ownDialect): Planned => {
-    const orderDigest = Digests.of(`${order.form}\u0000${order.ifMatch}\u0000${order.text}`);
-    const earlier = entry.changes.find(({ id }) => id === order.id);
-    if (earlier !== undefined) {
-      if (earlier.orderDigest !== orderDigest)
-        return refused('idUsed', [{ path: '', fault: 'this change id was used for another change' }], entry.revision);
-      return { kind: 'answer', outcome: { kind: 'taken', revision: earlier.revision } };
-    }
+    const earlier = OutcomeHistories.find(entry.outcomes, order);
+    if (earlier.kind === 'otherChange')
+      return refused('idUsed', [{ path: '', fault: 'this change id was used for another change' }], entry.revision);
+    if (earlier.kind === 'accepted') return { kind: 'answer', outcome: { kind: 'taken', revision: earlier.revision } };
     const next = applied(entry, order, dialect);
-    if (next.kind === 'refused') return refused(next.reason, next.faults, entry.revision);
+    if (next.kind === 'refused') {
+      // It builds on a version so old that it may have been accepted itself, and a change once accepted is never refused.
+      if (next.reason === 'revision' && earlier.kind === 'forgotten')
+        return { kind: 'answer', outcome: { kind: 'unknown' } };
+      return refused(next.reason, next.faults, entry.revision);
+    }
     if (next.kind === 'same') return { kind: 'answer', outcome: { kind: 'taken', revision: entry.revision } };
     const revision = entry.revision + 1;
     return {
@@ -66,8 +67,9 @@
         revision,
         digest: Digests.of(next.text),
         text: next.text,
-        changes: [...entry.changes, { id: order.id, orderDigest, revision }].slice(-keptChanges),
+        outcomes: OutcomeHistories.add(entry.outcomes, order, revision),
         ...(order.key === 'core-members' ? { base: entry.text } : {}),
+        ...(order.key === 'core-members' && order.learner !== undefined ? { learner: order.learner } : {}),
       },
     };
   },
@@ -77,6 +79,6 @@
     revision: entry.revision + 1,
     digest: entry.digest,
     text: entry.text,
-    changes: entry.changes,
+    outcomes: entry.outcomes,
   }),
 } as const;
--- a/source/core-keeper/register/messages.ts
+++ b/source/core-keeper/register/messages.ts
@@ -36,6 +36,8 @@
   text: string;
   ifMatch: number;
   id: string;
+  /** Only for `core-members`: the newcomer that must have caught up before the list before stops counting. */
+  learner?: string;
 }>;
 
 export type ChangeOutcome =
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -11,6 +11,7 @@
 import type { Acceptor } from './acceptor';
 import { Changes, Digests, emptyEntry } from './changes';
 import { MemberViews, type KeeperCore, type MemberView } from './keeperCore';
+import { OutcomeHistories } from './outcomeHistory';
 import type { Accept, AcceptAnswer, ChangeOrder, ChangeOutcome, OwnerWord, PrepareAnswer } from './messages';
 
 export type OwnershipState =
@@ -46,11 +47,19 @@
   changeMicroseconds: number;
   firstMembersText: () => string;
   dialect: Dialect;
+  /** The member at this address knows a newer list of members than this replica, which takes it from there. */
+  learnMembers: (address: string) => Promise<void>;
 }>;
 
 /** Starting value, ours: how long after a conn broke an accept is asked for again. */
 const askAgainMicroseconds = 50_000;
 
+/**
+ * Why a replica campaigns. `vacancy`: it hears no leader, and leads only if a majority hears none either (a pre-vote).
+ * `request`: an operator waits, so it is enough that a majority answers.
+ */
+export type Campaign = 'vacancy' | 'request';
+
 type Promised = Extract<PrepareAnswer, Readonly<{ kind: 'promised' }>>;
 type Gathered =
   Readonly<{ kind: 'reached'; accepted: Accepted | null }> | Readonly<{ kind: 'missed'; outrankedBy: Epoch }>;
@@ -60,6 +69,7 @@
   public readonly news = new Emittery<{ state: OwnershipState }>();
   private present: OwnershipState = { kind: 'none' };
   private highest: Epoch = Epochs.none;
+  private ledSince = -Infinity;
   private serial: Promise<unknown> = Promise.resolve();
 
   public constructor(
@@ -77,6 +87,11 @@
     return this.present;
   }
 
+  /** Since when this replica has led the key without a break. */
+  public get ledSinceMicroseconds(): number {
+    return this.ledSince;
+  }
+
   public word(): OwnerWord | undefined {
     return this.present.kind === 'owning'
       ? {
@@ -94,8 +109,24 @@
     if (this.present.kind !== 'none' && Epochs.compare(epoch, this.present.epoch) > 0) this.step({ kind: 'lost' });
   }
 
-  public win(): Promise<boolean> {
-    return this.inTurn(() => this.winNow());
+  public win(campaign: Campaign = 'request'): Promise<boolean> {
+    return this.inTurn(() => this.winNow(campaign));
+  }
+
+  /** A leader that no majority answers any more gives the key up, so that it tells nobody it still leads. */
+  public stepDown(): void {
+    if (this.present.kind === 'owning') this.step({ kind: 'lost' });
+  }
+
+  /**
+   * The second step of a change of members: the list before stops counting. It is never undone instead: replicas act on a
+   * list as soon as they hold it, so two lists that could both follow the same one would have majorities apart from each other.
+   */
+  public settleMemberChange(): Promise<boolean> {
+    return this.inTurn(async () => {
+      if (this.present.kind !== 'owning' || this.present.entry.base === undefined) return false;
+      return this.writeMembers(Changes.settled(this.present.entry));
+    });
   }
 
   public change(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
@@ -113,7 +144,9 @@
 
   private step(event: OwnershipEvent): void {
     const before = this.present.kind;
-    this.present = reduceOwnership(this.present, event);
+    const next = reduceOwnership(this.present, event);
+    this.present = next;
+    if (before !== 'owning' && next.kind === 'owning') this.ledSince = this.clock.nowMicroseconds();
     if (before !== this.present.kind && (this.present.kind === 'owning' || before === 'owning'))
       this.log(
         `The key ${this.key} is now ${this.present.kind === 'owning' ? `owned under ${Epochs.text(this.present.epoch)}` : 'not owned'}.`,
@@ -127,9 +160,12 @@
     return turn;
   }
 
-  private async winNow(): Promise<boolean> {
+  private async winNow(campaign: Campaign = 'request'): Promise<boolean> {
     if (this.present.kind === 'owning') return true;
     if (!this.core.votes()) return false;
+    // A cut-off replica that promised itself ever higher epochs would depose the leader as soon as the link heals.
+    if (!(await this.mayCampaign(campaign))) return false;
+    if (!this.core.votes()) return false;
     const promised = KeeperStates.cell(this.core.ledger.pending, this.key).promised;
     const epoch: Epoch = { number: Math.max(promised.number, this.highest.number) + 1, keeper: this.core.name };
     this.highest = epoch;
@@ -152,10 +188,35 @@
     return this.settleMembers();
   }
 
+  private async mayCampaign(campaign: Campaign): Promise<boolean> {
+    const view = this.core.members();
+    const message = { kind: 'mayLead', key: this.key, fleet: this.core.state.fleet, candidate: this.core.name };
+    const newer: string[] = [];
+    const isReached = (answers: readonly (string | undefined)[]): boolean =>
+      Stamps.reached(
+        view.sets,
+        answers.filter((name) => name !== undefined),
+      );
+    const answers = await this.askAll(
+      Object.entries(view.members).map(async ([name, member]) => {
+        if (name === this.core.name) return name;
+        const answer = await this.transport.ask(member.address, message, this.settings.askMicroseconds);
+        if (answer.kind !== 'answered' || answer.message.kind !== 'mayLead') return undefined;
+        if (Number(answer.message['membersRevision']) > view.revision) newer.push(member.address);
+        return campaign === 'vacancy' && answer.message['hearsLeader'] === true ? undefined : name;
+      }),
+      isReached,
+    );
+    const [address] = newer;
+    // Members refuse whoever goes by an older list, and the leader that would repair this replica may be out of its reach.
+    if (address !== undefined && this.key !== 'core-members') await this.settings.learnMembers(address);
+    return isReached(answers);
+  }
+
   private firstEntry(): Entry {
     if (this.key !== 'core-members') return emptyEntry;
     const text = this.settings.firstMembersText();
-    return { revision: 1, digest: Digests.of(text), text, changes: [] };
+    return { revision: 1, digest: Digests.of(text), text, outcomes: OutcomeHistories.none };
   }
 
   private async gather(epoch: Epoch, first: MemberView): Promise<Gathered> {
@@ -311,15 +372,20 @@
     );
   }
 
+  /** The second step of a change of members, at once where no learner has to catch up first. */
   private async settleMembers(): Promise<boolean> {
-    if (this.key !== 'core-members' || this.present.kind !== 'owning' || this.present.entry.base === undefined)
-      return true;
-    const settled = Changes.settled(this.present.entry);
-    if ((await this.acceptNow(settled)) !== 'reached') {
+    if (this.key !== 'core-members' || this.present.kind !== 'owning') return true;
+    const { entry } = this.present;
+    if (entry.base === undefined || entry.learner !== undefined) return true;
+    return this.writeMembers(Changes.settled(entry));
+  }
+
+  private async writeMembers(entry: Entry): Promise<boolean> {
+    if ((await this.acceptNow(entry)) !== 'reached') {
       this.step({ kind: 'lost' });
       return false;
     }
-    this.step({ kind: 'decided', entry: settled });
+    this.step({ kind: 'decided', entry });
     return true;
   }
 
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -6,7 +6,7 @@
 import { FleetVotes, type FleetName } from '../../shared/fleet/fleetName';
 import { Logs } from '../../shared/log/log';
 import { KeptWords } from './keptWords';
-import { MajorityReads, type MajorityRead, type WordsAnswer } from './majorityRead';
+import { MajorityReads, type MajorityRead, type MembersView, type WordsAnswer } from './majorityRead';
 
 /** What one address said: the fleet it leads to, and a keeper's words. */
 type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined; led: readonly string[] }>;
@@ -35,6 +35,8 @@
   ownReadMicroseconds: () => number;
   /** Whether the keepers are where the list of engines comes from. */
   readsEngines: boolean;
+  /** No address here ever belongs to another fleet. */
+  isOnlyFleet: boolean;
 }>;
 
 /** The agent's link to the core: a majority read several times a second, and the bodies it finds to be missing. */
@@ -42,7 +44,7 @@
   private toldApart = false;
   private readMicroseconds = -Infinity;
   private readonly notice = Logs.part('agent:notice');
-  private view: WordsAnswer['view'] | undefined;
+  private view: MembersView | undefined;
   private led: readonly string[] = [];
   private readonly kept = new KeptWords();
   /** What each address said when it was last asked. */
@@ -78,6 +80,16 @@
     return this.view?.sets ?? [];
   }
 
+  /** The revision of the list of members that this agent goes by. */
+  public membersRevision(): number {
+    return this.view?.revision ?? 0;
+  }
+
+  /** A member says that there is a newer list of members than the one that this agent goes by. */
+  public learnView(view: MembersView): void {
+    if (this.view === undefined || view.revision > this.view.revision) this.view = view;
+  }
+
   public async read(): Promise<void> {
     const asked = this.effects.clock.nowMicroseconds();
     // Why: a statement tells its age, whoever read it; so a few reads serve all, and the youngest spread by themselves.
@@ -129,7 +141,7 @@
 
   private chooseFleet(said: readonly Said[]): void {
     const names = said.map(({ fleet }) => fleet);
-    const chosen = FleetVotes.judge(names, this.seeds.length);
+    const chosen = this.settings.isOnlyFleet ? FleetVotes.judgeOnly(names) : FleetVotes.judge(names, this.seeds.length);
     if (chosen !== '') {
       this.fleetName.learn(chosen);
       this.notice(`This agent belongs to the fleet ${chosen}.`);
--- a/source/edge-agent/core-link/majorityRead.ts
+++ b/source/edge-agent/core-link/majorityRead.ts
@@ -3,21 +3,24 @@
 import type { Statement } from '../../shared/freshness/freshness';
 import { Epochs, Stamps, type KeyWord, type Stamp } from '../../shared/register/types';
 
+/** The list of members as one of them knows it; two sets while the list changes. */
+export type MembersView = Readonly<{
+  revision: number;
+  sets: readonly (readonly string[])[];
+  members: Readonly<Record<string, CoreMember>>;
+}>;
+
 export type WordsAnswer = Readonly<{
   kind: 'words';
   stamp: Stamp;
   membersRevision: number;
   words: readonly KeyWord[];
-  view: Readonly<{
-    revision: number;
-    sets: readonly (readonly string[])[];
-    members: Readonly<Record<string, CoreMember>>;
-  }>;
+  view: MembersView;
 }>;
 
 export type MajorityRead = Readonly<{
   statements: readonly Omit<Statement, 'ageMicroseconds'>[];
-  view: WordsAnswer['view'] | undefined;
+  view: MembersView | undefined;
 }>;
 
 const weightsOf = (words: readonly KeyWord[]): Statement['weights'] => {
@@ -48,7 +51,7 @@
     appliedDigest: (key: DocumentKey) => Readonly<{ revision: number; digest: string }> | undefined,
   ): MajorityRead => {
     const sound = Stamps.sound(answers.filter(({ stamp }) => fleet !== '' && stamp.fleet === fleet));
-    const view = sound.reduce<WordsAnswer['view'] | undefined>(
+    const view = sound.reduce<MembersView | undefined>(
       (best, answer) => (best === undefined || answer.view.revision > best.revision ? answer.view : best),
       undefined,
     );
--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -45,6 +45,8 @@
   readAskMicroseconds: number;
   /** What colleagues read so lately is not read again from the core; 0: each reads for itself. */
   sharedReadMicroseconds: number;
+  /** No address here ever belongs to another fleet, so one seed that answers is enough to find the fleet. */
+  isOnlyFleet: boolean;
   ownReadMicroseconds: number;
   newsMicroseconds: number;
   newsAskMicroseconds: number;
@@ -92,6 +94,7 @@
   readMicroseconds: 200_000,
   readAskMicroseconds: 300_000,
   sharedReadMicroseconds: 0,
+  isOnlyFleet: false,
   ownReadMicroseconds: 1_000_000,
   newsMicroseconds: 120_000,
   newsAskMicroseconds: 400_000,
@@ -203,6 +206,7 @@
         sharedReadMicroseconds: () => settings.sharedReadMicroseconds * this.pace(mostReadPause),
         ownReadMicroseconds: () => settings.ownReadMicroseconds * this.pace(mostReadPause),
         readsEngines: settings.engineList === 'kept',
+        isOnlyFleet: settings.isOnlyFleet,
       },
       () => this.facts.get(FactKeys.member(settings.name)) ?? null,
     );
--- a/source/edge-agent/stewards/dutyHolder.ts
+++ b/source/edge-agent/stewards/dutyHolder.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../../shared/log/log';
 import { Stamps } from '../../shared/register/types';
 import type { CoreLink } from '../core-link/coreLink';
+import type { MembersView } from '../core-link/majorityRead';
 
 export type DutyState =
   | Readonly<{ kind: 'idle' }>
@@ -128,6 +129,8 @@
       if (held === undefined) this.step(duty, { kind: 'asked', term });
       return { duty, candidate: this.self, term, leaseMicroseconds: this.settings.leaseMicroseconds };
     });
+    const membersRevision = this.link.membersRevision();
+    const sets = this.link.sets();
     const votes = new Map<string, string[]>();
     const outdated = new Set<string>();
     const keepers = Object.entries(this.link.keepers());
@@ -135,10 +138,12 @@
       keepers.map(async ([keeper, { address }]) => {
         const answer = await this.effects.transport.ask(
           address,
-          { kind: 'ballots', ballots },
+          { kind: 'ballots', ballots, membersRevision },
           this.settings.askMicroseconds,
         );
         if (answer.kind !== 'answered' || answer.message.kind !== 'ballots') return;
+        const view = answer.message['view'];
+        if (view !== undefined) this.link.learnView(view as MembersView);
         for (const vote of answer.message['answers'] as readonly BallotAnswer[]) {
           this.sawTerm(vote.duty, vote.term);
           this.floor = Math.max(this.floor, vote.floor ?? 0);
@@ -153,7 +158,7 @@
       const { duty, term } = ballot;
       if (this.givenBack.get(duty) === term) continue;
       // Why from the moment of asking: the voters count from later, so this end comes first.
-      if (Stamps.reached(this.link.sets(), votes.get(duty) ?? []))
+      if (Stamps.reached(sets, votes.get(duty) ?? []))
         this.step(duty, {
           kind: 'granted',
           term,
--- a/source/measure/measurements/ballots.ts
+++ b/source/measure/measurements/ballots.ts
@@ -8,6 +8,9 @@
 
 const rounds = 12;
 
+/** Agents that know the newest list of members, whichever that is. */
+const newestList = Number.MAX_SAFE_INTEGER;
+
 const Granted = {
   all: (message: Message): boolean =>
     message.kind === 'ballots'
@@ -68,7 +71,12 @@
         });
       return world.runFor(apart);
     };
-    const ballot = (agent: number): Message => ({ kind: 'ballots', fleet, ballots: agents[agent]?.duties });
+    const ballot = (agent: number): Message => ({
+      kind: 'ballots',
+      fleet,
+      membersRevision: newestList,
+      ballots: agents[agent]?.duties,
+    });
     const words = (_agent: number, address: string): Message => ({
       kind: 'words',
       fleet,
--- a/source/shared/fleet/fleetName.ts
+++ b/source/shared/fleet/fleetName.ts
@@ -28,4 +28,10 @@
     if (first === undefined || first[1] < Math.min(2, seeds)) return '';
     return second !== undefined && second[1] >= first[1] ? '' : first[0];
   },
+
+  /** Where no address can belong to another fleet, one seed that answers is enough, as long as none says otherwise. */
+  judgeOnly: (said: readonly string[]): string => {
+    const [first, ...others] = new Set(said.filter((name) => name !== ''));
+    return first !== undefined && others.length === 0 ? first : '';
+  },
 } as const;
--- a/source/shared/register/types.ts
+++ b/source/shared/register/types.ts
@@ -10,16 +10,19 @@
   text: (epoch: Epoch): string => `${epoch.number}.${epoch.keeper}`,
 } as const;
 
-export type TakenChange = Readonly<{ id: string; orderDigest: string; revision: number }>;
+/** The changes that led to a value, in fixed-size records, and the highest base of those that are forgotten. */
+export type OutcomeHistory = Readonly<{ records: Uint8Array; forgottenBase: number }>;
 
 /** One value of one key, with the changes that led to it, so that asking again gives the first outcome. */
 export type Entry = Readonly<{
   revision: number;
   digest: string;
   text: string;
-  changes: readonly TakenChange[];
+  outcomes: OutcomeHistory;
   /** Only for `core-members`, while one member changes: the list before. Both lists then need a majority. */
   base?: string;
+  /** Only beside `base`: the member that must have caught up before the list stands alone. */
+  learner?: string;
 }>;
 
 export type Accepted = Readonly<{ epoch: Epoch; entry: Entry }>;
--- /dev/null
+++ b/tests/control-safety.test.ts
@@ -0,0 +1,422 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { platformDialect } from '../platform/operators/dialect';
+import { Envelopes } from '../platform/operators/envelope';
+import { KeeperStates, type KeeperEvent } from '../source/core-keeper/ledger/keeperState';
+import { Changes, Digests, emptyEntry } from '../source/core-keeper/register/changes';
+import type { ChangeOrder, ChangeOutcome } from '../source/core-keeper/register/messages';
+import { rememberedChanges } from '../source/core-keeper/register/outcomeHistory';
+import type { Entry } from '../source/shared/register/types';
+import { ControlFleet, type ControlMachine } from './support/controlFleet';
+import { platformDocument } from './support/platformDocument';
+
+const put = (version: number, ifMatch: number, extra: Readonly<Record<string, unknown>> = {}): ChangeOrder => {
+  const text = platformDocument(version, extra);
+  return { key: 'blueprint', form: 'whole', text, ifMatch, id: `put ${ifMatch} ${text}` };
+};
+
+const documentAt = async (fleet: ControlFleet, machine: ControlMachine): Promise<string> => {
+  const read = await fleet.read(machine);
+  return read?.kind === 'read' ? Envelopes.open(read.text).document : `${read?.kind}`;
+};
+
+const leaderOf = (fleet: ControlFleet, key = 'blueprint'): ControlMachine => {
+  const found = fleet.machines.find(
+    ({ process, keeper, name }) => process.alive && keeper?.owners()[key]?.owner === name,
+  );
+  assert.ok(found !== undefined, `somebody leads ${key}`);
+  return found;
+};
+
+const cutOff = (fleet: ControlFleet, machine: ControlMachine, ways: 'both' | 'in' | 'out' = 'both'): (() => void) => {
+  const mends = fleet.machines
+    .filter((other) => other !== machine)
+    .flatMap((other) => [
+      ...(ways === 'out' ? [] : [fleet.network.cut(other.machine, machine.machine)]),
+      ...(ways === 'in' ? [] : [fleet.network.cut(machine.machine, other.machine)]),
+    ]);
+  return () => mends.forEach((mend) => mend());
+};
+
+const isRefusedForGood = (outcome: ChangeOutcome | undefined): boolean =>
+  outcome?.kind === 'refused' && outcome.reason !== 'noMajority' && outcome.reason !== 'full';
+
+describe('1: a member cut off for 20 s', () => {
+  for (const ways of ['both', 'in', 'out'] as const)
+    for (const seed of [101, 102, 103])
+      test(`the leader, links cut ${ways}: it confirms, refuses and hands out nothing, seed ${seed}`, async () => {
+        const fleet = new ControlFleet(seed, platformDialect);
+        assert.ok(await fleet.begin(3));
+        assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+        const cut = leaderOf(fleet);
+        const mend = cutOff(fleet, cut, ways);
+        const began = fleet.world.nowMicroseconds;
+        const rest = fleet.machines.filter((machine) => machine !== cut);
+        const [other] = rest;
+        assert.ok(other !== undefined);
+        let version = 1;
+        while (fleet.world.nowMicroseconds - began < 20_000_000) {
+          const next = version + 1;
+          assert.equal((await fleet.persistAt(rest, put(next, version), 4_000_000))?.kind, 'taken');
+          version = next;
+          const late = await fleet.change(cut, put(version + 1000, version - 1, { by: 'cut off' }), 1_500_000);
+          assert.ok(late?.kind !== 'taken', 'it confirmed a change');
+          assert.equal(isRefusedForGood(late), false, 'it refused for good');
+          const read = await fleet.read(cut, 1_500_000);
+          assert.ok(read?.kind !== 'read', 'it handed out a configuration');
+          await fleet.world.runFor(1_000_000);
+        }
+        assert.equal(cut.keeper?.owners()['blueprint']?.owner === cut.name, false, 'it still says that it leads');
+        mend();
+        assert.equal(await documentAt(fleet, cut), platformDocument(version), 'older after the heal');
+        assert.equal((await fleet.persist(put(version + 1, version), 3_000_000))?.kind, 'taken');
+      });
+
+  for (const seed of [111, 112, 113, 114])
+    test(`a member that comes back does not depose the leader, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      assert.ok(await fleet.begin(3));
+      assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+      const leader = leaderOf(fleet);
+      const cut = fleet.machines.find((machine) => machine !== leader);
+      assert.ok(cut !== undefined);
+      const mend = cutOff(fleet, cut);
+      // Keys that it led itself move on first.
+      await fleet.world.runFor(4_000_000);
+      const epochs = (): string => JSON.stringify(fleet.machines.find((one) => one !== cut)?.keeper?.owners());
+      const before = epochs();
+      await fleet.world.runFor(16_000_000);
+      mend();
+      await fleet.world.runFor(3_000_000);
+      assert.equal(epochs(), before, 'leaders and epochs are as they were');
+      assert.equal((await fleet.change(cut, put(2, 1)))?.kind, 'taken');
+    });
+
+  test('a link cut between two members alone: the one that does not hear the leader leaves it in place', async () => {
+    const fleet = new ControlFleet(121, platformDialect);
+    assert.ok(await fleet.begin(3));
+    assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+    const leader = leaderOf(fleet);
+    const [left] = fleet.machines.filter((machine) => machine !== leader);
+    assert.ok(left !== undefined);
+    const before = leader.keeper?.owners()['blueprint'];
+    fleet.network.cut(leader.machine, left.machine);
+    fleet.network.cut(left.machine, leader.machine);
+    await fleet.world.runFor(15_000_000);
+    assert.deepEqual(leader.keeper?.owners()['blueprint'], before);
+    assert.equal(
+      (await fleet.persistAt([left], put(2, 1), 4_000_000))?.kind,
+      'taken',
+      'it serves operators all the same',
+    );
+    assert.equal(await documentAt(fleet, left), platformDocument(2));
+  });
+
+  test('restarted inside the cut, with seeds that begin with it: newcomers follow the majority', async () => {
+    const fleet = new ControlFleet(131, platformDialect);
+    assert.ok(await fleet.begin(3));
+    assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+    const cut = fleet.machine(2);
+    const mend = cutOff(fleet, cut);
+    assert.equal((await fleet.persistAt([fleet.machine(1)], put(2, 1), 5_000_000))?.kind, 'taken');
+    cut.kill();
+    cut.start();
+    await fleet.world.runFor(3_000_000);
+    fleet.seedNumbers = [2, 4, 1];
+    const spare = fleet.add();
+    spare.start();
+    assert.ok(
+      await fleet.world.runUntil(() => spare.votes, 8_000_000),
+      'the newcomer takes the place of the silent one',
+    );
+    assert.equal(await documentAt(fleet, spare), platformDocument(2));
+    mend();
+    await fleet.world.runFor(3_000_000);
+    assert.equal(cut.votes, false, 'it learns that its place is taken');
+    assert.equal(await documentAt(fleet, cut), platformDocument(2));
+  });
+});
+
+describe('2: two operators and orders that are sent again', () => {
+  const sentAgain = (entry: Entry, order: ChangeOrder): ChangeOutcome | undefined => {
+    const planned = Changes.plan(entry, order, platformDialect);
+    return planned.kind === 'answer' ? planned.outcome : undefined;
+  };
+
+  test(`a change once accepted is never refused, however many came after it`, () => {
+    let entry = emptyEntry;
+    const orders: ChangeOrder[] = [];
+    const sizes: number[] = [];
+    for (let version = 1; version <= rememberedChanges + 200; version += 1) {
+      const order = put(version * 3, (version - 1) * 3);
+      const planned = Changes.plan(entry, order, platformDialect);
+      assert.ok(planned.kind === 'write');
+      entry = planned.entry;
+      orders.push(order);
+      sizes.push(entry.outcomes.records.length);
+    }
+    for (const [index, order] of orders.entries()) {
+      const outcome = sentAgain(entry, order);
+      if (index < 200) assert.deepEqual(outcome, { kind: 'unknown' }, `change ${index + 1}`);
+      else assert.deepEqual(outcome, { kind: 'taken', revision: index + 1 }, `change ${index + 1}`);
+    }
+    // One that lost its race builds on a version that is remembered, and is refused for sure.
+    assert.equal(sentAgain(entry, put(5_000, 1_800, { by: 'loser' }))?.kind, 'refused');
+    assert.equal(sizes.at(-1), sizes[rememberedChanges - 1], 'an accept costs no more than before');
+    assert.ok((sizes.at(-1) ?? 0) <= 12_288, `${sizes.at(-1)} bytes`);
+  });
+
+  test('the history of an earlier build is read from its file, with its outcomes', () => {
+    const order = put(9, 0);
+    const first = Changes.plan(emptyEntry, order, platformDialect);
+    assert.ok(first.kind === 'write');
+    const { outcomes, ...entry } = first.entry;
+    assert.equal(outcomes.records.length > 0, true);
+    const orderDigest = Digests.of(`${order.form}\u0000${order.ifMatch}\u0000${order.text}`);
+    const event = {
+      kind: 'accepted',
+      key: 'blueprint',
+      epoch: { number: 1, keeper: 'a' },
+      entry: { ...entry, changes: [{ id: order.id, orderDigest, revision: 1 }] },
+    } as unknown as KeeperEvent;
+    const read = KeeperStates.cell(KeeperStates.reduce(KeeperStates.start, event), 'blueprint').accepted?.entry;
+    assert.ok(read !== undefined);
+    assert.deepEqual(sentAgain(read, order), { kind: 'taken', revision: 1 });
+    assert.equal(sentAgain(read, { ...order, text: `${order.text} ` })?.kind, 'refused');
+    assert.equal(sentAgain(read, put(11, 0))?.kind, 'refused');
+  });
+
+  for (const seed of [201, 202, 203, 204, 205, 206])
+    test(`different documents under one number, resent over lost answers and new leaders, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      assert.ok(await fleet.begin(3));
+      assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+      let base = 1;
+      for (let round = 0; round < 6; round += 1) {
+        const version = base + 7;
+        const pair = ['one', 'two'].map((by) => put(version, base, { by }));
+        // Both at once at different machines; the answers are lost, and a leader goes.
+        for (const [index, order] of pair.entries()) fleet.send(fleet.machine(((round + index) % 3) + 1), order);
+        await fleet.world.runFor(round * 1500);
+        const leader = leaderOf(fleet);
+        leader.kill(round % 2 === 0);
+        await fleet.world.runFor(300_000);
+        leader.start();
+        const outcomes: (ChangeOutcome | undefined)[] = [];
+        for (const order of pair) outcomes.push(await fleet.persist(order, 8_000_000));
+        assert.deepEqual(outcomes.map((outcome) => outcome?.kind).sort(), ['refused', 'taken'], `round ${round}`);
+        const winner = pair[outcomes.findIndex((outcome) => outcome?.kind === 'taken')];
+        const loser = pair[outcomes.findIndex((outcome) => outcome?.kind === 'refused')];
+        assert.ok(winner !== undefined && loser !== undefined);
+        // Sent again to every machine, also after the next change.
+        assert.equal((await fleet.persist(put(version + 1, version), 4_000_000))?.kind, 'taken');
+        for (const machine of fleet.machines) {
+          assert.equal((await fleet.persistAt([machine], winner, 6_000_000))?.kind, 'taken');
+          assert.equal((await fleet.persistAt([machine], loser, 6_000_000))?.kind, 'refused');
+        }
+        base = version + 1;
+      }
+    });
+});
+
+describe('3: a second loss right after a repair or a replacement', () => {
+  for (const seed of [301, 302, 303, 304, 305, 306])
+    test(`a planned replacement, then another member is lost at once: a majority is left, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      assert.ok(await fleet.begin(3));
+      assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+      const spare = fleet.add();
+      spare.start();
+      await fleet.world.runFor(5_000_000);
+      const leaving = fleet.machine((seed % 3) + 1);
+      await fleet.leave(leaving, 6_000_000);
+      leaving.disk.wipe();
+      // No pause: the newcomer has been there for longer than it may take to catch up.
+      const lost = fleet.machine(((seed + 1) % 3) + 1);
+      lost.kill(true);
+      const began = fleet.world.nowMicroseconds;
+      const rest = fleet.machines.filter((machine) => machine !== leaving && machine !== lost);
+      assert.equal((await fleet.persistAt(rest, put(2, 1), 4_000_000))?.kind, 'taken');
+      assert.ok(fleet.world.nowMicroseconds - began < 3_000_000, `${fleet.world.nowMicroseconds - began}`);
+      lost.disk.wipe();
+      lost.start();
+      assert.ok(await fleet.settled(3, 4_000_000), 'three vote again');
+      for (const machine of rest) assert.equal(await documentAt(fleet, machine), platformDocument(2));
+    });
+
+  for (const seed of [311, 312, 313, 314])
+    test(`the leaving member held one of two copies; the other is lost right after, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      assert.ok(await fleet.begin(3));
+      assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+      const spare = fleet.add();
+      spare.start();
+      await fleet.world.runFor(3_000_000);
+      const [behind, holder, leaving] = fleet.machines;
+      assert.ok(behind !== undefined && holder !== undefined && leaving !== undefined);
+      // One member hears nothing while the change is accepted, so that it stands on two alone.
+      const mend = cutOff(fleet, behind);
+      assert.equal((await fleet.persistAt([holder], put(2, 1), 6_000_000))?.kind, 'taken');
+      mend();
+      await fleet.leave(leaving, 6_000_000);
+      leaving.disk.wipe();
+      holder.kill(true);
+      holder.disk.wipe();
+      const rest = [behind, spare];
+      assert.equal(await documentAt(fleet, behind), platformDocument(2));
+      assert.equal((await fleet.persistAt(rest, put(3, 2), 5_000_000))?.kind, 'taken');
+      holder.start();
+      assert.ok(await fleet.settled(3, 5_000_000));
+      assert.equal(await documentAt(fleet, holder), platformDocument(3));
+    });
+
+  for (const seed of [321, 322, 323])
+    test(`crash, wipe, replacement: as many may be lost again within the time to catch up, seed ${seed}`, async () => {
+      const catchUp = 4_000_000;
+      const fleet = new ControlFleet(seed, platformDialect);
+      assert.ok(await fleet.begin(3));
+      let version = 1;
+      assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+      for (const how of ['crash', 'wipe', 'replace', 'wipe', 'replace'] as const) {
+        const members = fleet.machines.filter(({ votes }) => votes);
+        const lost = members[(seed + version) % members.length];
+        assert.ok(lost !== undefined);
+        lost.kill(true);
+        if (how === 'wipe') lost.disk.wipe();
+        await fleet.world.runFor(700_000);
+        const back = how === 'replace' ? fleet.add() : lost;
+        back.start();
+        await fleet.world.runFor(catchUp);
+        assert.ok(back.votes, `${how}: it votes`);
+        const next = fleet.machines.find((machine) => machine.votes && machine !== back);
+        assert.ok(next !== undefined);
+        next.kill(true);
+        const rest = fleet.machines.filter(({ votes }) => votes);
+        const order = put(version + 1, version);
+        version += 1;
+        assert.equal((await fleet.persistAt(rest, order, 4_000_000))?.kind, 'taken', `after ${how}`);
+        next.start();
+        await fleet.world.runFor(catchUp);
+      }
+    });
+
+  test('a newcomer that dies while it catches up does not hold up changes, nor the next newcomer', async () => {
+    const fleet = new ControlFleet(331, platformDialect);
+    assert.ok(await fleet.begin(3));
+    assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+    fleet.machine(3).kill(true);
+    const spare = fleet.add();
+    spare.start();
+    const isListed = (): boolean =>
+      fleet.machine(1).keeper?.core.members().members[spare.name] !== undefined && !spare.votes;
+    assert.ok(await fleet.world.runUntil(isListed, 6_000_000));
+    spare.kill(true);
+    spare.disk.wipe();
+    assert.equal((await fleet.persist(put(2, 1), 4_000_000))?.kind, 'taken');
+    const next = fleet.add();
+    next.start();
+    assert.ok(await fleet.world.runUntil(() => next.votes, 14_000_000), 'the next newcomer votes');
+    assert.ok(await fleet.settled(3, 2_000_000));
+    assert.equal(await documentAt(fleet, next), platformDocument(2));
+  });
+});
+
+describe('founding with a seed out of reach', () => {
+  for (const [missing, seed] of [
+    [1, 401],
+    [2, 402],
+    [3, 403],
+  ] as const)
+    test(`seed ${missing} is cut off from the first moment: the others found the fleet, and it joins`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      for (let number = 1; number <= 3; number += 1) fleet.add();
+      const mend = cutOff(fleet, fleet.machine(missing));
+      for (const machine of fleet.machines) machine.start(true);
+      assert.ok(
+        await fleet.world.runUntil(() => fleet.machines.filter(({ votes }) => votes).length === 2, 5_000_000),
+        'two vote',
+      );
+      const rest = fleet.machines.filter(({ votes }) => votes);
+      assert.equal((await fleet.persistAt(rest, put(1, 0), 3_000_000))?.kind, 'taken');
+      await fleet.world.runFor(10_000_000);
+      mend();
+      assert.ok(await fleet.settled(3, 4_000_000), 'the third is taken in');
+      assert.equal(await documentAt(fleet, fleet.machine(missing)), platformDocument(1));
+      assert.equal(new Set(fleet.machines.map(({ keeper }) => keeper?.core.state.fleet)).size, 1);
+    });
+
+  test('one that lost its disk since the first start does not found again with one that was away', async () => {
+    const fleet = new ControlFleet(411, platformDialect);
+    for (let number = 1; number <= 3; number += 1) fleet.add();
+    const mend = cutOff(fleet, fleet.machine(3));
+    for (const machine of fleet.machines) machine.start(true);
+    assert.ok(await fleet.world.runUntil(() => fleet.machines.filter(({ votes }) => votes).length === 2, 5_000_000));
+    assert.equal((await fleet.persistAt([fleet.machine(1)], put(1, 0), 3_000_000))?.kind, 'taken');
+    fleet.machine(1).kill(true);
+    fleet.machine(1).disk.wipe();
+    mend();
+    cutOff(fleet, fleet.machine(2));
+    fleet.machine(1).start();
+    await fleet.world.runFor(10_000_000);
+    assert.equal(fleet.machine(1).votes || fleet.machine(3).votes, false, 'no second fleet');
+  });
+
+  test('replicas that stand by never found a fleet among themselves when they are told as seeds', async () => {
+    const fleet = new ControlFleet(421, platformDialect);
+    for (let number = 1; number <= 6; number += 1) fleet.add().start(true);
+    assert.ok(await fleet.settled(3, 5_000_000));
+    fleet.seedNumbers = [4, 5, 6];
+    for (const number of [1, 2, 3]) fleet.machine(number).kill();
+    for (const number of [4, 5, 6]) {
+      fleet.machine(number).kill();
+      fleet.machine(number).start();
+    }
+    await fleet.world.runFor(10_000_000);
+    assert.ok(fleet.machines.every(({ votes }) => !votes));
+  });
+
+  for (const seed of [431, 432, 433])
+    test(`all killed before they have founded, back without word of a first start, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      for (let number = 1; number <= 3; number += 1) fleet.add().start(true);
+      await fleet.world.runFor(15_000);
+      for (const machine of fleet.machines) machine.kill();
+      await fleet.world.runFor(300_000);
+      for (const machine of fleet.machines) machine.start(false);
+      assert.ok(await fleet.settled(3, 5_000_000));
+    });
+});
+
+describe('4: after hundreds of changes', () => {
+  for (const [how, seed] of [
+    ['away', 501],
+    ['wiped', 502],
+    ['power', 503],
+  ] as const)
+    test(`a member that was ${how} for 300 changes catches up, and never leads or answers from old state`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      assert.ok(await fleet.begin(3));
+      assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+      const lost = fleet.machine(2);
+      lost.kill(how === 'power');
+      if (how === 'wiped') lost.disk.wipe();
+      const rest = fleet.machines.filter((machine) => machine !== lost);
+      for (let version = 2; version <= 300; version += 1)
+        assert.equal((await fleet.persistAt(rest, put(version, version - 1), 4_000_000))?.kind, 'taken');
+      const bytes = fleet.network.bytes;
+      const back = fleet.world.nowMicroseconds;
+      lost.start();
+      assert.ok(await fleet.settled(3, 4_000_000));
+      assert.equal(await documentAt(fleet, lost), platformDocument(300));
+      assert.ok(fleet.world.nowMicroseconds - back < 4_000_000, 'within the time to catch up');
+      assert.ok(fleet.network.bytes - bytes < 400_000, `${fleet.network.bytes - bytes} bytes`);
+      // It is as good as any: the two others go, one after the other.
+      for (const machine of rest) {
+        machine.kill(true);
+        assert.equal(await documentAt(fleet, lost), platformDocument(300));
+        machine.start();
+        await fleet.world.runFor(4_000_000);
+      }
+      assert.ok(lost.disk.length('keeper.ledger') < 8_000_000);
+    });
+});
--- a/tests/core-link.test.ts
+++ b/tests/core-link.test.ts
@@ -41,6 +41,7 @@
         sharedReadMicroseconds: () => sharedReadMicroseconds,
         ownReadMicroseconds: () => ownReadMicroseconds,
         readsEngines: true,
+        isOnlyFleet: false,
       },
       () => self,
     );
--- a/tests/two-fleets.test.ts
+++ b/tests/two-fleets.test.ts
@@ -131,4 +131,7 @@
   assert.equal(FleetVotes.judge(['a', '', ''], 3), '');
   assert.equal(FleetVotes.judge(['a', 'a', 'b', 'b'], 4), '');
   assert.equal(FleetVotes.judge(['a'], 1), 'a');
+  assert.equal(FleetVotes.judgeOnly(['', 'a', '']), 'a');
+  assert.equal(FleetVotes.judgeOnly(['a', 'b', 'a']), '');
+  assert.equal(FleetVotes.judgeOnly(['', '']), '');
 });
