--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -93,6 +93,21 @@
 
 type Heard = Readonly<{ word: OwnerWord; owner: string; atMicroseconds: number }>;
 
+/** What one replica holds of a key, and since when it leads it; null where it does not. */
+export type ReplicaKeyStatus = Readonly<{
+  epoch: string;
+  revision: number;
+  leadsForMicroseconds: number | null;
+  takeovers: number;
+}>;
+
+/** One replica as operators see it. */
+export type ReplicaStatus = Readonly<{
+  keys: Readonly<Record<string, ReplicaKeyStatus>>;
+  /** For how long each other member has not answered a heartbeat; null: never. */
+  silentMicroseconds: Readonly<Record<string, number | null>>;
+}>;
+
 export type ReadOutcome = Readonly<{ kind: 'read'; revision: number; text: string }> | Readonly<{ kind: 'noMajority' }>;
 
 export class CoreKeeper {
@@ -394,6 +409,26 @@
     );
   }
 
+  public replicaStatus(): ReplicaStatus {
+    const now = this.effects.clock.nowMicroseconds();
+    const keys = DocumentKeys.map((key): readonly [string, ReplicaKeyStatus] => {
+      const accepted = KeeperStates.cell(this.core.state, key).accepted;
+      const leadership = this.ownership(key);
+      const status = {
+        epoch: accepted === null ? '' : Epochs.text(accepted.epoch),
+        revision: accepted?.entry.revision ?? 0,
+        leadsForMicroseconds: leadership.state.kind === 'owning' ? now - leadership.ledSinceMicroseconds : null,
+        takeovers: leadership.takeovers,
+      };
+      return [key, status];
+    });
+    const silent = Object.entries(this.quorum.silenceMicroseconds());
+    return {
+      keys: Object.fromEntries(keys),
+      silentMicroseconds: Object.fromEntries(silent.map(([name, time]) => [name, time ?? null])),
+    };
+  }
+
   public words(): readonly KeyWord[] {
     return DocumentKeys.map((key) => {
       const accepted = KeeperStates.cell(this.core.state, key).accepted;
--- a/source/core-keeper/ledger/ledger.ts
+++ b/source/core-keeper/ledger/ledger.ts
@@ -22,6 +22,7 @@
   private file: DiskFile | undefined;
   private length = 0;
   private frameLength = 0;
+  private rewritten = 0;
   private waiting: Waiting[] = [];
   private writingSince: number | undefined;
   private broken = false;
@@ -45,6 +46,11 @@
     return this.pendingState;
   }
 
+  /** How long the file is, and how often it was rewritten as one snapshot since the process started. */
+  public get size(): Readonly<{ bytes: number; snapshotBytes: number; snapshots: number }> {
+    return { bytes: this.length, snapshotBytes: this.frameLength, snapshots: this.rewritten };
+  }
+
   /** How long the oldest unanswered write has waited; a stalled disk shows here. */
   public stalledMicroseconds(): number {
     const oldest = Math.min(this.writingSince ?? Infinity, this.waiting[0]?.sinceMicroseconds ?? Infinity);
@@ -166,5 +172,6 @@
     await old?.close();
     this.length = record.length;
     this.frameLength = record.length;
+    this.rewritten += 1;
   }
 }
--- a/source/core-keeper/operators/operatorsDoor.ts
+++ b/source/core-keeper/operators/operatorsDoor.ts
@@ -31,6 +31,7 @@
       members: keeper.core.members().members,
       membersRevision: keeper.core.members().revision,
       owners: keeper.owners(),
+      replica: keeper.replicaStatus(),
       duties: keeper.duties.holders(),
       agents: keeper.agents(),
     });
--- a/source/core-keeper/program/keeperProgram.ts
+++ b/source/core-keeper/program/keeperProgram.ts
@@ -37,6 +37,18 @@
       ([key, { revision, owner }]) => ['postdrum_key_revision', { key, owner }, revision] as const,
     ),
   ]);
+  metrics.watch(() => {
+    const { bytes, snapshotBytes, snapshots } = keeper.core.ledger.size;
+    return [
+      ['postdrum_log_bytes', {}, bytes],
+      ['postdrum_log_snapshot_bytes', {}, snapshotBytes],
+      ['postdrum_log_snapshots_total', {}, snapshots],
+      ...Object.entries(keeper.replicaStatus().keys).flatMap(([key, { leadsForMicroseconds, takeovers }]) => [
+        ['postdrum_key_leads', { key }, leadsForMicroseconds === null ? 0 : 1] as const,
+        ['postdrum_key_takeovers_total', { key }, takeovers] as const,
+      ]),
+    ];
+  });
   keeper.news.on('broken', parts.broken);
   const started = await keeper.start();
   if (started.kind === 'corrupt')
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -70,6 +70,7 @@
   private present: OwnershipState = { kind: 'none' };
   private highest: Epoch = Epochs.none;
   private ledSince = -Infinity;
+  private timesLed = 0;
   private serial: Promise<unknown> = Promise.resolve();
 
   public constructor(
@@ -92,6 +93,11 @@
     return this.ledSince;
   }
 
+  /** How often this replica has come to lead the key since its process started. */
+  public get takeovers(): number {
+    return this.timesLed;
+  }
+
   public word(): OwnerWord | undefined {
     return this.present.kind === 'owning'
       ? {
@@ -146,7 +152,10 @@
     const before = this.present.kind;
     const next = reduceOwnership(this.present, event);
     this.present = next;
-    if (before !== 'owning' && next.kind === 'owning') this.ledSince = this.clock.nowMicroseconds();
+    if (before !== 'owning' && next.kind === 'owning') {
+      this.ledSince = this.clock.nowMicroseconds();
+      this.timesLed += 1;
+    }
     if (before !== this.present.kind && (this.present.kind === 'owning' || before === 'owning'))
       this.log(
         `The key ${this.key} is now ${this.present.kind === 'owning' ? `owned under ${Epochs.text(this.present.epoch)}` : 'not owned'}.`,
--- a/source/postdrum/commands/texts.ts
+++ b/source/postdrum/commands/texts.ts
@@ -1,9 +1,36 @@
 import type { CheckReport } from '../checking/blueprintCheck';
-import type { FleetView } from '../reaching/fleetReach';
+import type { FleetView, KeeperStatus } from '../reaching/fleetReach';
 
 const age = (microseconds: number | null): string =>
   microseconds === null ? 'never' : `${(microseconds / 1000).toFixed(0)} ms`;
 
+const seconds = (microseconds: number): string => `${(microseconds / 1_000_000).toFixed(0)} s`;
+
+/** Members that have not answered for longer than this are named as silent. */
+const silentMicroseconds = 2_000_000;
+
+/** Per key: whether it leads and since when, or how far behind the newest revision that any replica holds it is. */
+const replicaLines = ({ replica }: KeeperStatus, newest: Readonly<Record<string, number>>): readonly string[] => {
+  if (replica === undefined) return [];
+  const keys = Object.entries(replica.keys).map(([key, { epoch, revision, leadsForMicroseconds }]) => {
+    const behind = (newest[key] ?? 0) - revision;
+    const role = leadsForMicroseconds === null ? 'follows' : `leads for ${seconds(leadsForMicroseconds)}`;
+    return `    ${key}: ${role}, epoch ${epoch === '' ? '-' : epoch}, revision ${revision}${behind > 0 ? `, ${behind} behind` : ''}`;
+  });
+  const silent = Object.entries(replica.silentMicroseconds).flatMap(([name, time]) =>
+    time !== null && time > silentMicroseconds ? [`${name} for ${seconds(time)}`] : [],
+  );
+  return silent.length === 0 ? keys : [...keys, `    hears nothing of ${silent.join(', ')}`];
+};
+
+const newestRevisions = (keepers: readonly KeeperStatus[]): Readonly<Record<string, number>> => {
+  const newest: Record<string, number> = {};
+  for (const { replica } of keepers)
+    for (const [key, { revision }] of Object.entries(replica?.keys ?? {}))
+      newest[key] = Math.max(newest[key] ?? 0, revision);
+  return newest;
+};
+
 /** What a person reads. */
 export const Texts = {
   check: ({ changes, concerned, findings, partial }: CheckReport): string =>
@@ -17,6 +44,7 @@
     ].join('\n'),
 
   status: ({ keepers, agents, silent }: FleetView): string => {
+    const newest = newestRevisions(keepers);
     const first = keepers.find(({ standing }) => standing === 'voting');
     const engines = new Map(agents.flatMap((agent) => agent.engines.map((engine) => [engine.engine, engine] as const)));
     const stewards = new Map(
@@ -27,10 +55,10 @@
       ...(silent.length > 0 ? [`partial: no answer from ${silent.join(', ')}`] : []),
       `fleet ${first?.fleet ?? 'unknown'}`,
       'keepers:',
-      ...keepers.map(
-        ({ keeper, standing, incarnation, membersRevision }) =>
-          `  ${keeper}: ${standing}, incarnation ${incarnation}, members revision ${membersRevision}`,
-      ),
+      ...keepers.flatMap((status) => [
+        `  ${status.keeper}: ${status.standing}, incarnation ${status.incarnation}, members revision ${status.membersRevision}`,
+        ...replicaLines(status, newest),
+      ]),
       'owners:',
       ...Object.entries(first?.owners ?? {}).map(
         ([key, { owner, epoch, revision }]) =>
--- a/source/postdrum/reaching/fleetReach.ts
+++ b/source/postdrum/reaching/fleetReach.ts
@@ -13,6 +13,11 @@
   owners: Readonly<Record<string, Readonly<{ owner: string; epoch: string; revision: number }>>>;
   duties: Readonly<Record<string, Readonly<{ holder: string; term: number; leftMicroseconds: number }>>>;
   agents: readonly MemberFact[];
+  /** What it holds of each key itself; missing: the keeper is of an earlier build. */
+  replica?: Readonly<{
+    keys: Readonly<Record<string, Readonly<{ epoch: string; revision: number; leadsForMicroseconds: number | null }>>>;
+    silentMicroseconds: Readonly<Record<string, number | null>>;
+  }>;
 }>;
 
 export type AgentStatus = Readonly<{
