A model checker over the register's own classes; two leaders in step no longer depose each other for ever

Found by it: after an accept that missed its majority a replica campaigned again at once. Two of them in step took the key from each other without end (history: two calls at once, then only usual choices; "the history does not end"). Now each waits 30 to 150 ms by chance first, as it did already after a campaign that failed. Ruled out: a fixed pause, which keeps them in step. Also: entries passed between replicas have a module of their own (register/entryTransfer.ts), used by the model too.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -17,6 +17,7 @@
 import { KeeperStates, type Standing } from './ledger/keeperState';
 import { Acceptor } from './register/acceptor';
 import { Digests } from './register/changes';
+import { EntryTransfer } from './register/entryTransfer';
 import { KeeperCore } from './register/keeperCore';
 import type { Accept, ChangeOrder, ChangeOutcome, OwnerWord, Prepare } from './register/messages';
 import { Ownership } from './register/ownership';
@@ -117,6 +118,7 @@
   private readonly effects: Effects;
   private readonly ledger: Ledger;
   private readonly acceptor: Acceptor;
+  private readonly entries: EntryTransfer;
   private readonly standing: StandingKeeper;
   private readonly ownerships: ReadonlyMap<DocumentKey, Ownership>;
   private readonly heard = new Map<DocumentKey, Heard>();
@@ -151,6 +153,7 @@
     this.ledger = new Ledger(disk, clock, Logs.part(`keeper:${settings.name}:notice`), settings.rewriteBytes);
     this.core = new KeeperCore(settings.name, this.ledger, clock);
     this.acceptor = new Acceptor(this.core);
+    this.entries = new EntryTransfer(this.core, this.acceptor, transport, settings.askMicroseconds);
     this.duties = new DutyVoter(this.core, clock);
     this.ages = new WeightsAges(clock, dialect);
     this.watch = new MemberWatch(this.core, clock, settings.memberSilentMicroseconds);
@@ -191,7 +194,8 @@
       changeMicroseconds: settings.changeMicroseconds,
       firstMembersText: () => this.firstMembersText(),
       dialect,
-      learnMembers: (address: string) => this.learnMembers(address),
+      learnMembers: (address: string) =>
+        this.entries.takeMembers(address, () => this.ownership('core-members').win('request')),
     };
     this.ownerships = new Map(
       DocumentKeys.map((key) => [
@@ -488,7 +492,7 @@
         };
       }
       case 'entry':
-        return this.acceptedEntry(message['key']);
+        return this.entries.give(message['key']);
       case 'passChange':
         return this.core.votes()
           ? { kind: 'changed', outcome: await this.change(message['order'] as ChangeOrder) }
@@ -644,33 +648,6 @@
     return { kind: 'heard' };
   }
 
-  /** What this member has accepted, as it was offered to it: the offer holds for whoever has promised no higher epoch. */
-  private acceptedEntry(key: unknown): Message {
-    const accepted = isDocumentKey(key) ? KeeperStates.cell(this.core.state, key).accepted : null;
-    if (accepted === null || !isDocumentKey(key) || !this.core.votes()) return { kind: 'notOwner' };
-    return {
-      kind: 'accept',
-      fleet: this.core.state.fleet,
-      membersRevision: this.core.members().revision,
-      key,
-      epoch: accepted.epoch,
-      entry: accepted.entry,
-    } satisfies Accept;
-  }
-
-  private async takeEntry(key: DocumentKey, address: string): Promise<void> {
-    const answer = await this.effects.transport.ask(address, { kind: 'entry', key }, this.settings.askMicroseconds * 2);
-    if (answer.kind === 'answered' && answer.message.kind === 'accept')
-      await this.acceptor.accept(answer.message as unknown as Accept);
-  }
-
-  /** Where a higher epoch was promised meanwhile the offer is refused, and only a new one settles which list holds. */
-  private async learnMembers(address: string): Promise<void> {
-    const before = this.core.members().revision;
-    await this.takeEntry('core-members', address);
-    if (this.core.members().revision === before) await this.ownership('core-members').win('request');
-  }
-
   /** A keeper that was away takes what it missed from the owner, instead of staying behind until the next change. */
   private async repair(word: OwnerWord, owner: string): Promise<void> {
     const accepted = KeeperStates.cell(this.core.ledger.pending, word.key).accepted;
@@ -683,7 +660,7 @@
     if (!behind || !this.core.votes() || address === undefined || this.repairing.has(word.key)) return;
     this.repairing.add(word.key);
     try {
-      await this.takeEntry(word.key, address);
+      await this.entries.take(word.key, address);
     } finally {
       this.repairing.delete(word.key);
     }
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -51,6 +51,10 @@
   learnMembers: (address: string) => Promise<void>;
 }>;
 
+/** Starting values, ours: how long a replica that missed its majority waits before it campaigns again. */
+const leastBackOffMicroseconds = 30_000;
+const backOffSpreadMicroseconds = 120_000;
+
 /** Starting value, ours: how long after a conn broke an accept is asked for again. */
 const askAgainMicroseconds = 50_000;
 
@@ -401,6 +405,7 @@
   private async changeNow(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
     const until = this.clock.nowMicroseconds() + this.settings.changeMicroseconds;
     let mayStand = false;
+    let isDeposed = false;
     for (;;) {
       if (this.present.kind === 'owning') {
         const planned = Changes.plan(this.present.entry, order, this.settings.dialect);
@@ -425,9 +430,19 @@
         }
         // Why give up ownership: the entry may stand on a minority, and only a new epoch can settle what became of it.
         this.step({ kind: 'lost' });
+        isDeposed = true;
       }
       if (this.clock.nowMicroseconds() >= until) return mayStand ? { kind: 'unknown' } : undefined;
-      if (!(await this.winNow())) await Clocks.wait(this.clock, 30_000 + Math.floor(this.random.fraction() * 120_000));
+      if (isDeposed) await this.backOff();
+      isDeposed = !(await this.winNow());
     }
   }
+
+  /** Two replicas that campaign in step depose each other for ever; a pause by chance lets one of them finish. */
+  private backOff(): Promise<void> {
+    return Clocks.wait(
+      this.clock,
+      leastBackOffMicroseconds + Math.floor(this.random.fraction() * backOffSpreadMicroseconds),
+    );
+  }
 }
--- /dev/null
+++ b/tests/support/model/modelReplica.ts
@@ -0,0 +1,251 @@
+/** One replica of the model: the register's own classes, with effects that the explorer holds in its hands. */
+import { KeeperStates } from '../../../source/core-keeper/ledger/keeperState';
+import { Ledger } from '../../../source/core-keeper/ledger/ledger';
+import { Acceptor } from '../../../source/core-keeper/register/acceptor';
+import { EntryTransfer } from '../../../source/core-keeper/register/entryTransfer';
+import { KeeperCore } from '../../../source/core-keeper/register/keeperCore';
+import type { Accept, ChangeOrder, ChangeOutcome, Prepare } from '../../../source/core-keeper/register/messages';
+import { Ownership } from '../../../source/core-keeper/register/ownership';
+import { MemberChanges } from '../../../source/core-keeper/standing/memberChanges';
+import { MemberWatch } from '../../../source/core-keeper/standing/memberWatch';
+import { StandingKeeper } from '../../../source/core-keeper/standing/standing';
+import { DocumentKeys, type CoreMember, type DocumentKey } from '../../../source/shared/blueprint/types';
+import type { Cancel, Clock } from '../../../source/shared/effects/clock/clock';
+import type { Message, Transport } from '../../../source/shared/effects/transport/transport';
+import { Epochs, type KeyWord } from '../../../source/shared/register/types';
+import type { ModelDisk } from './modelDisk';
+import { registerDialect } from './registerDialect';
+
+/** Time passes only when a timer runs, and timers run only when nothing else is left to happen. */
+class ModelClock implements Clock {
+  private now = 0;
+
+  public constructor(private readonly timer: (act: () => void) => void) {}
+
+  public readonly nowMicroseconds = (): number => this.now;
+  public readonly steadyMicroseconds = (): number => this.now;
+  public readonly after = (delayMicroseconds: number, act: () => void): Cancel => {
+    const due = this.now + delayMicroseconds;
+    let isOpen = true;
+    this.timer(() => {
+      if (!isOpen) return;
+      this.now = Math.max(this.now, due);
+      act();
+    });
+    return () => {
+      isOpen = false;
+    };
+  };
+}
+
+const askMicroseconds = 50_000;
+/** How often a read campaigns before it gives up. */
+const readAttempts = 4;
+const silent = (): void => undefined;
+
+export type ModelEffects = Readonly<{
+  transport: Transport;
+  disk: ModelDisk;
+  /** An act of this replica's disk, which the explorer completes. */
+  later: (act: () => void) => void;
+  /** A timer of this replica, which runs when nothing else is left. */
+  timer: (act: () => void) => void;
+}>;
+
+/** Replicas have names of one letter; each has an address of its own. */
+const addressOf = (name: string): string => `10.0.0.${name.charCodeAt(0)}:1`;
+
+export const nameAt = (address: string): string => String.fromCharCode(Number(/\.(\d+):1$/.exec(address)?.[1]));
+
+const memberOf = (name: string): CoreMember => ({
+  address: addressOf(name),
+  operatorsAddress: `10.0.0.${name.charCodeAt(0)}:2`,
+  zone: '',
+});
+
+const firstMembersText = (names: readonly string[]): string =>
+  JSON.stringify({ members: Object.fromEntries(names.map((name) => [name, memberOf(name)])) });
+
+export class ModelReplica {
+  public readonly core: KeeperCore;
+  public readonly ledger: Ledger;
+  private readonly acceptor: Acceptor;
+  private readonly entries: EntryTransfer;
+  private readonly standing: StandingKeeper;
+  private readonly members: MemberChanges;
+  private readonly leaderships: ReadonlyMap<DocumentKey, Ownership>;
+
+  public constructor(
+    public readonly name: string,
+    private readonly founders: readonly string[],
+    effects: ModelEffects,
+  ) {
+    const { transport } = effects;
+    const clock = new ModelClock(effects.timer);
+    this.ledger = new Ledger(effects.disk.open(effects.later), clock, silent, 1 << 30);
+    this.core = new KeeperCore(name, this.ledger, clock);
+    this.acceptor = new Acceptor(this.core);
+    this.entries = new EntryTransfer(this.core, this.acceptor, transport, askMicroseconds);
+    const random = { fraction: () => 0, name: () => 'fleet' };
+    const settings = {
+      askMicroseconds,
+      // One attempt a call: the explorer's script says who tries again, and when.
+      changeMicroseconds: 1,
+      firstMembersText: () => firstMembersText(founders),
+      dialect: registerDialect,
+      learnMembers: (address: string) =>
+        this.entries.takeMembers(address, () => this.leadership('core-members').win('request')),
+    };
+    this.leaderships = new Map(
+      DocumentKeys.map((key) => [
+        key,
+        new Ownership(key, this.core, this.acceptor, transport, clock, random, settings, silent),
+      ]),
+    );
+    this.standing = new StandingKeeper(
+      this.core,
+      transport,
+      random,
+      {
+        seeds: founders.map(addressOf),
+        member: memberOf(name),
+        replaces: '',
+        askMicroseconds,
+        founders: founders.length,
+        isFirstStart: false,
+        foundingPatienceMicroseconds: 0,
+        joins: 'asks',
+        isOnlyFleet: true,
+      },
+      silent,
+      silent,
+    );
+    this.members = new MemberChanges(
+      this.core,
+      clock,
+      transport,
+      new MemberWatch(this.core, clock, 1),
+      {
+        leadership: () => this.leadership('core-members'),
+        words: () => this.words(),
+        read: () => Promise.resolve({ kind: 'noMajority' }),
+        change: () => Promise.resolve({ kind: 'unknown' }),
+      },
+      {
+        joins: 'asks',
+        membersWanted: founders.length,
+        askMicroseconds,
+        learnerMicroseconds: 1,
+        handOverMicroseconds: 1,
+      },
+    );
+  }
+
+  public async open(): Promise<void> {
+    await this.ledger.open();
+  }
+
+  /** The state of a member of a fleet that was founded long ago, or of a machine that was never in it. */
+  public found(): Promise<unknown> {
+    const members = Object.fromEntries(this.founders.map((name) => [name, memberOf(name)]));
+    return this.ledger.write([{ kind: 'forming', fleet: 'fleet', members }, { kind: 'formed' }]);
+  }
+
+  public leadership(key: DocumentKey): Ownership {
+    const found = this.leaderships.get(key);
+    if (found === undefined) throw new Error(`no key ${key}`);
+    return found;
+  }
+
+  public change(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
+    return this.leadership(order.key).change(order);
+  }
+
+  /** A read as of now: through a leadership that a majority confirms. Undefined: there was none. */
+  public async read(): Promise<number | undefined> {
+    const leadership = this.leadership('blueprint');
+    // A replica that was away learns the present epoch by a campaign that fails, and campaigns above it.
+    for (let attempt = 0; attempt < readAttempts; attempt += 1) {
+      if (!(await leadership.win('request'))) continue;
+      const entry = await leadership.readThrough();
+      if (entry !== undefined) return entry.revision;
+    }
+    return undefined;
+  }
+
+  public replaceMember(gone: string, newcomer: string): Promise<ChangeOutcome | undefined> {
+    const leadership = this.leadership('core-members');
+    const names = this.founders.filter((name) => name !== gone);
+    return leadership.change({
+      key: 'core-members',
+      form: 'whole',
+      text: firstMembersText([...names, newcomer]),
+      ifMatch: 1,
+      id: `replace ${gone}`,
+      learner: newcomer,
+    });
+  }
+
+  /** What a replica does by itself from time to time: joins, and settles a change of members. */
+  public async step(): Promise<void> {
+    await this.standing.step();
+    await this.members.step();
+  }
+
+  public async handle(message: Message): Promise<Message> {
+    switch (message.kind) {
+      case 'prepare':
+        return this.acceptor.prepare(message as unknown as Prepare);
+      case 'accept':
+        return this.acceptor.accept(message as unknown as Accept);
+      case 'entry':
+        return this.entries.give(message['key']);
+      case 'hello':
+        return this.standing.hello(String(message['asker']));
+      case 'frame':
+        return this.standing.frame(message);
+      case 'mayLead':
+        return this.core.votes()
+          ? { kind: 'mayLead', hearsLeader: false, membersRevision: this.core.members().revision }
+          : { kind: 'noVote' };
+      case 'words':
+        return this.core.votes()
+          ? {
+              kind: 'words',
+              stamp: this.core.stamp(),
+              membersRevision: this.core.members().revision,
+              words: this.words(),
+            }
+          : { kind: 'noVote' };
+      default:
+        return { kind: 'noVote' };
+    }
+  }
+
+  /** All that later behaviour depends on, but for what is under way. */
+  public fingerprint(): string {
+    const leaders = [...this.leaderships].map(([key, { state }]) => [
+      key,
+      state.kind,
+      state.kind === 'none' ? '' : Epochs.text(state.epoch),
+    ]);
+    return JSON.stringify([this.ledger.synced, this.ledger.pending, leaders], (_, value: unknown) =>
+      value instanceof Uint8Array ? Buffer.from(value).toString('base64') : value,
+    );
+  }
+
+  private words(): readonly KeyWord[] {
+    return DocumentKeys.map((key) => {
+      const accepted = KeeperStates.cell(this.core.state, key).accepted;
+      return {
+        key,
+        epoch: accepted?.epoch ?? Epochs.none,
+        revision: accepted?.entry.revision ?? 0,
+        digest: accepted?.entry.digest ?? '',
+        decidedRevision: 0,
+        decidedDigest: '',
+        owner: '',
+      };
+    });
+  }
+}
