--- a/tests/control-safety.test.ts
+++ b/tests/control-safety.test.ts
@@ -7,6 +7,7 @@
 import type { ChangeOrder, ChangeOutcome } from '../source/core-keeper/register/messages';
 import { rememberedChanges } from '../source/core-keeper/register/outcomeHistory';
 import type { Entry } from '../source/shared/register/types';
+import { SimProcess } from '../source/fleet-simulator/world/simProcess';
 import { ControlFleet, type ControlMachine } from './support/controlFleet';
 import { platformDocument } from './support/platformDocument';
 
@@ -420,3 +421,87 @@
       assert.ok(lost.disk.length('keeper.ledger') < 8_000_000);
     });
 });
+
+describe('3 and 4: fences of leases over a change of members', () => {
+  type Vote = Readonly<{ granted: boolean; term: number }>;
+
+  /** Votes of some members on one duty, asked by a candidate that goes by a list of members of a certain revision. */
+  const votes = async (
+    fleet: ControlFleet,
+    machines: readonly ControlMachine[],
+    candidate: string,
+    term: number,
+    membersRevision: number,
+  ): Promise<readonly Vote[]> => {
+    const process = new SimProcess(fleet.world, candidate, `10.2.0.${candidate.length}`);
+    const transport = fleet.network.transportOf(process);
+    const ballots = [{ duty: 'engine/e', candidate, term, leaseMicroseconds: 2_500_000 }];
+    const given: Vote[] = [];
+    for (const machine of machines)
+      void transport
+        .ask(machine.member.address, { kind: 'ballots', ballots, membersRevision }, 500_000)
+        .then((answer) => {
+          if (answer.kind === 'answered') given.push(...((answer.message['answers'] ?? []) as readonly Vote[]));
+        });
+    await fleet.world.runFor(600_000);
+    return given;
+  };
+
+  const granted = (given: readonly Vote[]): number => given.filter((vote) => vote.granted).length;
+
+  for (const seed of [601, 602, 603])
+    test(`a candidate with the old list and one with the new never hold one duty together, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      assert.ok(await fleet.begin(3));
+      const [first, second, cut] = fleet.machines;
+      assert.ok(first !== undefined && second !== undefined && cut !== undefined);
+      const before = first.keeper?.core.members().revision ?? 0;
+      // The replaced member goes on voting for daemons on its side, and knows nothing of its successor.
+      cutOff(fleet, cut);
+      const spare = fleet.add();
+      spare.start();
+      assert.ok(await fleet.world.runUntil(() => spare.votes, 8_000_000));
+      assert.ok(await fleet.world.runUntil(() => first.keeper?.core.members().sets.length === 1, 2_000_000));
+      await fleet.world.runFor(3_000_000);
+      const now = first.keeper?.core.members().revision ?? 0;
+      assert.ok(now > before && cut.votes);
+      const old = await votes(fleet, [second, cut], 'old', 7, before);
+      const next = await votes(fleet, [first, spare], 'next', 7, now);
+      assert.equal(granted(next), 2);
+      assert.ok(granted(old) < 2, 'both hold it under one fence');
+    });
+
+  for (const seed of [611, 612])
+    test(`a fence never falls over wipes, a replacement and the loss of power on all, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect);
+      assert.ok(await fleet.begin(3));
+      const revision = (): number =>
+        Math.max(...fleet.machines.map(({ keeper }) => keeper?.core.members().revision ?? 0));
+      let fence = 0;
+      const take = async (candidate: string): Promise<void> => {
+        await fleet.world.runFor(3_000_000);
+        const members = fleet.machines.filter(({ votes: isVoting }) => isVoting);
+        const known = await votes(fleet, members, candidate, 1, revision());
+        const highest = Math.max(fence === 0 ? 0 : 1, ...known.map(({ term }) => term));
+        const given = await votes(fleet, members, candidate, highest + 1, revision());
+        assert.ok(granted(given) >= 2, candidate);
+        assert.ok(highest + 1 > fence, `fence ${highest + 1} after ${fence}`);
+        fence = highest + 1;
+      };
+      await take('a');
+      fleet.machine(1).kill(true);
+      fleet.machine(1).disk.wipe();
+      fleet.machine(1).start();
+      assert.ok(await fleet.settled(3, 4_000_000));
+      await take('bb');
+      fleet.machine(2).kill(true);
+      const spare = fleet.add();
+      spare.start();
+      assert.ok(await fleet.world.runUntil(() => spare.votes, 6_000_000));
+      await take('ccc');
+      for (const machine of fleet.machines) machine.kill(true);
+      for (const machine of fleet.machines) machine.start();
+      assert.ok(await fleet.world.runUntil(() => fleet.machines.filter((one) => one.votes).length >= 3, 6_000_000));
+      await take('dddd');
+    });
+});
