--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -8,7 +8,9 @@
 import { FleetTransport } from '../shared/fleet/fleetTransport';
 import type { Answer, Listener, Message } from '../shared/effects/transport/transport';
 import { BodyPacker } from '../shared/freshness/bodies';
+import { LimitedLogs } from '../shared/log/limitedLog';
 import { Logs, type Log } from '../shared/log/log';
+import { Metrics } from '../shared/metrics/metrics';
 import { FactLimits, Facts, type Fact } from '../shared/news/facts';
 import { Rendezvous } from '../shared/rendezvous/rendezvous';
 import { Epochs, type KeyWord } from '../shared/register/types';
@@ -22,6 +24,7 @@
 import type { Accept, ChangeOrder, ChangeOutcome, OwnerWord, Prepare } from './register/messages';
 import { Ownership } from './register/ownership';
 import { QuorumWatch } from './register/quorumWatch';
+import { RegisterMetrics } from './register/registerMetrics';
 import { WeightsAges } from './register/weightsAges';
 import { MemberChanges } from './standing/memberChanges';
 import { MemberWatch } from './standing/memberWatch';
@@ -115,6 +118,8 @@
   public readonly news = new Emittery<{ standing: Standing; broken: string }>();
   public readonly core: KeeperCore;
   public readonly duties: DutyVoter;
+  public readonly metrics = new Metrics();
+  private readonly registerMetrics = new RegisterMetrics(this.metrics);
   private readonly effects: Effects;
   private readonly ledger: Ledger;
   private readonly acceptor: Acceptor;
@@ -131,6 +136,7 @@
   private readonly members: MemberChanges;
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
+  private readonly notice: Log;
   private listener: Listener | undefined;
   private readonly startedMicroseconds: number;
   /** Agents that named this keeper as a seed; a first contact only, bounded like all news. */
@@ -150,14 +156,20 @@
     const transport = new FleetTransport(given.transport, () => this.standing.fleet());
     this.effects = { ...given, transport };
     this.log = Logs.part(`keeper:${settings.name}`);
-    this.ledger = new Ledger(disk, clock, Logs.part(`keeper:${settings.name}:notice`), settings.rewriteBytes);
+    this.notice = Logs.part(`keeper:${settings.name}:notice`);
+    this.ledger = new Ledger(disk, clock, this.notice, settings.rewriteBytes);
     this.core = new KeeperCore(settings.name, this.ledger, clock);
     this.acceptor = new Acceptor(this.core);
     this.entries = new EntryTransfer(this.core, this.acceptor, transport, settings.askMicroseconds);
     this.duties = new DutyVoter(this.core, clock);
     this.ages = new WeightsAges(clock, dialect);
     this.watch = new MemberWatch(this.core, clock, settings.memberSilentMicroseconds);
-    this.quorum = new QuorumWatch(this.core, clock, settings.ownerSilentMicroseconds * quorumSilences);
+    this.quorum = new QuorumWatch(
+      this.core,
+      clock,
+      settings.ownerSilentMicroseconds * quorumSilences,
+      LimitedLogs.of(this.notice, clock),
+    );
     this.members = new MemberChanges(
       this.core,
       clock,
@@ -186,7 +198,7 @@
         isOnlyFleet: settings.isOnlyFleet,
         foundingPatienceMicroseconds: settings.foundingPatienceMicroseconds,
       },
-      Logs.part(`keeper:${settings.name}:notice`),
+      this.notice,
       () => this.duties.waitOneLease(settings.leaseMicroseconds),
     );
     const ownershipSettings = {
@@ -196,11 +208,21 @@
       dialect,
       learnMembers: (address: string) =>
         this.entries.takeMembers(address, () => this.ownership('core-members').win('request')),
+      metrics: this.registerMetrics,
     };
     this.ownerships = new Map(
       DocumentKeys.map((key) => [
         key,
-        new Ownership(key, this.core, this.acceptor, transport, clock, random, ownershipSettings, this.log),
+        new Ownership(
+          key,
+          this.core,
+          this.acceptor,
+          transport,
+          clock,
+          random,
+          ownershipSettings,
+          LimitedLogs.of(this.notice, clock),
+        ),
       ]),
     );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
@@ -280,6 +302,13 @@
 
   /** The value of a key as of now, or an honest no. */
   public async read(key: DocumentKey): Promise<ReadOutcome> {
+    const beganMicroseconds = this.effects.clock.nowMicroseconds();
+    const outcome = await this.readNow(key);
+    this.registerMetrics.read(key, outcome.kind, this.effects.clock.nowMicroseconds() - beganMicroseconds);
+    return outcome;
+  }
+
+  private async readNow(key: DocumentKey): Promise<ReadOutcome> {
     const until = this.effects.clock.nowMicroseconds() + this.settings.changeMicroseconds;
     for (;;) {
       const passed = await this.passRead(key);
@@ -611,6 +640,7 @@
     const words = DocumentKeys.flatMap((key) => this.ownership(key).word() ?? []);
     // Why also without words: where places change hands, members must know who is still there.
     if (words.length === 0 && this.settings.joins !== 'asks') return Promise.resolve();
+    this.quorum.look();
     const message = { kind: 'owners', fleet: this.core.state.fleet, owner: this.settings.name, words };
     for (const [name, member] of this.core.others()) void this.tell(name, member.address, message);
     return Promise.resolve();
--- a/source/core-keeper/program/keeperProgram.ts
+++ b/source/core-keeper/program/keeperProgram.ts
@@ -2,7 +2,6 @@
 import type { Disk } from '../../shared/effects/disk/disk';
 import type { Effects } from '../../shared/effects/effects';
 import type { HttpDoor } from '../../shared/http/httpDoor';
-import { Metrics } from '../../shared/metrics/metrics';
 import { CoreKeeper, type KeeperSettings } from '../coreKeeper';
 import { OperatorsDoor, type DoorSettings } from '../operators/operatorsDoor';
 import type { OperatorsWords } from '../operators/operatorsWords';
@@ -30,7 +29,7 @@
 export const startKeeper = async (parts: KeeperParts): Promise<KeeperProgram> => {
   const { effects, settings } = parts;
   const keeper = new CoreKeeper(effects, parts.disk, settings, parts.dialect);
-  const metrics = new Metrics();
+  const { metrics } = keeper;
   metrics.watch(() => [
     ['postdrum_keeper_votes', {}, keeper.core.votes() ? 1 : 0],
     ...Object.entries(keeper.owners()).map(
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -13,6 +13,7 @@
 import { MemberViews, type KeeperCore, type MemberView } from './keeperCore';
 import { OutcomeHistories } from './outcomeHistory';
 import type { Accept, AcceptAnswer, ChangeOrder, ChangeOutcome, OwnerWord, PrepareAnswer } from './messages';
+import type { CampaignReason, RegisterMetrics, RoundOutcome, RoundPurpose } from './registerMetrics';
 
 export type OwnershipState =
   | Readonly<{ kind: 'none' }>
@@ -49,6 +50,7 @@
   dialect: Dialect;
   /** The member at this address knows a newer list of members than this replica, which takes it from there. */
   learnMembers: (address: string) => Promise<void>;
+  metrics: RegisterMetrics;
 }>;
 
 /** Starting values, ours: how long a replica that missed its majority waits before it campaigns again. */
@@ -58,12 +60,6 @@
 /** Starting value, ours: how long after a conn broke an accept is asked for again. */
 const askAgainMicroseconds = 50_000;
 
-/**
- * Why a replica campaigns. `vacancy`: it hears no leader, and leads only if a majority hears none either (a pre-vote).
- * `request`: an operator waits, so it is enough that a majority answers.
- */
-export type Campaign = 'vacancy' | 'request';
-
 type Promised = Extract<PrepareAnswer, Readonly<{ kind: 'promised' }>>;
 type Gathered =
   Readonly<{ kind: 'reached'; accepted: Accepted | null }> | Readonly<{ kind: 'missed'; outrankedBy: Epoch }>;
@@ -119,8 +115,8 @@
     if (this.present.kind !== 'none' && Epochs.compare(epoch, this.present.epoch) > 0) this.step({ kind: 'lost' });
   }
 
-  public win(campaign: Campaign = 'request'): Promise<boolean> {
-    return this.inTurn(() => this.winNow(campaign));
+  public win(reason: CampaignReason = 'request'): Promise<boolean> {
+    return this.inTurn(() => this.winNow(reason));
   }
 
   /** A leader that no majority answers any more gives the key up, so that it tells nobody it still leads. */
@@ -148,7 +144,7 @@
     return this.inTurn(async () => {
       if (this.present.kind !== 'owning') return undefined;
       const entry = this.present.entry;
-      return (await this.acceptNow(entry)) === 'reached' ? entry : undefined;
+      return (await this.acceptNow(entry, 'confirm')) === 'reached' ? entry : undefined;
     });
   }
 
@@ -173,12 +169,21 @@
     return turn;
   }
 
-  private async winNow(campaign: Campaign = 'request'): Promise<boolean> {
+  private async winNow(reason: CampaignReason = 'request'): Promise<boolean> {
     if (this.present.kind === 'owning') return true;
     if (!this.core.votes()) return false;
     // A cut-off replica that promised itself ever higher epochs would depose the leader as soon as the link heals.
-    if (!(await this.mayCampaign(campaign))) return false;
+    if (!(await this.mayCampaign(reason))) {
+      this.settings.metrics.campaign(this.key, reason, 'refused');
+      return false;
+    }
     if (!this.core.votes()) return false;
+    const isWon = await this.campaign();
+    this.settings.metrics.campaign(this.key, reason, isWon ? 'won' : 'missed');
+    return isWon && this.settleMembers();
+  }
+
+  private async campaign(): Promise<boolean> {
     const promised = KeeperStates.cell(this.core.ledger.pending, this.key).promised;
     const epoch: Epoch = { number: Math.max(promised.number, this.highest.number) + 1, keeper: this.core.name };
     this.highest = epoch;
@@ -193,15 +198,15 @@
     // Why write again: the value found may stand on a minority only; under this epoch it stands on a majority.
     if (this.present.kind !== 'winning') return false;
     this.step({ kind: 'found', epoch, entry });
-    if ((await this.acceptNow(entry)) !== 'reached') {
+    if ((await this.acceptNow(entry, 'commit')) !== 'reached') {
       this.step({ kind: 'lost' });
       return false;
     }
     this.step({ kind: 'decided', entry });
-    return this.settleMembers();
+    return true;
   }
 
-  private async mayCampaign(campaign: Campaign): Promise<boolean> {
+  private async mayCampaign(reason: CampaignReason): Promise<boolean> {
     const view = this.core.members();
     const message = { kind: 'mayLead', key: this.key, fleet: this.core.state.fleet, candidate: this.core.name };
     const newer: string[] = [];
@@ -216,7 +221,7 @@
         const answer = await this.transport.ask(member.address, message, this.settings.askMicroseconds);
         if (answer.kind !== 'answered' || answer.message.kind !== 'mayLead') return undefined;
         if (Number(answer.message['membersRevision']) > view.revision) newer.push(member.address);
-        return campaign === 'vacancy' && answer.message['hearsLeader'] === true ? undefined : name;
+        return reason === 'vacancy' && answer.message['hearsLeader'] === true ? undefined : name;
       }),
       isReached,
     );
@@ -327,7 +332,13 @@
   }
 
   /** Brings one entry onto a majority under the present epoch. Anything but 'reached' leaves its fate open. */
-  private async acceptNow(entry: Entry): Promise<'reached' | 'missed' | 'full'> {
+  private async acceptNow(entry: Entry, purpose: RoundPurpose): Promise<RoundOutcome> {
+    const outcome = await this.acceptRound(entry);
+    this.settings.metrics.round(this.key, purpose, outcome, entry.text.length);
+    return outcome;
+  }
+
+  private async acceptRound(entry: Entry): Promise<RoundOutcome> {
     if (this.present.kind !== 'owning' && this.present.kind !== 'settling') return 'missed';
     const epoch = this.present.epoch;
     const view = this.key === 'core-members' ? MemberViews.of(entry) : this.core.members();
@@ -394,7 +405,7 @@
   }
 
   private async writeMembers(entry: Entry): Promise<boolean> {
-    if ((await this.acceptNow(entry)) !== 'reached') {
+    if ((await this.acceptNow(entry, 'change')) !== 'reached') {
       this.step({ kind: 'lost' });
       return false;
     }
@@ -411,9 +422,9 @@
         const planned = Changes.plan(this.present.entry, order, this.settings.dialect);
         if (planned.kind === 'answer') {
           // Why read through: a refusal or an earlier outcome from an owner long outranked would be a lie.
-          if ((await this.acceptNow(this.present.entry)) === 'reached') return planned.outcome;
+          if ((await this.acceptNow(this.present.entry, 'confirm')) === 'reached') return planned.outcome;
         } else {
-          const result = await this.acceptNow(planned.entry);
+          const result = await this.acceptNow(planned.entry, 'change');
           if (result === 'reached') {
             this.step({ kind: 'decided', entry: planned.entry });
             await this.settleMembers();
--- a/source/core-keeper/register/quorumWatch.ts
+++ b/source/core-keeper/register/quorumWatch.ts
@@ -4,18 +4,32 @@
  */
 import type { Clock } from '../../shared/effects/clock/clock';
 import { Stamps } from '../../shared/register/types';
+import type { Log } from '../../shared/log/log';
 import type { KeeperCore } from './keeperCore';
 
 export class QuorumWatch {
   private readonly answeredAt = new Map<string, number>();
+  private readonly silent = new Set<string>();
 
   public constructor(
     private readonly core: KeeperCore,
     private readonly clock: Clock,
     /** How long an answer counts. */
     private readonly windowMicroseconds: number,
+    private readonly notice: Log = () => undefined,
   ) {}
 
+  /** Says which members have stopped answering, or answer again, since the last look. */
+  public look(): void {
+    const from = this.clock.nowMicroseconds() - this.windowMicroseconds;
+    for (const [name, at] of this.answeredAt) {
+      if (at < from && !this.silent.has(name)) {
+        this.silent.add(name);
+        this.notice(`${name} does not answer heartbeats.`);
+      } else if (at >= from && this.silent.delete(name)) this.notice(`${name} answers heartbeats again.`);
+    }
+  }
+
   /** A member has answered a heartbeat. */
   public answered(name: string): void {
     this.answeredAt.set(name, this.clock.nowMicroseconds());
--- a/tests/support/model/modelReplica.ts
+++ b/tests/support/model/modelReplica.ts
@@ -5,6 +5,7 @@
 import { EntryTransfer } from '../../../source/core-keeper/register/entryTransfer';
 import { KeeperCore } from '../../../source/core-keeper/register/keeperCore';
 import type { Accept, ChangeOrder, ChangeOutcome, Prepare } from '../../../source/core-keeper/register/messages';
+import { RegisterMetrics } from '../../../source/core-keeper/register/registerMetrics';
 import { Ownership } from '../../../source/core-keeper/register/ownership';
 import { MemberChanges } from '../../../source/core-keeper/standing/memberChanges';
 import { MemberWatch } from '../../../source/core-keeper/standing/memberWatch';
@@ -12,6 +13,7 @@
 import { DocumentKeys, isDocumentKey, type CoreMember, type DocumentKey } from '../../../source/shared/blueprint/types';
 import type { Cancel, Clock } from '../../../source/shared/effects/clock/clock';
 import type { Message, Transport } from '../../../source/shared/effects/transport/transport';
+import { Metrics } from '../../../source/shared/metrics/metrics';
 import { Epochs, type KeyWord } from '../../../source/shared/register/types';
 import type { ModelDisk } from './modelDisk';
 import { registerDialect } from './registerDialect';
@@ -97,6 +99,7 @@
       dialect: registerDialect,
       learnMembers: (address: string) =>
         this.entries.takeMembers(address, () => this.leadership('core-members').win('request')),
+      metrics: new RegisterMetrics(new Metrics()),
     };
     this.leaderships = new Map(
       DocumentKeys.map((key) => [
