--- a/source/fleet-simulator/world/simNetwork.ts
+++ b/source/fleet-simulator/world/simNetwork.ts
@@ -11,8 +11,12 @@
   private readonly listening = new Map<string, Listening>();
   private readonly cuts = new Map<string, number>();
   private readonly slow = new Map<string, number>();
+  /** When the link out of a machine has sent all that was given to it. */
+  private readonly busyUntil = new Map<string, number>();
   public messages = 0;
   public bytes = 0;
+  /** What the link out of each machine carries; Infinity: messages of any length arrive alike. */
+  public linkBytesPerSecond = Infinity;
 
   public constructor(private readonly world: World) {}
 
@@ -52,9 +56,20 @@
   }
 
   /** Carries one thing from machine to machine; a cut loses it. */
-  public carry(from: string, to: string, arrive: () => void, lost: () => void = () => undefined): void {
+  public carry(from: string, to: string, arrive: () => void, lost: () => void = () => undefined, bytes = 0): void {
     if (!this.open(from, to)) return lost();
-    this.world.plan(this.latency(from, to), () => (this.open(from, to) ? arrive() : lost()));
+    const delay = this.latency(from, to) + this.transmissionMicroseconds(from, to, bytes);
+    this.world.plan(delay, () => (this.open(from, to) ? arrive() : lost()));
+  }
+
+  /** How long the link takes until the last byte has left, what was given to it before included. */
+  private transmissionMicroseconds(from: string, to: string, bytes: number): number {
+    if (from === to || this.linkBytesPerSecond === Infinity) return 0;
+    const now = this.world.nowMicroseconds;
+    const start = Math.max(now, this.busyUntil.get(from) ?? 0);
+    const end = start + (bytes / this.linkBytesPerSecond) * 1_000_000;
+    this.busyUntil.set(from, end);
+    return end - now;
   }
 
   /** From now on an address belongs to whoever listens at another one, as when a machine is handed to somebody else. */
@@ -109,7 +124,7 @@
       const machine = this.machineOf(address);
       const silent = (reason: string): void =>
         this.carry(machine, asker.machine, () => asker.enter(() => settle({ kind: 'silent', reason })));
-      this.carry(asker.machine, machine, () => {
+      const arrive = (): void => {
         const found = this.listenerAt(address);
         if (found === undefined) return silent('conn refused');
         found.process.whenDead(() => silent('conn closed'));
@@ -120,7 +135,7 @@
               if (!found.process.alive) return;
               const packedAnswer = pack(answer);
               this.bytes += packedAnswer.length;
-              this.carry(found.process.machine, asker.machine, () =>
+              const arrive = (): void =>
                 asker.enter(() => {
                   const value: unknown = unpack(packedAnswer);
                   settle(
@@ -128,13 +143,14 @@
                       ? { kind: 'answered', message: value }
                       : { kind: 'silent', reason: 'not a message' },
                   );
-                }),
-              );
+                });
+              this.carry(found.process.machine, asker.machine, arrive, undefined, packedAnswer.length);
             },
             () => silent('conn closed'),
           );
         });
-      });
+      };
+      this.carry(asker.machine, machine, arrive, undefined, packed.length);
     });
   }
 
