Reads ask a majority, campaigns ask whether a leader is heard: leaders no longer depose each other

Each deposed leader's followers failed and campaigned in turn; with a value of 400 kB a campaign took longer than the pause between two, and abandoned calls went on for 3.75 s, so it never ended by itself.

Changed: a read is a majority's word on what is accepted (QuorumReader, with the agents' own judge), it needs no leader and ends with its caller's patience; every campaign is preceded by the pre-vote, which counts leaders heard by heartbeat or by a round and promises of a moment ago (LeaderWatch); a change goes to the leader, or through a member that hears it; a leader confirms itself without sending the value; a member that promised a higher epoch says so in its answer to a heartbeat, and the leader campaigns above it.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -3,6 +3,7 @@
 import { DocumentKeys, isDocumentKey, type CoreMember, type DocumentKey } from '../shared/blueprint/types';
 import { Ticker } from '../shared/effects/clock/ticker';
 import { FactKeys, type MemberFact } from '../shared/news/factTypes';
+import { Clocks } from '../shared/effects/clock/clock';
 import type { Disk } from '../shared/effects/disk/disk';
 import type { Effects } from '../shared/effects/effects';
 import { FleetTransport } from '../shared/fleet/fleetTransport';
@@ -13,7 +14,8 @@
 import { Metrics } from '../shared/metrics/metrics';
 import { FactLimits, Facts, type Fact } from '../shared/news/facts';
 import { Rendezvous } from '../shared/rendezvous/rendezvous';
-import { Epochs, type KeyWord } from '../shared/register/types';
+import type { WordsAnswer } from '../shared/register/majorityRead';
+import { Epochs, type Epoch, type KeyWord } from '../shared/register/types';
 import { DutyVoter, type Ballot } from './duties/dutyVoter';
 import { Ledger } from './ledger/ledger';
 import { KeeperStates, type Standing } from './ledger/keeperState';
@@ -21,11 +23,13 @@
 import { Digests } from './register/changes';
 import { EntryTransfer } from './register/entryTransfer';
 import { KeeperCore } from './register/keeperCore';
-import type { Accept, ChangeOrder, ChangeOutcome, OwnerWord, Prepare } from './register/messages';
+import type { Accept, ChangeOrder, ChangeOutcome, Confirm, OwnerWord, Prepare } from './register/messages';
 import { Ownership } from './register/ownership';
+import { QuorumReader, type ReadOutcome } from './register/quorumReader';
 import { QuorumWatch } from './register/quorumWatch';
 import { RegisterMetrics } from './register/registerMetrics';
 import { WeightsAges } from './register/weightsAges';
+import { LeaderWatch } from './standing/leaderWatch';
 import { MemberChanges } from './standing/memberChanges';
 import { MemberWatch } from './standing/memberWatch';
 import { Replaced, StandingKeeper } from './standing/standing';
@@ -92,10 +96,22 @@
 /** A leader steps down once no majority has answered it for so many times the silence after which others look for one. */
 const quorumSilences = 2;
 
+/** Starting values, ours: the pause before a change that nobody took is tried again. */
+const leastPauseMicroseconds = 30_000;
+const pauseSpreadMicroseconds = 120_000;
+
+const noMajority: ChangeOutcome = {
+  kind: 'refused',
+  reason: 'noMajority',
+  faults: [{ path: '', fault: 'no majority of control nodes answers' }],
+  revision: 0,
+};
+
 /** How often whoever leads the list of members looks whether a newcomer has caught up. */
 const memberStepMicroseconds = 150_000;
 
-type Heard = Readonly<{ word: OwnerWord; owner: string; atMicroseconds: number }>;
+/** A key whose leader's epoch a member cannot accept any more, since it has promised a higher one. */
+type HigherPromise = Readonly<{ key: DocumentKey; epoch: Epoch }>;
 
 /** What one replica holds of a key, and since when it leads it; null where it does not. */
 export type ReplicaKeyStatus = Readonly<{
@@ -112,8 +128,6 @@
   silentMicroseconds: Readonly<Record<string, number | null>>;
 }>;
 
-export type ReadOutcome = Readonly<{ kind: 'read'; revision: number; text: string }> | Readonly<{ kind: 'noMajority' }>;
-
 export class CoreKeeper {
   public readonly news = new Emittery<{ standing: Standing; broken: string }>();
   public readonly core: KeeperCore;
@@ -126,7 +140,8 @@
   private readonly entries: EntryTransfer;
   private readonly standing: StandingKeeper;
   private readonly ownerships: ReadonlyMap<DocumentKey, Ownership>;
-  private readonly heard = new Map<DocumentKey, Heard>();
+  private readonly leaders: LeaderWatch;
+  private readonly reader: QuorumReader;
   private readonly decided = new Map<DocumentKey, OwnerWord>();
   private readonly ages: WeightsAges;
   private readonly watch: MemberWatch;
@@ -164,6 +179,7 @@
     this.duties = new DutyVoter(this.core, clock);
     this.ages = new WeightsAges(clock, dialect);
     this.watch = new MemberWatch(this.core, clock, settings.memberSilentMicroseconds);
+    this.leaders = new LeaderWatch(clock, settings.ownerSilentMicroseconds);
     this.quorum = new QuorumWatch(
       this.core,
       clock,
@@ -201,6 +217,17 @@
       this.notice,
       () => this.duties.waitOneLease(settings.leaseMicroseconds),
     );
+    this.reader = new QuorumReader(
+      {
+        fleet: () => this.standing.fleet(),
+        members: () => this.membersToAsk(),
+        ownAnswer: () => (this.core.votes() ? this.wordsAnswer() : undefined),
+        heldText: (key, digest) => this.heldText(key, digest),
+      },
+      transport,
+      clock,
+      settings,
+    );
     const ownershipSettings = {
       askMicroseconds: settings.askMicroseconds,
       changeMicroseconds: settings.changeMicroseconds,
@@ -300,61 +327,59 @@
     await this.ledger.close();
   }
 
-  /** The value of a key as of now, or an honest no. */
-  public async read(key: DocumentKey): Promise<ReadOutcome> {
+  /** The value of a key as of now, or that no majority answers within the limit. */
+  public async read(key: DocumentKey, limitMicroseconds = this.settings.changeMicroseconds): Promise<ReadOutcome> {
     const beganMicroseconds = this.effects.clock.nowMicroseconds();
-    const outcome = await this.readNow(key);
+    const outcome = await this.reader.read(key, limitMicroseconds);
     this.registerMetrics.read(key, outcome.kind, this.effects.clock.nowMicroseconds() - beganMicroseconds);
     return outcome;
   }
 
-  private async readNow(key: DocumentKey): Promise<ReadOutcome> {
-    const until = this.effects.clock.nowMicroseconds() + this.settings.changeMicroseconds;
+  /**
+   * A change by whoever leads the key: this replica, the leader it hears, or the one that other members hear. It campaigns only
+   * where a majority hears no leader. The change id keeps one outcome, however often it is passed on.
+   */
+  public async change(order: ChangeOrder): Promise<ChangeOutcome> {
+    if (this.standing.ledMembers().length > 0) return this.passChange(order);
+    const { clock, random } = this.effects;
+    const until = clock.nowMicroseconds() + this.settings.changeMicroseconds;
+    let maySettle = false;
     for (;;) {
-      const passed = await this.passRead(key);
-      if (passed !== undefined) return passed;
-      const own = await this.ownership(key).readThrough();
-      if (own !== undefined) return { kind: 'read', revision: own.revision, text: own.text };
-      const owner = this.ownerAddress(key);
-      if (owner !== undefined) {
-        const answer = await this.askOwner(
-          key,
-          owner,
-          { kind: 'readThrough', key },
-          Math.min(this.settings.askMicroseconds * 2, this.settings.passMicroseconds),
-        );
-        if (answer.kind === 'answered' && answer.message.kind === 'read')
-          return answer.message as unknown as ReadOutcome;
-      }
-      if (this.effects.clock.nowMicroseconds() >= until) return { kind: 'noMajority' };
-      await this.ownership(key).win();
-      await new Promise<void>((resolve) => this.effects.clock.after(50_000, resolve));
+      const outcome = await this.changeOnce(order);
+      if (outcome !== undefined && outcome.kind !== 'unknown') return outcome;
+      maySettle ||= outcome?.kind === 'unknown';
+      if (clock.nowMicroseconds() >= until) return maySettle ? { kind: 'unknown' } : noMajority;
+      await Clocks.wait(clock, leastPauseMicroseconds + Math.floor(random.fraction() * pauseSpreadMicroseconds));
     }
   }
 
-  public async change(order: ChangeOrder): Promise<ChangeOutcome> {
-    if (this.standing.ledMembers().length > 0) return this.passChange(order);
+  /** Undefined: nobody took it. `unknown`: somebody may have. */
+  private async changeOnce(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
     const ownership = this.ownership(order.key);
-    const owner = ownership.state.kind === 'owning' ? undefined : this.ownerAddress(order.key);
-    let maySettle = false;
-    if (owner !== undefined) {
-      const answer = await this.askOwner(order.key, owner, { kind: 'change', order }, this.settings.passMicroseconds);
-      if (answer.kind === 'answered' && answer.message.kind === 'changed') {
-        const outcome = answer.message['outcome'] as ChangeOutcome | null;
-        if (outcome !== null) return outcome;
-      } else maySettle = true;
-    }
-    // Why take over: the owner was silent or is none any more. The change id keeps one outcome.
-    const outcome = await ownership.change(order);
-    if (outcome !== undefined) return outcome;
-    return maySettle
-      ? { kind: 'unknown' }
-      : {
-          kind: 'refused',
-          reason: 'noMajority',
-          faults: [{ path: '', fault: 'no majority of keepers answers' }],
-          revision: 0,
-        };
+    const forwarded = ownership.state.kind === 'owning' ? undefined : await this.changeAtLeader(order);
+    if (forwarded !== undefined && forwarded.kind !== 'unknown') return forwarded;
+    const own = await ownership.change(order);
+    if (own !== undefined) return own;
+    return (await this.relayChange(order, ownership.leaderHearers)) ?? forwarded;
+  }
+
+  /** Undefined: no leader is heard, or the one that was heard leads no more. `unknown`: it fell silent. */
+  private async changeAtLeader(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
+    const address = this.ownerAddress(order.key);
+    if (address === undefined) return undefined;
+    const answer = await this.askOwner(order.key, address, { kind: 'change', order }, this.settings.passMicroseconds);
+    if (answer.kind !== 'answered' || answer.message.kind !== 'changed') return { kind: 'unknown' };
+    return (answer.message['outcome'] as ChangeOutcome | null) ?? undefined;
+  }
+
+  /** Where only other members reach the leader: one of them passes the change on. */
+  private async relayChange(order: ChangeOrder, addresses: readonly string[]): Promise<ChangeOutcome | undefined> {
+    const address = addresses[Math.floor(this.effects.random.fraction() * addresses.length)];
+    if (address === undefined) return undefined;
+    const message = { kind: 'relayChange', order };
+    const answer = await this.effects.transport.ask(address, message, this.settings.passMicroseconds);
+    if (answer.kind !== 'answered' || answer.message.kind !== 'changed') return { kind: 'unknown' };
+    return (answer.message['outcome'] as ChangeOutcome | null) ?? undefined;
   }
 
   /** Why not wait for the limit: an owner that falls silent meanwhile will not answer, and others can take over. */
@@ -388,25 +413,7 @@
         return answer.message['outcome'] as ChangeOutcome;
       maySettle ||= answer.kind === 'silent';
     }
-    if (maySettle) return { kind: 'unknown' };
-    return {
-      kind: 'refused',
-      reason: 'noMajority',
-      faults: [{ path: '', fault: 'this keeper has no voice, and no member answers' }],
-      revision: 0,
-    };
-  }
-
-  private async passRead(key: DocumentKey): Promise<ReadOutcome | undefined> {
-    for (const { address } of this.standing.ledMembers()) {
-      const answer = await this.effects.transport.ask(
-        address,
-        { kind: 'passRead', key },
-        Math.min(this.settings.askMicroseconds * 2, this.settings.passMicroseconds),
-      );
-      if (answer.kind === 'answered' && answer.message.kind === 'read') return answer.message as unknown as ReadOutcome;
-    }
-    return undefined;
+    return maySettle ? { kind: 'unknown' } : noMajority;
   }
 
   /** Agents that named this keeper as a seed not long ago. */
@@ -429,15 +436,18 @@
     return Object.fromEntries(
       DocumentKeys.map((key) => {
         const own = this.ownership(key).word();
-        const heard = this.heard.get(key);
+        const leader = this.leaders.leader(key);
         if (own !== undefined)
           return [key, { owner: this.settings.name, epoch: Epochs.text(own.epoch), revision: own.revision }];
-        if (heard === undefined || this.ownerAddress(key) === undefined)
+        if (leader?.announced === undefined)
           return [
             key,
             { owner: '', epoch: '', revision: KeeperStates.cell(this.core.state, key).accepted?.entry.revision ?? 0 },
           ];
-        return [key, { owner: heard.owner, epoch: Epochs.text(heard.word.epoch), revision: heard.word.revision }];
+        return [
+          key,
+          { owner: leader.leader, epoch: Epochs.text(leader.announced.epoch), revision: leader.announced.revision },
+        ];
       }),
     );
   }
@@ -473,7 +483,7 @@
         digest: accepted?.entry.digest ?? '',
         decidedRevision: decided?.revision ?? 0,
         decidedDigest: decided?.digest ?? '',
-        owner: this.heard.get(key)?.owner ?? '',
+        owner: this.leaders.lastLeader(key),
         ...(key === 'blueprint' ? { weights: this.ages.words() } : {}),
       };
     });
@@ -488,13 +498,15 @@
       case 'frame':
         return this.standing.frame(message);
       case 'prepare':
-        return this.acceptor.prepare(message as unknown as Prepare);
+        return this.prepare(message as unknown as Prepare);
       case 'accept':
-        return this.acceptor.accept(message as unknown as Accept);
+        return this.accept(message as unknown as Accept);
+      case 'confirm':
+        return this.acceptor.confirm(message as unknown as Confirm);
       case 'owners':
         return this.hearOwners(message);
       case 'ownerLeaves':
-        for (const [key, { owner }] of this.heard) if (owner === message['owner']) this.heard.delete(key);
+        this.leaders.forget(String(message['owner']));
         return { kind: 'heard' };
       case 'words':
         return this.wordsFor(message);
@@ -505,31 +517,16 @@
       case 'withdraw':
         this.duties.withdraw(message['ballots'] as readonly Ballot[]);
         return { kind: 'heard' };
-      case 'readThrough': {
-        const key = message['key'];
-        const entry = isDocumentKey(key) ? await this.ownership(key).readThrough() : undefined;
-        return entry === undefined
-          ? { kind: 'notOwner' }
-          : { kind: 'read', revision: entry.revision, text: entry.text };
-      }
-      case 'change': {
-        const order = message['order'] as ChangeOrder;
-        const ownership = this.ownership(order.key);
-        return {
-          kind: 'changed',
-          outcome: ownership.state.kind === 'owning' ? ((await ownership.change(order)) ?? null) : null,
-        };
-      }
+      case 'change':
+        return { kind: 'changed', outcome: (await this.changeAsLeader(message['order'] as ChangeOrder)) ?? null };
+      case 'relayChange':
+        return { kind: 'changed', outcome: (await this.changeFromMember(message['order'] as ChangeOrder)) ?? null };
       case 'entry':
         return this.entries.give(message['key']);
       case 'passChange':
         return this.core.votes()
           ? { kind: 'changed', outcome: await this.change(message['order'] as ChangeOrder) }
           : { kind: 'noVote' };
-      case 'passRead': {
-        const key = message['key'];
-        return this.core.votes() && isDocumentKey(key) ? await this.read(key) : { kind: 'noVote' };
-      }
       case 'replace':
         return this.members.replace(String(message['gone']), String(message['name']), message['member'] as CoreMember);
       case 'takeIn':
@@ -556,6 +553,28 @@
     }
   }
 
+  private async prepare(order: Prepare): Promise<Message> {
+    const answer = await this.acceptor.prepare(order);
+    if (answer.kind === 'promised') this.leaders.promised(order.key, order.epoch);
+    return answer;
+  }
+
+  private async accept(order: Accept): Promise<Message> {
+    const answer = await this.acceptor.accept(order);
+    if (answer.kind === 'accepted') this.leaders.accepted(order.key, order.epoch);
+    return answer;
+  }
+
+  private async changeAsLeader(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
+    const ownership = this.ownership(order.key);
+    return ownership.state.kind === 'owning' ? ownership.change(order) : undefined;
+  }
+
+  /** For a member that does not reach the leader; passed on once and no further. */
+  private async changeFromMember(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
+    return (await this.changeAsLeader(order)) ?? this.changeAtLeader(order);
+  }
+
   private async vote(message: Message): Promise<Message> {
     const membersRevision = Number(message['membersRevision'] ?? 0);
     const answers = await this.duties.vote(message['ballots'] as readonly Ballot[], membersRevision);
@@ -569,10 +588,10 @@
     const key = message['key'];
     if (!this.core.votes() || message['fleet'] !== this.core.state.fleet || !isDocumentKey(key))
       return { kind: 'noVote' };
-    const isLed = this.ownerAddress(key) !== undefined && this.heard.get(key)?.owner !== message['candidate'];
+    const wouldDepose = this.leaders.wouldDepose(key, String(message['candidate']));
     return {
       kind: 'mayLead',
-      hearsLeader: isLed || this.ownership(key).state.kind === 'owning',
+      hearsLeader: wouldDepose || this.ownership(key).state.kind !== 'none',
       membersRevision: this.core.members().revision,
     };
   }
@@ -584,13 +603,7 @@
     if (!this.core.votes() || (message['fleet'] !== '' && message['fleet'] !== this.core.state.fleet))
       // Why name the members: who was led to a keeper that only stands by finds the others through it.
       return { kind: 'noVote', led: this.standing.ledMembers().map(({ address }) => address) };
-    const answer = {
-      kind: 'words',
-      stamp: this.core.stamp(),
-      membersRevision: this.core.members().revision,
-      view: this.core.members(),
-      words: this.words(),
-    };
+    const answer = this.wordsAnswer();
     // Why without the ages: they go on by themselves, and the asker counts them on.
     // Why with the start: who asks then notices that this keeper began anew, and has forgotten whom it met.
     const known = Digests.of(
@@ -601,6 +614,21 @@
     return message['known'] === known ? { kind: 'wordsSame', known } : { ...answer, known };
   }
 
+  /** What this replica holds, as agents and readers judge it. */
+  private wordsAnswer(): WordsAnswer {
+    const view = this.core.members();
+    return { kind: 'words', stamp: this.core.stamp(), membersRevision: view.revision, view, words: this.words() };
+  }
+
+  private heldText(key: DocumentKey, digest: string): string | undefined {
+    const entry = KeeperStates.cell(this.core.state, key).accepted?.entry;
+    return entry?.digest === digest ? entry.text : undefined;
+  }
+
+  private membersToAsk(): readonly CoreMember[] {
+    return this.core.votes() ? this.core.others().map(([, member]) => member) : this.standing.ledMembers();
+  }
+
   private ownership(key: DocumentKey): Ownership {
     const ownership = this.ownerships.get(key);
     if (ownership === undefined) throw new Error(`no such key ${String(key)}`);
@@ -608,13 +636,8 @@
   }
 
   private ownerAddress(key: DocumentKey): string | undefined {
-    const heard = this.heard.get(key);
-    if (
-      heard === undefined ||
-      this.effects.clock.nowMicroseconds() - heard.atMicroseconds > this.settings.ownerSilentMicroseconds
-    )
-      return undefined;
-    return this.core.members().members[heard.owner]?.address;
+    const leader = this.leaders.leader(key);
+    return leader === undefined ? undefined : this.core.members().members[leader.leader]?.address;
   }
 
   private firstMembersText(): string {
@@ -655,27 +678,34 @@
       if (answer.kind !== 'answered' || answer.message.kind !== 'heard') return;
       this.watch.hear(name);
       this.quorum.answered(name);
+      for (const { key, epoch } of (answer.message['promised'] ?? []) as readonly HigherPromise[])
+        this.leadAbove(key, epoch);
     } finally {
       this.telling.delete(name);
     }
   }
 
+  /** A member that promised a higher epoch can follow this leader only under one that is higher still. */
+  private leadAbove(key: DocumentKey, epoch: Epoch): void {
+    if (this.ownership(key).outranked(epoch)) void this.ownership(key).win();
+  }
+
   private hearOwners(message: Message): Message {
     if (message['fleet'] !== this.core.state.fleet) return { kind: 'noVote' };
-    this.watch.hear(String(message['owner']));
-    for (const word of message['words'] as readonly OwnerWord[]) {
-      const heard = this.heard.get(word.key);
-      if (heard !== undefined && Epochs.compare(heard.word.epoch, word.epoch) > 0) continue;
-      this.heard.set(word.key, {
-        word,
-        owner: String(message['owner']),
-        atMicroseconds: this.effects.clock.nowMicroseconds(),
-      });
+    const owner = String(message['owner']);
+    this.watch.hear(owner);
+    const words = message['words'] as readonly OwnerWord[];
+    for (const word of this.leaders.heartbeat(owner, words)) {
       if ((this.decided.get(word.key)?.revision ?? 0) <= word.revision) this.decided.set(word.key, word);
       this.ownership(word.key).outranked(word.epoch);
-      void this.repair(word, String(message['owner']));
+      void this.repair(word, owner);
     }
-    return { kind: 'heard' };
+    return { kind: 'heard', promised: words.flatMap((word) => this.higherPromise(word)) };
+  }
+
+  private higherPromise({ key, epoch }: OwnerWord): readonly HigherPromise[] {
+    const { promised } = KeeperStates.cell(this.core.state, key);
+    return Epochs.compare(promised, epoch) > 0 ? [{ key, epoch: promised }] : [];
   }
 
   /** A keeper that was away takes what it missed from the owner, instead of staying behind until the next change. */
--- a/source/core-keeper/operators/operatorsDoor.ts
+++ b/source/core-keeper/operators/operatorsDoor.ts
@@ -69,7 +69,8 @@
         : Clocks.within(clock, settings.answerMicroseconds + bytes * settings.answerMicrosecondsPerByte, work);
 
     const readOne = async (key: DocumentKey, response: ServerResponse): Promise<void> =>
-      give(response, words.document((await within(0, keeper.read(key))) ?? { kind: 'noMajority' }));
+      // A caller that has moved on must not leave its read behind.
+      give(response, words.document(await keeper.read(key, settings.answerMicroseconds || undefined)));
 
     const changeOne = async (place: ChangePlace, order: IncomingMessage, response: ServerResponse): Promise<void> => {
       const refused = words.head(place, order.headers);
--- a/source/core-keeper/operators/operatorsWords.ts
+++ b/source/core-keeper/operators/operatorsWords.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { OrderForm } from '../../shared/blueprint/dialect';
 import type { DocumentKey } from '../../shared/blueprint/types';
-import type { ReadOutcome } from '../coreKeeper';
+import type { ReadOutcome } from '../register/quorumReader';
 import type { ChangeOrder, ChangeOutcome } from '../register/messages';
 
 /** One kind of change that operators may order, and where. */
--- a/source/core-keeper/operators/ownWords.ts
+++ b/source/core-keeper/operators/ownWords.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { BlueprintLimits } from '../../shared/blueprint/check';
 import type { DocumentKey } from '../../shared/blueprint/types';
-import type { ReadOutcome } from '../coreKeeper';
+import type { ReadOutcome } from '../register/quorumReader';
 import type { ChangeOutcome } from '../register/messages';
 import type { ChangeCall, ChangePlace, DoorAnswer, DoorOutcome, OperatorsWords, OrderRead } from './operatorsWords';
 
--- a/source/core-keeper/register/acceptor.ts
+++ b/source/core-keeper/register/acceptor.ts
@@ -1,6 +1,6 @@
 import { Epochs } from '../../shared/register/types';
 import { KeeperStates } from '../ledger/keeperState';
-import type { Accept, AcceptAnswer, Prepare, PrepareAnswer } from './messages';
+import type { Accept, AcceptAnswer, Confirm, ConfirmAnswer, Prepare, PrepareAnswer } from './messages';
 import type { KeeperCore } from './keeperCore';
 
 /** The voter's side of the register. It answers only from what is synced. */
@@ -55,4 +55,18 @@
     if (written !== 'synced') return { kind: 'noVote' };
     return { kind: 'accepted', stamp: this.core.stamp(), membersRevision };
   }
+
+  /** What an accept of an entry that this replica holds already would answer; reads nothing but the state. */
+  public confirm(order: Confirm): ConfirmAnswer {
+    if (!this.core.votes() || order.fleet !== this.core.state.fleet) return { kind: 'noVote' };
+    const membersRevision = this.core.members().revision;
+    const { promised } = KeeperStates.cell(this.core.ledger.pending, order.key);
+    const isOldList = order.key !== 'core-members' && order.membersRevision < membersRevision;
+    if (isOldList || Epochs.compare(order.epoch, promised) < 0)
+      return { kind: 'outranked', epoch: promised, membersRevision };
+    const synced = KeeperStates.cell(this.core.state, order.key).accepted;
+    const isHeld =
+      synced !== null && Epochs.compare(synced.epoch, order.epoch) === 0 && synced.entry.revision === order.revision;
+    return isHeld ? { kind: 'accepted', stamp: this.core.stamp(), membersRevision } : { kind: 'behind' };
+  }
 }
--- a/source/core-keeper/register/messages.ts
+++ b/source/core-keeper/register/messages.ts
@@ -30,6 +30,18 @@
   entry: Entry;
 }>;
 
+/** Asks whether a replica still holds an accepted entry under the leader's epoch; the entry itself is not sent. */
+export type Confirm = Readonly<{
+  kind: 'confirm';
+  fleet: string;
+  membersRevision: number;
+  key: DocumentKey;
+  epoch: Epoch;
+  revision: number;
+}>;
+/** `behind`: it would accept the entry, but does not hold it. */
+export type ConfirmAnswer = AcceptAnswer | Readonly<{ kind: 'behind' }>;
+
 export type ChangeOrder = Readonly<{
   key: DocumentKey;
   form: OrderForm;
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -12,7 +12,16 @@
 import { Changes, Digests, emptyEntry } from './changes';
 import { MemberViews, type KeeperCore, type MemberView } from './keeperCore';
 import { OutcomeHistories } from './outcomeHistory';
-import type { Accept, AcceptAnswer, ChangeOrder, ChangeOutcome, OwnerWord, PrepareAnswer } from './messages';
+import type {
+  Accept,
+  AcceptAnswer,
+  ChangeOrder,
+  ChangeOutcome,
+  Confirm,
+  ConfirmAnswer,
+  OwnerWord,
+  PrepareAnswer,
+} from './messages';
 import type { CampaignReason, RegisterMetrics, RoundOutcome, RoundPurpose } from './registerMetrics';
 
 export type OwnershipState =
@@ -61,6 +70,9 @@
 const askAgainMicroseconds = 50_000;
 
 type Promised = Extract<PrepareAnswer, Readonly<{ kind: 'promised' }>>;
+/** What became of a change at the leader: its outcome, or that it leads no more and whether the entry may stand. */
+type LedChange =
+  Readonly<{ kind: 'answer'; outcome: ChangeOutcome }> | Readonly<{ kind: 'deposed'; mayStand: boolean }>;
 type Gathered =
   Readonly<{ kind: 'reached'; accepted: Accepted | null }> | Readonly<{ kind: 'missed'; outrankedBy: Epoch }>;
 
@@ -72,6 +84,7 @@
   private ledSince = -Infinity;
   private timesLed = 0;
   private serial: Promise<unknown> = Promise.resolve();
+  private hearers: readonly string[] = [];
 
   public constructor(
     private readonly key: DocumentKey,
@@ -98,6 +111,11 @@
     return this.timesLed;
   }
 
+  /** Members that heard a leader when this replica last asked whether it may campaign; addresses. */
+  public get leaderHearers(): readonly string[] {
+    return this.hearers;
+  }
+
   public word(): OwnerWord | undefined {
     return this.present.kind === 'owning'
       ? {
@@ -109,10 +127,12 @@
       : undefined;
   }
 
-  /** Another keeper's higher epoch: this one no longer owns the key. */
-  public outranked(epoch: Epoch): void {
+  /** A higher epoch was promised somewhere: this replica no longer leads the key. True where it did until now. */
+  public outranked(epoch: Epoch): boolean {
     if (Epochs.compare(epoch, this.highest) > 0) this.highest = epoch;
-    if (this.present.kind !== 'none' && Epochs.compare(epoch, this.present.epoch) > 0) this.step({ kind: 'lost' });
+    const wasLeading = this.present.kind !== 'none' && Epochs.compare(epoch, this.present.epoch) > 0;
+    if (wasLeading) this.step({ kind: 'lost' });
+    return wasLeading;
   }
 
   public win(reason: CampaignReason = 'request'): Promise<boolean> {
@@ -139,15 +159,6 @@
     return this.inTurn(() => this.changeNow(order));
   }
 
-  /** The value as of now: a majority still stands behind this owner's epoch. */
-  public readThrough(): Promise<Entry | undefined> {
-    return this.inTurn(async () => {
-      if (this.present.kind !== 'owning') return undefined;
-      const entry = this.present.entry;
-      return (await this.acceptNow(entry, 'confirm')) === 'reached' ? entry : undefined;
-    });
-  }
-
   private step(event: OwnershipEvent): void {
     const before = this.present.kind;
     const next = reduceOwnership(this.present, event);
@@ -206,10 +217,16 @@
     return true;
   }
 
+  /**
+   * The pre-vote, before any promise is asked for, whatever the campaign is for: a majority must answer, and none of it may hear
+   * a leader or have promised to another candidate a moment ago. Else each call that fails at one member would depose a leader
+   * that serves the others.
+   */
   private async mayCampaign(reason: CampaignReason): Promise<boolean> {
     const view = this.core.members();
-    const message = { kind: 'mayLead', key: this.key, fleet: this.core.state.fleet, candidate: this.core.name };
+    const message = { kind: 'mayLead', key: this.key, fleet: this.core.state.fleet, candidate: this.core.name, reason };
     const newer: string[] = [];
+    const hearers: string[] = [];
     const isReached = (answers: readonly (string | undefined)[]): boolean =>
       Stamps.reached(
         view.sets,
@@ -221,10 +238,13 @@
         const answer = await this.transport.ask(member.address, message, this.settings.askMicroseconds);
         if (answer.kind !== 'answered' || answer.message.kind !== 'mayLead') return undefined;
         if (Number(answer.message['membersRevision']) > view.revision) newer.push(member.address);
-        return reason === 'vacancy' && answer.message['hearsLeader'] === true ? undefined : name;
+        if (answer.message['hearsLeader'] !== true) return name;
+        hearers.push(member.address);
+        return undefined;
       }),
       isReached,
     );
+    this.hearers = hearers;
     const [address] = newer;
     // Members refuse whoever goes by an older list, and the leader that would repair this replica may be out of its reach.
     if (address !== undefined && this.key !== 'core-members') await this.settings.learnMembers(address);
@@ -331,14 +351,24 @@
     }
   }
 
+  /** Most replicas hold the leader's entry already, so only those that do not are sent it. */
+  private async askToConfirm(address: string, order: Accept, isOpen: () => boolean): Promise<AcceptAnswer> {
+    const { fleet, membersRevision, key, epoch, entry } = order;
+    const confirm: Confirm = { kind: 'confirm', fleet, membersRevision, key, epoch, revision: entry.revision };
+    const answer = await this.transport.ask(address, confirm, this.settings.askMicroseconds);
+    const given = answer.kind === 'answered' ? (answer.message as unknown as ConfirmAnswer) : undefined;
+    if (given !== undefined && given.kind !== 'behind') return given;
+    return isOpen() ? this.askToAccept(address, order, isOpen) : { kind: 'noVote' };
+  }
+
   /** Brings one entry onto a majority under the present epoch. Anything but 'reached' leaves its fate open. */
   private async acceptNow(entry: Entry, purpose: RoundPurpose): Promise<RoundOutcome> {
-    const outcome = await this.acceptRound(entry);
-    this.settings.metrics.round(this.key, purpose, outcome, entry.text.length);
+    const outcome = await this.acceptRound(entry, purpose);
+    this.settings.metrics.round(this.key, purpose, outcome, purpose === 'confirm' ? 0 : entry.text.length);
     return outcome;
   }
 
-  private async acceptRound(entry: Entry): Promise<RoundOutcome> {
+  private async acceptRound(entry: Entry, purpose: RoundPurpose): Promise<RoundOutcome> {
     if (this.present.kind !== 'owning' && this.present.kind !== 'settling') return 'missed';
     const epoch = this.present.epoch;
     const view = this.key === 'core-members' ? MemberViews.of(entry) : this.core.members();
@@ -370,7 +400,11 @@
       if (open === 0) resolve('missed');
       for (const [name, member] of Object.entries(view.members)) {
         const asked =
-          name === this.core.name ? this.acceptor.accept(order) : this.askToAccept(member.address, order, () => isOpen);
+          name === this.core.name
+            ? this.acceptor.accept(order)
+            : purpose === 'confirm'
+              ? this.askToConfirm(member.address, order, () => isOpen)
+              : this.askToAccept(member.address, order, () => isOpen);
         void asked.then((answer) => {
           answers.push(answer);
           open -= 1;
@@ -413,40 +447,40 @@
     return true;
   }
 
+  /** Undefined: this replica does not lead and may not. `unknown`: what it offered may stand, and it leads no more. */
   private async changeNow(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
     const until = this.clock.nowMicroseconds() + this.settings.changeMicroseconds;
     let mayStand = false;
-    let isDeposed = false;
-    for (;;) {
-      if (this.present.kind === 'owning') {
-        const planned = Changes.plan(this.present.entry, order, this.settings.dialect);
-        if (planned.kind === 'answer') {
-          // Why read through: a refusal or an earlier outcome from an owner long outranked would be a lie.
-          if ((await this.acceptNow(this.present.entry, 'confirm')) === 'reached') return planned.outcome;
-        } else {
-          const result = await this.acceptNow(planned.entry, 'change');
-          if (result === 'reached') {
-            this.step({ kind: 'decided', entry: planned.entry });
-            await this.settleMembers();
-            return { kind: 'taken', revision: planned.entry.revision };
-          }
-          if (result === 'full')
-            return {
-              kind: 'refused',
-              reason: 'full',
-              faults: [{ path: '', fault: 'the disks are full' }],
-              revision: this.present.kind === 'owning' ? this.present.entry.revision : 0,
-            };
-          mayStand = true;
-        }
-        // Why give up ownership: the entry may stand on a minority, and only a new epoch can settle what became of it.
-        this.step({ kind: 'lost' });
-        isDeposed = true;
-      }
-      if (this.clock.nowMicroseconds() >= until) return mayStand ? { kind: 'unknown' } : undefined;
-      if (isDeposed) await this.backOff();
-      isDeposed = !(await this.winNow());
+    while (await this.winNow()) {
+      const led = await this.changeAsLeader(order);
+      if (led.kind === 'answer') return led.outcome;
+      mayStand ||= led.mayStand;
+      // The entry may stand on a minority, and only a new epoch can settle what became of it.
+      this.step({ kind: 'lost' });
+      if (this.clock.nowMicroseconds() >= until) break;
+      await this.backOff();
+    }
+    return mayStand ? { kind: 'unknown' } : undefined;
+  }
+
+  private async changeAsLeader(order: ChangeOrder): Promise<LedChange> {
+    if (this.present.kind !== 'owning') return { kind: 'deposed', mayStand: false };
+    const { entry } = this.present;
+    const planned = Changes.plan(entry, order, this.settings.dialect);
+    if (planned.kind === 'answer') {
+      // A refusal or an earlier outcome from a leader long deposed would be wrong.
+      const isConfirmed = (await this.acceptNow(entry, 'confirm')) === 'reached';
+      return isConfirmed ? planned : { kind: 'deposed', mayStand: false };
+    }
+    const result = await this.acceptNow(planned.entry, 'change');
+    if (result === 'reached') {
+      this.step({ kind: 'decided', entry: planned.entry });
+      await this.settleMembers();
+      return { kind: 'answer', outcome: { kind: 'taken', revision: planned.entry.revision } };
     }
+    if (result === 'missed') return { kind: 'deposed', mayStand: true };
+    const faults = [{ path: '', fault: 'the disks are full' }];
+    return { kind: 'answer', outcome: { kind: 'refused', reason: 'full', faults, revision: entry.revision } };
   }
 
   /** Two replicas that campaign in step depose each other for ever; a pause by chance lets one of them finish. */
--- a/source/edge-agent/core-link/coreLink.ts
+++ b/source/edge-agent/core-link/coreLink.ts
@@ -6,7 +6,12 @@
 import { FleetVotes, type FleetName } from '../../shared/fleet/fleetName';
 import { Logs } from '../../shared/log/log';
 import { KeptWords } from './keptWords';
-import { MajorityReads, type MajorityRead, type MembersView, type WordsAnswer } from './majorityRead';
+import {
+  MajorityReads,
+  type MajorityRead,
+  type MembersView,
+  type WordsAnswer,
+} from '../../shared/register/majorityRead';
 
 /** What one address said: the fleet it leads to, and a keeper's words. */
 type Said = Readonly<{ fleet: string; words: WordsAnswer | undefined; led: readonly string[] }>;
--- a/source/edge-agent/core-link/keptWords.ts
+++ b/source/edge-agent/core-link/keptWords.ts
@@ -1,5 +1,5 @@
 import type { KeyWord } from '../../shared/register/types';
-import type { WordsAnswer } from './majorityRead';
+import type { WordsAnswer } from '../../shared/register/majorityRead';
 
 type Kept = Readonly<{ words: WordsAnswer; known: string; atMicroseconds: number }>;
 
--- a/source/edge-agent/stewards/dutyHolder.ts
+++ b/source/edge-agent/stewards/dutyHolder.ts
@@ -2,7 +2,7 @@
 import type { Log } from '../../shared/log/log';
 import { Stamps } from '../../shared/register/types';
 import type { CoreLink } from '../core-link/coreLink';
-import type { MembersView } from '../core-link/majorityRead';
+import type { MembersView } from '../../shared/register/majorityRead';
 
 export type DutyState =
   | Readonly<{ kind: 'idle' }>
--- a/source/edge-agent/core-link/majorityRead.ts
+++ b/source/shared/register/majorityRead.ts
@@ -1,7 +1,7 @@
-import type { CoreMember, DocumentKey } from '../../shared/blueprint/types';
-import { DocumentKeys } from '../../shared/blueprint/types';
-import type { Statement } from '../../shared/freshness/freshness';
-import { Epochs, Stamps, type KeyWord, type Stamp } from '../../shared/register/types';
+import type { CoreMember, DocumentKey } from '../blueprint/types';
+import { DocumentKeys } from '../blueprint/types';
+import type { Statement } from '../freshness/freshness';
+import { Epochs, Stamps, type KeyWord, type Stamp } from './types';
 
 /** The list of members as one of them knows it; two sets while the list changes. */
 export type MembersView = Readonly<{
@@ -21,6 +21,8 @@
 export type MajorityRead = Readonly<{
   statements: readonly Omit<Statement, 'ageMicroseconds'>[];
   view: MembersView | undefined;
+  /** A majority of the newest list of members has answered; what it says may still be undecided. */
+  isMajority: boolean;
 }>;
 
 const weightsOf = (words: readonly KeyWord[]): Statement['weights'] => {
@@ -62,7 +64,7 @@
         sound.map(({ stamp }) => stamp.keeper),
       )
     )
-      return { statements: [], view };
+      return { statements: [], view, isMajority: false };
     const statements: Omit<Statement, 'ageMicroseconds'>[] = [];
     for (const key of DocumentKeys) {
       const words = sound.flatMap((answer) =>
@@ -95,6 +97,6 @@
             : {},
       });
     }
-    return { statements, view };
+    return { statements, view, isMajority: true };
   },
 } as const;
--- a/tests/kept-words.test.ts
+++ b/tests/kept-words.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { KeptWords } from '../source/edge-agent/core-link/keptWords';
-import type { WordsAnswer } from '../source/edge-agent/core-link/majorityRead';
+import type { WordsAnswer } from '../source/shared/register/majorityRead';
 import { SimBlueprints, SimFleet, usualShape } from '../source/fleet-simulator/machines/simFleet';
 import { World } from '../source/fleet-simulator/world/world';
 
--- a/tests/policies.test.ts
+++ b/tests/policies.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { WeightsPlans } from '../source/edge-agent/stewards/weightsPlan';
 import { Membership } from '../source/edge-agent/membership/membership';
-import { MajorityReads, type WordsAnswer } from '../source/edge-agent/core-link/majorityRead';
+import { MajorityReads, type WordsAnswer } from '../source/shared/register/majorityRead';
 import { DutyVoter } from '../source/core-keeper/duties/dutyVoter';
 import { KeeperCore } from '../source/core-keeper/register/keeperCore';
 import { Ledger } from '../source/core-keeper/ledger/ledger';
--- a/tests/support/controlFleet.ts
+++ b/tests/support/controlFleet.ts
@@ -1,5 +1,6 @@
-import { CoreKeeper, KeeperDefaults, type KeeperSettings, type ReadOutcome } from '../../source/core-keeper/coreKeeper';
+import { CoreKeeper, KeeperDefaults, type KeeperSettings } from '../../source/core-keeper/coreKeeper';
 import type { ChangeOrder, ChangeOutcome } from '../../source/core-keeper/register/messages';
+import type { ReadOutcome } from '../../source/core-keeper/register/quorumReader';
 import { SimDisk } from '../../source/fleet-simulator/world/simDisk';
 import { SimNetwork } from '../../source/fleet-simulator/world/simNetwork';
 import { SimProcess } from '../../source/fleet-simulator/world/simProcess';
--- a/tests/support/model/modelReplica.ts
+++ b/tests/support/model/modelReplica.ts
@@ -4,7 +4,14 @@
 import { Acceptor } from '../../../source/core-keeper/register/acceptor';
 import { EntryTransfer } from '../../../source/core-keeper/register/entryTransfer';
 import { KeeperCore } from '../../../source/core-keeper/register/keeperCore';
-import type { Accept, ChangeOrder, ChangeOutcome, Prepare } from '../../../source/core-keeper/register/messages';
+import type {
+  Accept,
+  ChangeOrder,
+  ChangeOutcome,
+  Confirm,
+  Prepare,
+} from '../../../source/core-keeper/register/messages';
+import { QuorumReader } from '../../../source/core-keeper/register/quorumReader';
 import { RegisterMetrics } from '../../../source/core-keeper/register/registerMetrics';
 import { Ownership } from '../../../source/core-keeper/register/ownership';
 import { MemberChanges } from '../../../source/core-keeper/standing/memberChanges';
@@ -14,7 +21,8 @@
 import type { Cancel, Clock } from '../../../source/shared/effects/clock/clock';
 import type { Message, Transport } from '../../../source/shared/effects/transport/transport';
 import { Metrics } from '../../../source/shared/metrics/metrics';
-import { Epochs, type KeyWord } from '../../../source/shared/register/types';
+import type { WordsAnswer } from '../../../source/shared/register/majorityRead';
+import { Epochs, type Epoch, type KeyWord } from '../../../source/shared/register/types';
 import type { ModelDisk } from './modelDisk';
 import { registerDialect } from './registerDialect';
 
@@ -54,6 +62,8 @@
   timer: (act: () => void) => void;
   /** Stands for the heartbeats: who within reach leads the key. */
   leaderOf: (key: DocumentKey) => ModelReplica | undefined;
+  /** Stands for the answers to heartbeats: the highest epoch promised to anybody, on a replica within reach. */
+  highestPromise: (key: DocumentKey) => Epoch;
 }>;
 
 /** Replicas have names of one letter; each has an address of its own. */
@@ -77,6 +87,7 @@
   private readonly entries: EntryTransfer;
   private readonly standing: StandingKeeper;
   private readonly members: MemberChanges;
+  private readonly reader: QuorumReader;
   private readonly leaderships: ReadonlyMap<DocumentKey, Ownership>;
 
   public constructor(
@@ -125,6 +136,17 @@
       silent,
       silent,
     );
+    this.reader = new QuorumReader(
+      {
+        fleet: () => this.core.state.fleet,
+        members: () => this.core.others().map(([, member]) => member),
+        ownAnswer: () => (this.core.votes() ? this.wordsAnswer() : undefined),
+        heldText: (key, digest) => this.heldText(key, digest),
+      },
+      transport,
+      clock,
+      { askMicroseconds },
+    );
     this.members = new MemberChanges(
       this.core,
       clock,
@@ -146,6 +168,11 @@
     );
   }
 
+  private wordsAnswer(): WordsAnswer {
+    const view = this.core.members();
+    return { kind: 'words', stamp: this.core.stamp(), membersRevision: view.revision, view, words: this.words() };
+  }
+
   public async open(): Promise<void> {
     await this.ledger.open();
   }
@@ -166,14 +193,13 @@
     return this.leadership(order.key).change(order);
   }
 
-  /** A read as of now: through a leadership that a majority confirms. Undefined: there was none. */
+  /** A read as of now. Where a value stands on a minority, a campaign settles it first. Undefined: no majority. */
   public async read(): Promise<number | undefined> {
-    const leadership = this.leadership('blueprint');
     // A replica that was away learns the present epoch by a campaign that fails, and campaigns above it.
     for (let attempt = 0; attempt < readAttempts; attempt += 1) {
-      if (!(await leadership.win('request'))) continue;
-      const entry = await leadership.readThrough();
-      if (entry !== undefined) return entry.revision;
+      const read = await this.reader.read('blueprint', 1);
+      if (read.kind === 'read') return read.revision;
+      await this.leadership('blueprint').win('request');
     }
     return undefined;
   }
@@ -202,7 +228,9 @@
   private async follow(key: DocumentKey): Promise<void> {
     if (!this.core.votes()) return;
     const leader = this.effects.leaderOf(key);
-    if (leader === undefined) await this.leadership(key).win('vacancy');
+    if (leader === this && this.leadership(key).outranked(this.effects.highestPromise(key)))
+      await this.leadership(key).win('request');
+    else if (leader === undefined) await this.leadership(key).win('vacancy');
     else if (leader !== this && leader.holding(key) !== this.holding(key))
       await this.entries.take(key, addressOf(leader.name));
   }
@@ -229,21 +257,29 @@
           ? { kind: 'mayLead', hearsLeader: this.hearsLeader(message), membersRevision: this.core.members().revision }
           : { kind: 'noVote' };
       case 'words':
-        return this.core.votes()
-          ? {
-              kind: 'words',
-              stamp: this.core.stamp(),
-              membersRevision: this.core.members().revision,
-              words: this.words(),
-            }
-          : { kind: 'noVote' };
+        return this.core.votes() ? this.wordsAnswer() : { kind: 'noVote' };
+      case 'body':
+        return this.body(message);
+      case 'confirm':
+        return this.acceptor.confirm(message as unknown as Confirm);
       default:
         return { kind: 'noVote' };
     }
   }
 
-  private hearsLeader({ key }: Message): boolean {
-    return isDocumentKey(key) && this.effects.leaderOf(key) !== undefined;
+  private heldText(key: DocumentKey, digest: string): string | undefined {
+    const entry = KeeperStates.cell(this.core.state, key).accepted?.entry;
+    return entry?.digest === digest ? entry.text : undefined;
+  }
+
+  private body({ key, digest }: Message): Message {
+    const text = isDocumentKey(key) ? this.heldText(key, String(digest)) : undefined;
+    return text === undefined ? { kind: 'noBody' } : { kind: 'body', key, revision: 0, digest, text };
+  }
+
+  /** Safety must not rest on the pre-vote, so a campaign for a request deposes any leader here. */
+  private hearsLeader({ key, reason }: Message): boolean {
+    return reason === 'vacancy' && isDocumentKey(key) && this.effects.leaderOf(key) !== undefined;
   }
 
   /** All that later behaviour depends on, but for what is under way. */
--- a/tests/support/model/registerModel.ts
+++ b/tests/support/model/registerModel.ts
@@ -3,9 +3,10 @@
  * at most one change a base is confirmed, what was confirmed stays, reads never go back, nothing refused is in force.
  */
 import type { ChangeOrder, ChangeOutcome } from '../../../source/core-keeper/register/messages';
+import { KeeperStates } from '../../../source/core-keeper/ledger/keeperState';
 import type { DocumentKey } from '../../../source/shared/blueprint/types';
 import type { Message, Transport } from '../../../source/shared/effects/transport/transport';
-import { Epochs } from '../../../source/shared/register/types';
+import { Epochs, type Epoch } from '../../../source/shared/register/types';
 import type { Choice, ModelRun } from './explorer';
 import { ModelDisk } from './modelDisk';
 import { ModelReplica, nameAt } from './modelReplica';
@@ -269,6 +270,13 @@
     return undefined;
   }
 
+  private highestPromise(by: string, key: DocumentKey): Epoch {
+    const promises = [...this.machines].flatMap(([name, { replica, isUp }]) =>
+      isUp && this.isLinked(by, name) ? [KeeperStates.cell(replica.ledger.synced, key).promised] : [],
+    );
+    return promises.reduce((high, epoch) => (Epochs.compare(epoch, high) > 0 ? epoch : high), Epochs.none);
+  }
+
   private isLinked(from: string, to: string): boolean {
     return this.sides.length === 0 || this.sides.some((side) => side.includes(from) && side.includes(to));
   }
@@ -276,12 +284,18 @@
   private call(call: Call): void {
     this.called += 1;
     if (isAsked(call)) this.ask(call);
-    else if (call.kind === 'split') this.sides = call.sides;
-    else if (call.kind === 'heal') this.sides = [];
+    else if (call.kind === 'split') this.link(call.sides);
+    else if (call.kind === 'heal') this.link([]);
     else if (call.kind === 'power') this.stop(call.at);
     else if (call.kind === 'wipe') this.wipe(call.at);
   }
 
+  /** Whoever found nothing to do may have something to do now. */
+  private link(sides: readonly (readonly string[])[]): void {
+    this.sides = sides;
+    this.stepped.clear();
+  }
+
   private ask(call: Asked): void {
     const { replica, life } = this.machine(call.at);
     const over = this.begun(call.at, life);
@@ -328,6 +342,7 @@
       transport: this.transport(name, isAlive),
       disk,
       leaderOf: (key) => this.leaderOf(name, key),
+      highestPromise: (key) => this.highestPromise(name, key),
       timer: (act) => this.timers.push(() => (isAlive() ? act() : undefined)),
       later: (act) => this.pending.push({ label: `${name} syncs`, act: () => (isAlive() ? act() : undefined) }),
     });
