--- a/tests/support/soak.ts
+++ b/tests/support/soak.ts
@@ -7,6 +7,7 @@
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import type { Child } from '../../source/fleet-runner/machines/child';
 import { LocalFleet, type EdgeMachine, type KeeperMachine } from '../../source/fleet-runner/machines/fleet';
 import { seededRandom, type Random } from '../../source/shared/effects/random/random';
 import { chat, key, order, smallShape } from './realFleet';
@@ -35,7 +36,7 @@
 };
 
 type Kill = Readonly<{ edge: string; at: number }>;
-type Action = Readonly<{ name: string; act: (soak: Soak) => Promise<void> }>;
+type Action = (soak: Soak) => Promise<void>;
 
 const startLimitMilliseconds = 60_000;
 const healLimitMilliseconds = 30_000;
@@ -84,7 +85,7 @@
       if (underWay.size >= mostAtOnce) continue;
       const action = actions[Math.floor(this.random.fraction() * actions.length)];
       if (action === undefined) continue;
-      const done: Promise<void> = action.act(this).finally(() => underWay.delete(done));
+      const done: Promise<void> = action(this).finally(() => underWay.delete(done));
       underWay.add(done);
     }
     await Promise.all(underWay);
@@ -187,113 +188,75 @@
 const keeperOf = (soak: Soak): KeeperMachine => soak.one(soak.fleet.keepers);
 const edgeOf = (soak: Soak): EdgeMachine => soak.one(soak.fleet.edges);
 
-const killProxy = async (soak: Soak, edge: EdgeMachine): Promise<void> => {
-  soak.kills.push({ edge: edge.name, at: performance.now() });
-  await edge.proxy.kill();
+/** A process that may be stopped and started again. */
+type Target = Readonly<{ name: string; child: Child; edge?: string }>;
+
+const proxyOf = (soak: Soak): Target => {
+  const edge = edgeOf(soak);
+  return { name: `${edge.name} proxy`, child: edge.proxy, edge: edge.name };
+};
+
+const agentOf = (soak: Soak): Target => {
+  const edge = edgeOf(soak);
+  return { name: `${edge.name} agent`, child: edge.agent };
+};
+
+const stopsAndStarts =
+  (target: (soak: Soak) => Target): Action =>
+  (soak) => {
+    const { name, child } = target(soak);
+    return soak.exclusively(name, 'SIGTERM', async () => {
+      await child.term();
+      await soak.restartPause();
+      child.start();
+    });
+  };
+
+const isKilled =
+  (target: (soak: Soak) => Target): Action =>
+  (soak) => {
+    const { name, child, edge } = target(soak);
+    return soak.exclusively(name, 'SIGKILL', async () => {
+      if (edge !== undefined) soak.kills.push({ edge, at: performance.now() });
+      await child.kill();
+      await soak.restartPause();
+      child.start();
+    });
+  };
+
+const standsStill: Action = (soak) => {
+  const { name, child } = keeperOf(soak);
+  return soak.exclusively(name, 'SIGSTOP', async () => {
+    child.signal('SIGSTOP');
+    await pause(soak.random.fraction() * freezeMostMilliseconds);
+    child.signal('SIGCONT');
+  });
+};
+
+const hangsUp: Action = (soak) => {
+  const told = [proxyOf(soak), agentOf(soak), keeperOf(soak)].filter(({ name }) => soak.isSteady(name));
+  for (const { name, child } of told) {
+    soak.actions.push(`SIGHUP ${name}`);
+    child.signal('SIGHUP');
+  }
+  return Promise.resolve();
+};
+
+const configurationChanges: Action = (soak) => {
+  soak.actions.push('change');
+  return soak.change();
 };
 
 const actions: readonly Action[] = [
-  {
-    name: 'a proxy stops and starts',
-    act: (soak) => {
-      const edge = edgeOf(soak);
-      return soak.exclusively(`${edge.name} proxy`, 'SIGTERM', async () => {
-        await edge.proxy.term();
-        await soak.restartPause();
-        edge.proxy.start();
-      });
-    },
-  },
-  {
-    name: 'an agent stops and starts',
-    act: (soak) => {
-      const edge = edgeOf(soak);
-      return soak.exclusively(`${edge.name} agent`, 'SIGTERM', async () => {
-        await edge.agent.term();
-        await soak.restartPause();
-        edge.agent.start();
-      });
-    },
-  },
-  {
-    name: 'a proxy is killed',
-    act: (soak) => {
-      const edge = edgeOf(soak);
-      return soak.exclusively(`${edge.name} proxy`, 'SIGKILL', async () => {
-        await killProxy(soak, edge);
-        await soak.restartPause();
-        edge.proxy.start();
-      });
-    },
-  },
-  {
-    name: 'an agent is killed',
-    act: (soak) => {
-      const edge = edgeOf(soak);
-      return soak.exclusively(`${edge.name} agent`, 'SIGKILL', async () => {
-        await edge.agent.kill();
-        await soak.restartPause();
-        edge.agent.start();
-      });
-    },
-  },
-  {
-    name: 'a control node stops and starts',
-    act: (soak) => {
-      const keeper = keeperOf(soak);
-      return soak.exclusively(keeper.name, 'SIGTERM', async () => {
-        await keeper.child.term();
-        await soak.restartPause();
-        keeper.child.start();
-      });
-    },
-  },
-  {
-    name: 'a control node is killed',
-    act: (soak) => {
-      const keeper = keeperOf(soak);
-      return soak.exclusively(keeper.name, 'SIGKILL', async () => {
-        await keeper.child.kill();
-        await soak.restartPause();
-        keeper.child.start();
-      });
-    },
-  },
-  {
-    name: 'a control node stands still',
-    act: (soak) => {
-      const keeper = keeperOf(soak);
-      return soak.exclusively(keeper.name, 'SIGSTOP', async () => {
-        keeper.child.signal('SIGSTOP');
-        await pause(soak.random.fraction() * freezeMostMilliseconds);
-        keeper.child.signal('SIGCONT');
-      });
-    },
-  },
-  {
-    name: 'settings may have changed',
-    act: (soak) => {
-      const edge = edgeOf(soak);
-      const keeper = keeperOf(soak);
-      const told = [
-        { name: `${edge.name} proxy`, child: edge.proxy },
-        { name: `${edge.name} agent`, child: edge.agent },
-        keeper,
-      ].filter(({ name }) => soak.isSteady(name));
-      for (const { name, child } of told) {
-        soak.actions.push(`SIGHUP ${name}`);
-        child.signal('SIGHUP');
-      }
-      return Promise.resolve();
-    },
-  },
-  {
-    name: 'the configuration changes',
-    act: (soak) => {
-      soak.actions.push('change');
-      return soak.change();
-    },
-  },
+  stopsAndStarts(proxyOf),
+  stopsAndStarts(agentOf),
+  stopsAndStarts(keeperOf),
+  isKilled(proxyOf),
+  isKilled(agentOf),
+  isKilled(keeperOf),
+  standsStill,
+  hangsUp,
+  configurationChanges,
 ];
 
 const runsIn = (fleet: LocalFleet): ReadonlyMap<string, number> => {
@@ -312,23 +275,23 @@
   status === 200 && isWhole && text.includes('[DONE]');
 const isRefused = ({ status, isWhole }: Attempt): boolean => status >= 400 && isWhole;
 
-const faultOf = (attempt: Attempt, ran: number, isKilled: boolean): string | undefined => {
+const faultOf = (attempt: Attempt, ran: number, wasKilled: boolean): string | undefined => {
   if (ran > 1) return `ran ${ran} times`;
   if (isAnswered(attempt)) return ran === 1 ? undefined : 'answered without a run';
   if (attempt.status === 200 && attempt.isWhole) return 'a cut answer looks whole';
   if (attempt.verdict === 'notRun' && ran > 0) return 'refused as not run, and it ran';
   if (isRefused(attempt)) return undefined;
   // A request that crosses a close and is not passed on is the client's to send again.
-  return ran === 0 || isKilled ? undefined : 'passed on, and its connection closed without a whole answer';
+  return ran === 0 || wasKilled ? undefined : 'passed on, and its connection closed without a whole answer';
 };
 
 const judged = (soak: Soak): readonly string[] => {
   const runs = runsIn(soak.fleet);
   return soak.attempts.flatMap((attempt) => {
-    const isKilled = soak.kills.some(
+    const wasKilled = soak.kills.some(
       ({ edge, at }) => edge === attempt.edge && at >= attempt.startedAt - 50 && at <= attempt.endedAt + 50,
     );
-    const fault = faultOf(attempt, runs.get(attempt.nonce) ?? 0, isKilled);
+    const fault = faultOf(attempt, runs.get(attempt.nonce) ?? 0, wasKilled);
     return fault === undefined ? [] : [`${attempt.nonce} ${attempt.status} ${attempt.verdict}: ${fault}`];
   });
 };
