--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -152,17 +152,17 @@
       ],
       ['shared/freshness/freshness.ts', 'statement.revision < this.sinceRevision', 'statement.revision < 0'],
       [
-        'edge-agent/core-link/majorityRead.ts',
+        'shared/register/majorityRead.ts',
         'Epochs.compare(word.epoch, best.epoch) > 0 ||',
         'Epochs.compare(word.epoch, best.epoch) < 0 ||',
       ],
       [
-        'edge-agent/core-link/majorityRead.ts',
+        'shared/register/majorityRead.ts',
         'word.revision > best.revision) ? word',
         'word.revision < best.revision) ? word',
       ],
       [
-        'edge-agent/core-link/majorityRead.ts',
+        'shared/register/majorityRead.ts',
         '!Stamps.reached(view.sets, holders) && !said && !known',
         'holders.length === 0 && !said && !known',
       ],
