--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -2,24 +2,23 @@
 import { ownDialect, rememberingDialect, type Dialect } from '../shared/blueprint/dialect';
 import { DocumentKeys, isDocumentKey, type CoreMember, type DocumentKey } from '../shared/blueprint/types';
 import { Ticker } from '../shared/effects/clock/ticker';
-import { FactKeys, type MemberFact } from '../shared/news/factTypes';
-import { Clocks } from '../shared/effects/clock/clock';
 import type { Disk } from '../shared/effects/disk/disk';
 import type { Effects } from '../shared/effects/effects';
 import { FleetTransport } from '../shared/fleet/fleetTransport';
-import type { Answer, Listener, Message } from '../shared/effects/transport/transport';
+import type { Listener, Message } from '../shared/effects/transport/transport';
 import { BodyPacker } from '../shared/freshness/bodies';
 import { LimitedLogs } from '../shared/log/limitedLog';
 import { Logs, type Log } from '../shared/log/log';
 import { Metrics } from '../shared/metrics/metrics';
-import { FactLimits, Facts, type Fact } from '../shared/news/facts';
 import { Rendezvous } from '../shared/rendezvous/rendezvous';
 import type { WordsAnswer } from '../shared/register/majorityRead';
 import { Epochs, type Epoch, type KeyWord } from '../shared/register/types';
 import { DutyVoter, type Ballot } from './duties/dutyVoter';
 import { Ledger } from './ledger/ledger';
 import { KeeperStates, type Standing } from './ledger/keeperState';
+import { AgentContacts } from './operators/agentContacts';
 import { Acceptor } from './register/acceptor';
+import { ChangeRouter } from './register/changeRouter';
 import { Digests } from './register/changes';
 import { EntryTransfer } from './register/entryTransfer';
 import { KeeperCore } from './register/keeperCore';
@@ -88,25 +87,9 @@
   isOnlyFleet: false,
 } as const;
 
-/** Starting value, ours: how often a keeper that waits for an owner looks whether that one still lives. */
-const ownerLookMicroseconds = 50_000;
-
-const askerKeptMicroseconds = 20_000_000;
-
 /** A leader steps down once no majority has answered it for so many times the silence after which others look for one. */
 const quorumSilences = 2;
 
-/** Starting values, ours: the pause before a change that nobody took is tried again. */
-const leastPauseMicroseconds = 30_000;
-const pauseSpreadMicroseconds = 120_000;
-
-const noMajority: ChangeOutcome = {
-  kind: 'refused',
-  reason: 'noMajority',
-  faults: [{ path: '', fault: 'no majority of control nodes answers' }],
-  revision: 0,
-};
-
 /** How often whoever leads the list of members looks whether a newcomer has caught up. */
 const memberStepMicroseconds = 150_000;
 
@@ -154,10 +137,8 @@
   private readonly notice: Log;
   private listener: Listener | undefined;
   private readonly startedMicroseconds: number;
-  /** Agents that named this keeper as a seed; a first contact only, bounded like all news. */
-  private readonly askers = new Map<string, Readonly<{ fact: Fact; atMicroseconds: number }>>();
-  /** Changes that were asked for here and have no outcome yet, by all that tells one from another but its text. */
-  private readonly changing = new Map<string, Readonly<{ order: ChangeOrder; outcome: Promise<ChangeOutcome> }>>();
+  private readonly agentContacts: AgentContacts;
+  private readonly changeRouter: ChangeRouter;
   private readonly repairing = new Set<DocumentKey>();
   private readonly quietUntil = new Map<DocumentKey, number>();
 
@@ -219,6 +200,18 @@
       this.notice,
       () => this.duties.waitOneLease(settings.leaseMicroseconds),
     );
+    this.agentContacts = new AgentContacts(clock);
+    this.changeRouter = new ChangeRouter(
+      {
+        leadership: (key) => this.ownership(key),
+        leaderAddress: (key) => this.ownerAddress(key),
+        ledMembers: () => this.standing.ledMembers(),
+      },
+      transport,
+      clock,
+      random,
+      settings,
+    );
     this.reader = new QuorumReader(
       {
         fleet: () => this.standing.fleet(),
@@ -337,108 +330,19 @@
     return outcome;
   }
 
-  /**
-   * A change by whoever leads the key: this replica, the leader it hears, or the one that other members hear. It campaigns only
-   * where a majority hears no leader. The change id keeps one outcome, however often it is passed on.
-   */
+  /** A change by whoever leads the key; the change id keeps one outcome, however often it is passed on. */
   public change(order: ChangeOrder): Promise<ChangeOutcome> {
-    const identity = JSON.stringify([order.key, order.id, order.form, order.ifMatch, order.learner]);
-    const underWay = this.changing.get(identity);
-    // A caller that sends the same change again waits for the attempt under way, and does not add another one to it.
-    if (underWay !== undefined && underWay.order.text === order.text) return underWay.outcome;
-    const outcome = this.changeNow(order).finally(() => this.changing.delete(identity));
-    this.changing.set(identity, { order, outcome });
-    return outcome;
-  }
-
-  private async changeNow(order: ChangeOrder): Promise<ChangeOutcome> {
-    if (this.standing.ledMembers().length > 0) return this.passChange(order);
-    const { clock, random } = this.effects;
-    const until = clock.nowMicroseconds() + this.settings.changeMicroseconds;
-    let maySettle = false;
-    for (;;) {
-      const outcome = await this.changeOnce(order);
-      if (outcome !== undefined && outcome.kind !== 'unknown') return outcome;
-      maySettle ||= outcome?.kind === 'unknown';
-      if (clock.nowMicroseconds() >= until) return maySettle ? { kind: 'unknown' } : noMajority;
-      await Clocks.wait(clock, leastPauseMicroseconds + Math.floor(random.fraction() * pauseSpreadMicroseconds));
-    }
-  }
-
-  /** Undefined: nobody took it. `unknown`: somebody may have. */
-  private async changeOnce(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
-    const ownership = this.ownership(order.key);
-    const forwarded = ownership.state.kind === 'owning' ? undefined : await this.changeAtLeader(order);
-    if (forwarded !== undefined && forwarded.kind !== 'unknown') return forwarded;
-    const own = await ownership.change(order);
-    if (own !== undefined) return own;
-    return (await this.relayChange(order, ownership.leaderHearers)) ?? forwarded;
-  }
-
-  /** Undefined: no leader is heard, or the one that was heard leads no more. `unknown`: it fell silent. */
-  private async changeAtLeader(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
-    const address = this.ownerAddress(order.key);
-    if (address === undefined) return undefined;
-    const answer = await this.askOwner(order.key, address, { kind: 'change', order }, this.settings.passMicroseconds);
-    if (answer.kind !== 'answered' || answer.message.kind !== 'changed') return { kind: 'unknown' };
-    return (answer.message['outcome'] as ChangeOutcome | null) ?? undefined;
-  }
-
-  /** Where only other members reach the leader: one of them passes the change on. */
-  private async relayChange(order: ChangeOrder, addresses: readonly string[]): Promise<ChangeOutcome | undefined> {
-    const address = addresses[Math.floor(this.effects.random.fraction() * addresses.length)];
-    if (address === undefined) return undefined;
-    const message = { kind: 'relayChange', order };
-    const answer = await this.effects.transport.ask(address, message, this.settings.passMicroseconds);
-    if (answer.kind !== 'answered' || answer.message.kind !== 'changed') return { kind: 'unknown' };
-    return (answer.message['outcome'] as ChangeOutcome | null) ?? undefined;
-  }
-
-  /** Why not wait for the limit: an owner that falls silent meanwhile will not answer, and others can take over. */
-  private askOwner(key: DocumentKey, owner: string, message: Message, limitMicroseconds: number): Promise<Answer> {
-    return new Promise((resolve) => {
-      let isOpen = true;
-      const settle = (answer: Answer): void => {
-        isOpen = false;
-        resolve(answer);
-      };
-      const look = (): void => {
-        if (!isOpen) return;
-        if (this.ownerAddress(key) !== owner) settle({ kind: 'silent', reason: 'the owner fell silent' });
-        else this.effects.clock.after(ownerLookMicroseconds, look);
-      };
-      this.effects.clock.after(ownerLookMicroseconds, look);
-      void this.effects.transport.ask(owner, message, limitMicroseconds).then(settle);
-    });
-  }
-
-  /** A keeper without a voice passes operators' calls on to the members that it stands by for. */
-  private async passChange(order: ChangeOrder): Promise<ChangeOutcome> {
-    let maySettle = false;
-    for (const { address } of this.standing.ledMembers()) {
-      const answer = await this.effects.transport.ask(
-        address,
-        { kind: 'passChange', order },
-        this.settings.passMicroseconds,
-      );
-      if (answer.kind === 'answered' && answer.message.kind === 'changed')
-        return answer.message['outcome'] as ChangeOutcome;
-      maySettle ||= answer.kind === 'silent';
-    }
-    return maySettle ? { kind: 'unknown' } : noMajority;
+    return this.changeRouter.change(order);
   }
 
   /** Agents that named this keeper as a seed not long ago. */
   public agents(): readonly unknown[] {
-    const now = this.effects.clock.nowMicroseconds();
-    return [...this.askers.values()]
-      .filter(({ atMicroseconds }) => now - atMicroseconds <= askerKeptMicroseconds)
-      .map(({ fact }) => fact.value);
+    return this.agentContacts.recent();
   }
 
   /** What an agent says of itself and the fleet. Undefined: this keeper does not know it, or it does not answer. */
   public async agentStatus(name: string): Promise<unknown> {
-    const address = (this.askers.get(FactKeys.member(name))?.fact.value as MemberFact | undefined)?.address;
+    const address = this.agentContacts.address(name);
     if (address === undefined) return undefined;
     const answer = await this.effects.transport.ask(address, { kind: 'status' }, this.settings.askMicroseconds);
     return answer.kind === 'answered' && answer.message.kind === 'status' ? answer.message['status'] : undefined;
@@ -530,9 +434,15 @@
         this.duties.withdraw(message['ballots'] as readonly Ballot[]);
         return { kind: 'heard' };
       case 'change':
-        return { kind: 'changed', outcome: (await this.changeAsLeader(message['order'] as ChangeOrder)) ?? null };
+        return {
+          kind: 'changed',
+          outcome: (await this.changeRouter.changeAsLeader(message['order'] as ChangeOrder)) ?? null,
+        };
       case 'relayChange':
-        return { kind: 'changed', outcome: (await this.changeFromMember(message['order'] as ChangeOrder)) ?? null };
+        return {
+          kind: 'changed',
+          outcome: (await this.changeRouter.changeFromMember(message['order'] as ChangeOrder)) ?? null,
+        };
       case 'entry':
         return this.entries.give(message['key']);
       case 'passChange':
@@ -555,7 +465,7 @@
           : { kind: 'noVote' };
       case 'news':
         // Why answered at all: a keeper as a seed leads an agent to its first colleagues.
-        return this.seedNews(message);
+        return this.agentContacts.seedNews(message['own']);
       case 'newsMore':
         return { kind: 'heard' };
       case 'ping':
@@ -577,16 +487,6 @@
     return answer;
   }
 
-  private async changeAsLeader(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
-    const ownership = this.ownership(order.key);
-    return ownership.state.kind === 'owning' ? ownership.change(order) : undefined;
-  }
-
-  /** For a member that does not reach the leader; passed on once and no further. */
-  private async changeFromMember(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
-    return (await this.changeAsLeader(order)) ?? this.changeAtLeader(order);
-  }
-
   private async vote(message: Message): Promise<Message> {
     const membersRevision = Number(message['membersRevision'] ?? 0);
     const answers = await this.duties.vote(message['ballots'] as readonly Ballot[], membersRevision);
@@ -610,7 +510,7 @@
 
   private wordsFor(message: Message): Message {
     // Why here: agents read several times a second, so an operator who asks finds them all.
-    this.hearAsker(message['own']);
+    this.agentContacts.hear(message['own']);
     // Why silent without a voice: an answer of a keeper still catching up could hide what was taken.
     if (!this.core.votes() || (message['fleet'] !== '' && message['fleet'] !== this.core.state.fleet))
       // Why name the members: who was led to a keeper that only stands by finds the others through it.
@@ -760,31 +660,6 @@
     }
   }
 
-  private seedNews(message: Message): Message {
-    this.hearAsker(message['own']);
-    const now = this.effects.clock.nowMicroseconds();
-    // Why only recent ones: a keeper does not watch agents, and must not bring the dead back.
-    for (const [key, { atMicroseconds }] of this.askers)
-      if (now - atMicroseconds > askerKeptMicroseconds) this.askers.delete(key);
-    return {
-      kind: 'newsBack',
-      statements: [],
-      sum: '',
-      digest: null,
-      marks: {},
-      revisions: {},
-      facts: [...this.askers.values()].map(({ fact }) => fact),
-    };
-  }
-
-  private hearAsker(own: unknown): void {
-    const facts = [own];
-    if (!Facts.isList(facts)) return;
-    for (const fact of facts)
-      if (fact.key.startsWith('member/') && (this.askers.has(fact.key) || this.askers.size < FactLimits.perMessage))
-        this.askers.set(fact.key, { fact, atMicroseconds: this.effects.clock.nowMicroseconds() });
-  }
-
   private body(message: Message): Message {
     const key = message['key'];
     if (!isDocumentKey(key)) throw new Error('no such key');
--- a/tests/policies.test.ts
+++ b/tests/policies.test.ts
@@ -11,7 +11,7 @@
 import { TakeDesk, type Room, type TakeOrder } from '../source/edge-proxy/holding/takeDesk';
 import { Placements, type Scored } from '../source/edge-proxy/placement/placements';
 import { RetryBudget } from '../source/edge-proxy/sends/retryBudget';
-import { FinalEvent, SendStates } from '../source/edge-proxy/sends/runningSend';
+import { FinalEvent, SendStates } from '../source/edge-proxy/sends/sendState';
 import { LinkSpeeds } from '../source/edge-proxy/fetch/linkSpeeds';
 import { SimDisk } from '../source/fleet-simulator/world/simDisk';
 import { SimProcess } from '../source/fleet-simulator/world/simProcess';
--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -32,7 +32,7 @@
     seeds: 10,
     cuts: [
       [
-        'edge-proxy/sends/sendPolicy.ts',
+        'edge-proxy/sends/runningSend.ts',
         'else if (this.resolved.mapping.resumable) this.again(refusal);',
         'else if (refusal.status > 0) this.again(refusal);',
       ],
@@ -245,7 +245,7 @@
     seeds: 80,
     cuts: [
       ['core-keeper/register/ownership.ts', "return mayStand ? { kind: 'unknown' } : undefined;", 'return undefined;'],
-      ['core-keeper/coreKeeper.ts', "maySettle ||= outcome?.kind === 'unknown';", ''],
+      ['core-keeper/register/changeRouter.ts', "maySettle ||= outcome?.kind === 'unknown';", ''],
     ],
   },
   {
@@ -352,7 +352,7 @@
         '',
       ],
       [
-        'edge-proxy/sends/sendPolicy.ts',
+        'edge-proxy/sends/runningSend.ts',
         "(kind === 'hold' ? budget.mayHope(this.parts.holdingLeft(context)) : budget.spend())",
         "kind === 'again' && budget.spend()",
       ],
@@ -457,7 +457,9 @@
     what: 'conns that were forgotten while idle count as failures of their engine',
     faults: ['connsForgotten'],
     seeds: 6,
-    cuts: [['edge-proxy/sends/sendPolicy.ts', 'forgotten !== true);', "forgotten !== true || kind === 'mayHaveRun');"]],
+    cuts: [
+      ['edge-proxy/sends/runningSend.ts', 'forgotten !== true);', "forgotten !== true || kind === 'mayHaveRun');"],
+    ],
   },
 ];
 
