--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -13,7 +13,7 @@
 import { Freshness } from '../shared/freshness/freshness';
 import { Logs, type Log } from '../shared/log/log';
 import { FactBook } from '../shared/news/facts';
-import { FactKeys, type LoadFact } from '../shared/news/factTypes';
+import { FactKeys } from '../shared/news/factTypes';
 import { NewsExchange } from '../shared/news/newsExchange';
 import { Pulses } from '../shared/news/pulses';
 import { FleetPace } from '../shared/pace/fleetPace';
@@ -22,9 +22,9 @@
 import { EngineListDefaults, EngineListKeeper, type EngineListSettings } from './engine-list/engineListKeeper';
 import type { EngineLister } from './engine-list/engineLister';
 import { Membership } from './membership/membership';
-import { DemandTeller } from './demand/demandTeller';
 import { WorkDesk } from './desk/workDesk';
 import { AgentPages } from './pages/agentPages';
+import { FedProxies } from './proxies/fedProxies';
 import { DutyHolder } from './stewards/dutyHolder';
 import { EventReaderDefaults } from './stewards/eventReader';
 import { HeldStewardDefaults } from './stewards/heldSteward';
@@ -137,12 +137,6 @@
   'listLagMicroseconds',
 ] as const satisfies readonly (keyof AgentSettings)[];
 
-/** Starting value, ours: after so long without a word from its proxy an agent no longer says what that one runs. */
-const proxySilentMicroseconds = 1_500_000;
-
-/** Starting value, ours: up to so many daemons each says its load as soon as its proxy does. */
-const promptLoads = 16;
-
 /** Starting values, ours: how much longer than their settings say these pauses are in a large fleet, at the most. */
 const mostNewsPause = 2.5;
 const mostWatchPause = 2;
@@ -155,7 +149,7 @@
 /** Starting value, ours: a proxy that did not ask for so long has stopped too. */
 const lingerMicroseconds = 400_000;
 
-/** Beside each proxy: the link to the core, news among daemons, duties; it feeds the proxy over loopback. */
+/** The link to the core, news among agents, duties; it feeds the proxies of its machine and of machines without an agent. */
 export class EdgeAgent {
   public readonly facts = new FactBook();
   public readonly shards = new ShardBook();
@@ -167,7 +161,7 @@
   private readonly exchange: NewsExchange;
   private readonly duties: DutyHolder;
   private readonly desk: WorkDesk;
-  private readonly demand: DemandTeller;
+  private readonly proxies: FedProxies;
   private readonly engineList: EngineListKeeper | undefined;
   private readonly notice = Logs.part('agent:notice');
   private readonly tickers: readonly Ticker[];
@@ -176,9 +170,6 @@
   private readonly fleet: FleetName;
   private listener: Listener | undefined;
   private turn = 0;
-  private loadSequence = 0;
-  private heardProxyMicroseconds = -Infinity;
-  private saidLoadMicroseconds = -Infinity;
   private urgentMark = '';
   private urgentUntil = -Infinity;
 
@@ -220,13 +211,7 @@
     };
     this.desk = new WorkDesk(clock);
     this.membership = new Membership(self, this.facts, clock, settings, this.log);
-    this.demand = new DemandTeller(
-      settings.name,
-      this.facts,
-      clock,
-      () => this.membership.selfIncarnation,
-      () => this.membership.present().length,
-    );
+    this.proxies = new FedProxies(this.facts, clock, settings, (agent) => this.membership.alive(agent));
     this.exchange = new NewsExchange(
       {
         fleet: this.fleet,
@@ -335,7 +320,7 @@
     const until = clock.nowMicroseconds() + limitMicroseconds;
     while (
       clock.nowMicroseconds() < until &&
-      clock.nowMicroseconds() - this.heardProxyMicroseconds < lingerMicroseconds
+      clock.nowMicroseconds() - this.proxies.heardMicroseconds(this.settings.name) < lingerMicroseconds
     )
       await Clocks.wait(clock, lingerMicroseconds / 4);
   }
@@ -419,7 +404,7 @@
 
   /** Looks after those it is a watcher of; before anybody is suspected another daemon has tried too. */
   private async watch(): Promise<void> {
-    this.forgetProxy();
+    this.proxies.review();
     await Promise.all(
       this.membership.watched().map(async ({ name, address }) => {
         const answer = await this.effects.transport.ask(address, { kind: 'ping' }, this.settings.newsAskMicroseconds);
@@ -448,7 +433,7 @@
   private async handle(message: Message): Promise<Message> {
     switch (message.kind) {
       case 'news':
-        if (typeof message['load'] === 'object' && message['load'] !== null) this.hearProxy(message);
+        if (typeof message['proxy'] === 'string') this.proxies.hear(message['proxy'], message['facts']);
         return this.exchange.answer(message);
       case 'newsMore':
         return this.exchange.more(message);
@@ -493,53 +478,6 @@
     }
   }
 
-  /** A proxy that no longer feeds on this agent runs nothing that others should count. */
-  private forgetProxy(): void {
-    if (this.effects.clock.nowMicroseconds() - this.heardProxyMicroseconds < proxySilentMicroseconds) return;
-    this.sayLoad({ agent: this.settings.name, engines: {}, classes: {}, waiting: {}, tenants: {} });
-    this.demand.clear();
-  }
-
-  private hearProxy(message: Message): void {
-    this.heardProxyMicroseconds = this.effects.clock.nowMicroseconds();
-    const load = message['load'] as Omit<LoadFact, 'agent'>;
-    const value: LoadFact = {
-      agent: this.settings.name,
-      engines: load.engines,
-      classes: load.classes,
-      waiting: load.waiting,
-      tenants: load.tenants,
-      ...(load.work === undefined ? {} : { work: load.work }),
-      ...(load.mix === undefined ? {} : { mix: load.mix }),
-      ...(load.failing === undefined ? {} : { failing: load.failing }),
-      ...(load.answering === undefined ? {} : { answering: load.answering }),
-    };
-    this.sayLoad(value);
-    this.demand.hear(message['demand']);
-  }
-
-  private sayLoad(value: LoadFact): void {
-    const before = this.facts.value<LoadFact>(FactKeys.load(this.settings.name));
-    const now = this.effects.clock.nowMicroseconds();
-    if (before !== undefined && now - this.saidLoadMicroseconds < this.loadPause()) return;
-    if (before !== undefined && JSON.stringify(before) === JSON.stringify(value)) return;
-    this.saidLoadMicroseconds = now;
-    this.loadSequence += 1;
-    this.facts.put({
-      key: FactKeys.load(this.settings.name),
-      version: [this.membership.selfIncarnation, this.loadSequence],
-      value,
-    });
-  }
-
-  /**
-   * How long a load stands before the next one is said. Why longer in a large fleet: all loads together travel with each
-   * exchange, every other daemon's part of the work is smaller, and what they run is over before its news has come round.
-   */
-  private loadPause(): number {
-    return this.settings.newsMicroseconds * Math.max(0, this.membership.present().length / promptLoads - 1);
-  }
-
   private async grant(message: Message): Promise<GrantAnswer> {
     const engine = String(message['engine']);
     const steward = this.stewardship.steward(engine);
--- a/source/edge-agent/membership/membership.ts
+++ b/source/edge-agent/membership/membership.ts
@@ -146,8 +146,6 @@
         this.log(`Daemon ${member.name} is gone.`);
       } else if (member.state !== 'suspect' && now - since >= this.settings.forgetMicroseconds) {
         this.book.forget(FactKeys.member(member.name));
-        this.book.forget(FactKeys.load(member.name));
-        this.book.forget(FactKeys.demand(member.name));
         this.suspectSince.delete(member.name);
       }
     }
--- a/source/edge-agent/demand/demandTeller.ts
+++ b/source/edge-proxy/demand/demandTeller.ts
@@ -11,9 +11,9 @@
 const entriesOfAll = 288;
 const leastEntries = 4;
 
-type Told = Readonly<{ fact: DemandFact; atMicroseconds: number }>;
+type Told = Readonly<{ fact: DemandFact; atMicroseconds: number; incarnation: number }>;
 
-/** Says to the fleet what the proxy beside it is asked for: seldom, little, and only when it has changed. */
+/** Says to the fleet what this proxy is asked for: seldom, little, and only when it has changed. */
 export class DemandTeller {
   private told: Told | undefined;
   private sequence = 0;
@@ -24,19 +24,21 @@
     private readonly clock: Clock,
     private readonly incarnation: () => number,
     private readonly daemons: () => number,
+    /** Name of the agent through which it is said. */
+    private readonly agent: () => string = () => name,
   ) {}
 
-  /** What the proxy says; anything else is no news. */
+  /** What the proxy counted; anything else is no news. */
   public hear(said: unknown): void {
-    const fact: unknown = typeof said === 'object' && said !== null ? { ...said, agent: this.name } : undefined;
+    const fact: unknown = typeof said === 'object' && said !== null ? { ...said, agent: this.agent() } : undefined;
     if (!PrefixDemand.isFact(fact)) return;
     const most = Math.max(leastEntries, Math.min(DemandLimits.perFact, Math.floor(entriesOfAll / this.daemons())));
     this.say({ agent: fact.agent, total: fact.total, prefixes: fact.prefixes.slice(0, most) });
   }
 
-  /** The proxy is silent: nobody asks for anything there. */
+  /** Nobody asks for anything here. */
   public clear(): void {
-    if (this.told !== undefined && this.told.fact.total > 0) this.say({ agent: this.name, total: 0, prefixes: [] });
+    if (this.told !== undefined && this.told.fact.total > 0) this.say({ agent: this.agent(), total: 0, prefixes: [] });
   }
 
   private say(fact: DemandFact): void {
@@ -44,8 +46,9 @@
     const { told } = this;
     // Why longer in a large fleet: what all say together must not grow with the square of their number.
     const pause = sayMicroseconds * Math.max(1, this.daemons() / promptDaemons);
-    if (told !== undefined && (now - told.atMicroseconds < pause || !differs(told.fact, fact))) return;
-    this.told = { fact, atMicroseconds: now };
+    const stands = told !== undefined && told.fact.agent === fact.agent && told.incarnation === this.incarnation();
+    if (stands && (now - told.atMicroseconds < pause || !differs(told.fact, fact))) return;
+    this.told = { fact, atMicroseconds: now, incarnation: this.incarnation() };
     this.sequence += 1;
     this.facts.put({ key: FactKeys.demand(this.name), version: [this.incarnation(), this.sequence], value: fact });
   }
--- a/source/edge-proxy/demand/demandView.ts
+++ b/source/edge-proxy/demand/demandView.ts
@@ -76,7 +76,7 @@
     if (this.settings.isOn && prefix !== '') this.counts.saw(prefix, this.clock.nowMicroseconds());
   }
 
-  /** For the agent beside it, which says it to the fleet. */
+  /** What is said of it to the fleet; nothing shortly after the last time. */
   public telling(): Readonly<{ demand?: Omit<DemandFact, 'agent'> }> {
     if (!this.settings.isOn) return {};
     const now = this.clock.nowMicroseconds();
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -23,6 +23,8 @@
 import { DemandSettings, DemandView } from './demand/demandView';
 import { Feeders } from './feeding/feeders';
 import { NotePost } from './feeding/notePost';
+import { ProxyFacts } from './feeding/proxyFacts';
+import { SeedContacts } from './feeding/seedContacts';
 import { Fence } from './fence/fence';
 import { FencePolicies, Identifier } from './fence/identify';
 import { FetchPlanner } from './fetch/fetchPlanner';
@@ -49,7 +51,12 @@
 
 export type ProxySettings = Readonly<{
   name: string;
+  /** Where the agent of this machine listens, if there is one; other agents are found through the seeds and the news. */
   agentAddress: string;
+  /** First contacts for a proxy that no agent feeds. */
+  seeds: readonly string[];
+  /** No address here ever belongs to another fleet, so one seed that answers is enough to find the fleet. */
+  isOnlyFleet: boolean;
   /** `listed`: something outside the fleet keeps the list of engines, and its age makes nobody refuse. */
   engineList?: 'kept' | 'listed';
   freshMicroseconds: number;
@@ -95,10 +102,15 @@
   demand: DemandSettings;
 }>;
 
+/** Starting value, ours: when what the feeding agent knows of the core is older than this, another is asked beside it. */
+const staleMicroseconds = 1_200_000;
+
 /** Starting value, ours: how much longer it may take until a proxy of a large fleet is fed again. */
 const mostFeedPause = 3;
 
 export const ProxyDefaults = {
+  seeds: [],
+  isOnlyFleet: false,
   freshMicroseconds: 1_500_000,
   feedMicroseconds: 60_000,
   feedAskMicroseconds: 500_000,
@@ -142,6 +154,7 @@
   'retryPerMille',
   'retryFleetAllowance',
   'retryAllowanceMicroseconds',
+  'seeds',
 ] as const satisfies readonly (keyof ProxySettings)[];
 
 /** The protocols that a proxy speaks; its own where nothing is said. */
@@ -168,6 +181,8 @@
   private readonly speeds: LinkSpeeds;
   private readonly readSpeeds: ReadSpeeds;
   private readonly feeders: Feeders;
+  private readonly seedContacts: SeedContacts;
+  private readonly own: ProxyFacts;
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
@@ -206,7 +221,7 @@
     const desk = new DeskLink(
       this.effects.transport,
       clock,
-      () => this.view.listHolder()?.address,
+      () => this.view.others.listHolder()?.address,
       settings.deskMicroseconds,
     );
     this.speeds = new LinkSpeeds(settings.importMicrosecondsPerBlock, 4096);
@@ -220,7 +235,15 @@
       },
       this.effects,
     );
-    this.feeders = new Feeders(settings.name, settings.agentAddress, () => this.view.agents());
+    this.feeders = new Feeders(settings, clock, () => this.view.others.agents());
+    this.seedContacts = new SeedContacts(clock, this.fleet, settings);
+    this.own = new ProxyFacts(
+      settings.name,
+      this.facts,
+      clock,
+      () => this.view.proxies(),
+      () => this.feeders.agent,
+    );
     this.notes = new NotePost(clock, this.effects.transport, () => this.feeders.address, settings);
     this.desk = new TakeDesk(
       clock,
@@ -343,7 +366,7 @@
 
   /** The most daemons known to share the fleet with this one, itself included. */
   public daemons(): number {
-    return this.view.daemonsEverSeen();
+    return this.view.others.everSeen();
   }
 
   /** What should be nothing once all orders are over. */
@@ -372,6 +395,7 @@
     this.settings = change.settings;
     this.fence.boundsAre(this.settings.freshMicroseconds, this.settings.weightsCutMicroseconds);
     for (const budget of this.budgets.values()) budget.settingsAre(this.budgetSettings());
+    this.seedContacts.seedsAre(this.settings.seeds);
     const sentence = SettingsChanges.sentence(change);
     if (sentence !== undefined) this.notice(sentence);
   }
@@ -393,22 +417,24 @@
   }
 
   /**
-   * News is taken in as it comes, from the own agent. While that one is away another is asked at the same time, under
+   * News is taken in as it comes, from the agent that feeds this proxy. While that one is silent another is asked, under
    * the same rule: what it says has an age, and the fence is no wider. So the order of stops on a machine does not matter.
    */
   private async feed(): Promise<void> {
-    const load = {
+    this.own.sayLoad({
       engines: this.view.loads(),
       ...this.desk.loads(),
       work: this.view.work.sums(),
       mix: this.lanes.mixes(),
       ...this.view.outliers.telling(),
-    };
-    const foster = this.feeders.foster();
+    });
+    this.own.sayDemand(this.demand.telling().demand);
+    const said = { proxy: this.settings.name, facts: this.own.own() };
+    const isStale = this.freshness.ageMicroseconds() > staleMicroseconds;
+    const seed = this.feeders.isLost ? this.seedContacts.next() : undefined;
     await Promise.all([
-      // Why the load only here: the own agent is the one that says it to the fleet.
-      this.feedFrom(this.settings.agentAddress, { load, ...this.demand.telling() }),
-      ...(foster === undefined ? [] : [this.feedFrom(foster, {})]),
+      ...this.feeders.targets(isStale).map((address) => this.feedFrom(address, said)),
+      ...(seed === undefined ? [] : [this.meet(seed)]),
     ]);
     const listed = this.freshness.engines?.engines;
     if (listed !== undefined) {
@@ -444,6 +470,12 @@
     else this.feeders.unheard(address);
   }
 
+  /** A seed names the fleet, and agents that have asked it lately. */
+  private async meet(seed: string): Promise<void> {
+    const learn = (message: Message): void => this.seedContacts.heard(seed, String(message['fleet'] ?? ''));
+    await this.exchange.ask(seed, this.settings.feedAskMicroseconds, {}, learn, 'following');
+  }
+
   private async grant(engine: string, fill: string, epoch: number, keys: readonly NamedKey[]): Promise<GrantAnswer> {
     const answer = await this.effects.transport.ask(
       this.feeders.address,
@@ -458,7 +490,7 @@
   private budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
-    const made = new RetryBudget(this.effects.clock, () => this.view.daemonsEverSeen(), this.budgetSettings());
+    const made = new RetryBudget(this.effects.clock, () => this.view.others.everSeen(), this.budgetSettings());
     this.budgets.set(service, made);
     return made;
   }
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -2,20 +2,15 @@
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { FactBook } from '../../shared/news/facts';
-import {
-  FactKeys,
-  MemberStates,
-  type EngineFact,
-  type LoadFact,
-  type MemberFact,
-  type StewardFact,
-  type WorkMix,
-} from '../../shared/news/factTypes';
+import { FactKeys, type EngineFact, type LoadFact } from '../../shared/news/factTypes';
 import { WeightsRounds } from '../../shared/weights/weightsRounds';
 import type { Fence } from '../fence/fence';
 import { OutlierDetector, type Standing } from '../outliers/outlierDetector';
 import { OutlierSettings } from '../outliers/outlierSettings';
+import { EngineRefusals } from './engineRefusals';
 import type { EngineWork, WorkSum } from './engineWork';
+import { OtherProxies, type OtherLoads } from './otherProxies';
+import { OwnSends } from './ownSends';
 
 export type Candidate = Readonly<{
   name: string;
@@ -37,26 +32,6 @@
 
 const appCapacity = 64;
 
-/** Starting value, ours: how long an engine's word that it is full may stand without fresher news. */
-const fullMicroseconds = 300_000;
-
-/** Starting value, ours: how long an engine that a send did not find is left alone without fresher news. */
-const otherMicroseconds = 500_000;
-
-/** So old are counts of other proxies when they come. */
-const hintMicroseconds = 300_000;
-const keptBegins = 64;
-
-type Full = Readonly<{ version: string; own: number; at: number }>;
-type Elsewhere = Readonly<{ sends: number; work: WorkSum }>;
-type Others = Readonly<{
-  mark: string;
-  loads: readonly LoadFact[];
-  engines: ReadonlyMap<string, Elsewhere>;
-  mixes: ReadonlyMap<string, WorkMix>;
-}>;
-type Agents = Readonly<{ changes: number; present: readonly MemberFact[] }>;
-
 /** So long what depends on the time of day is good for, if nothing changes before. */
 const workedMicroseconds = 1_000;
 
@@ -85,24 +60,18 @@
   at: number;
   mark: string;
   of: AbleOnes;
-  others: Others;
+  others: OtherLoads;
   candidates: readonly Candidate[];
 }>;
-const noMix: WorkMix = [0, 0];
-const noneElsewhere: Elsewhere = { sends: 0, work: { reading: 0, tokens: 0 } };
-
 /** What this proxy knows of the back ends: the platform's list, the stewards' word, loads here and elsewhere. */
 export class EngineView {
-  private readonly own = new Map<string, number>();
-  private readonly full = new Map<string, Full>();
+  public readonly others: OtherProxies;
+  private readonly own: OwnSends;
+  private readonly refusals: EngineRefusals;
   private readonly worked = new Map<string, WorkedOut>();
   private readonly ableOnes = new Map<string, AbleOnes>();
-  private members: Agents | undefined;
   private readonly weightOrders = new Map<string, Readonly<{ of: string; engines: readonly string[] }>>();
   private ownChanges = 0;
-  private readonly other = new Map<string, Readonly<{ version: string; at: number }>>();
-  private readonly begins = new Map<string, readonly number[]>();
-  private others: Others | undefined;
   private index: Readonly<{ of: EngineList; services: ReadonlyMap<string, Listed> }> | undefined;
 
   public constructor(
@@ -114,89 +83,58 @@
     public readonly work: EngineWork,
     private readonly roomPerMille = 1000,
     public readonly outliers = new OutlierDetector(self, clock, OutlierSettings.usual),
-  ) {}
+  ) {
+    this.others = new OtherProxies(self, facts);
+    this.own = new OwnSends(clock);
+    this.refusals = new EngineRefusals(
+      clock,
+      (engine) => this.versionOf(engine),
+      (engine) => this.own.at(engine),
+    );
+  }
 
   public began(engine: string): void {
     this.ownChanges += 1;
-    this.own.set(engine, this.ownInFlight(engine) + 1);
-    const now = this.clock.nowMicroseconds();
-    const fresh = (this.begins.get(engine) ?? []).filter((at) => now - at < hintMicroseconds);
-    this.begins.set(engine, [...fresh, now].slice(-keptBegins));
+    this.own.began(engine);
   }
 
   /** Sends begun so lately that no other proxy can know of them yet; as little is known here of theirs. */
   public unseen(engine: string): number {
-    const now = this.clock.nowMicroseconds();
-    return (this.begins.get(engine) ?? []).filter((at) => now - at < hintMicroseconds).length;
+    return this.own.unseen(engine);
   }
 
   public ended(engine: string): void {
     this.ownChanges += 1;
-    const left = this.ownInFlight(engine) - 1;
-    if (left > 0) this.own.set(engine, left);
-    else this.own.delete(engine);
+    this.own.ended(engine);
   }
 
   public ownInFlight(engine: string): number {
-    return this.own.get(engine) ?? 0;
+    return this.own.at(engine);
   }
 
-  /**
-   * The engine's own word to a send that it has no room. It stands until there is fresher news of that engine, or an own
-   * order ended there. Why without the send that was told so: it still counts as in flight, and its end makes no room.
-   */
+  /** The engine's own word to a send that it has no room. */
   public saidFull(engine: string): void {
     this.ownChanges += 1;
-    this.full.set(engine, {
-      version: this.versionOf(engine),
-      own: this.ownInFlight(engine) - 1,
-      at: this.clock.nowMicroseconds(),
-    });
+    this.refusals.saidFull(engine);
   }
 
-  /** At its address nobody is there, or another one. It stands as long as the word that an engine is full. */
+  /** At its address nobody is there, or another one. */
   public saidOther(engine: string): void {
     this.ownChanges += 1;
-    this.other.set(engine, { version: this.versionOf(engine), at: this.clock.nowMicroseconds() });
+    this.refusals.saidAbsent(engine);
   }
 
   public loads(): Readonly<Record<string, number>> {
-    return Object.fromEntries(this.own);
+    return this.own.counts();
   }
 
   public otherLoads(): readonly LoadFact[] {
-    return this.othersNow().loads;
-  }
-
-  /** What all other proxies placed in a pool lately, short and long orders. */
-  public otherMix(service: string): WorkMix {
-    return this.othersNow().mixes.get(service) ?? noMix;
+    return this.others.now().loads;
   }
 
+  /** Proxies that seem to be there, this one included. */
   public proxies(): number {
-    return Math.max(1, this.agents().length);
-  }
-
-  /** Agents that seem to be there. */
-  public agents(): readonly MemberFact[] {
-    const changes = this.facts.changesOf('member');
-    // Why kept: they are counted at each feed and each order, and change seldom.
-    if (this.members?.changes !== changes) {
-      const all = this.facts.withPrefix('member/').map(({ value }) => value as MemberFact);
-      this.members = { changes, present: all.filter(MemberStates.isPresent) };
-    }
-    return this.members.present;
-  }
-
-  /** The agent that reads the list of engines, as far as known. */
-  public listHolder(): MemberFact | undefined {
-    const holder = this.facts.value<StewardFact>(FactKeys.listDuty)?.holder;
-    return holder === undefined || holder === '' ? undefined : this.facts.value<MemberFact>(FactKeys.member(holder));
-  }
-
-  /** All that are known to have belonged to the fleet lately, in whatever state: doubt about one must not shrink it. */
-  public daemonsEverSeen(): number {
-    return this.facts.countOf('member');
+    return this.others.count();
   }
 
   /** Engines of a service that new work may go to. */
@@ -213,11 +151,10 @@
 
   /** Called with news: engines are judged by what became of orders, here and elsewhere. */
   public review(): void {
-    // Why here too: the word on an engine that has left the list is asked for by nobody, and would be kept for ever.
-    for (const engine of this.full.keys()) this.isFull(engine);
-    for (const engine of this.other.keys()) this.isOther(engine);
-    this.outliers.review(this.othersNow().loads, () => {
-      const daemons = this.agents().map(({ name }) => name);
+    this.refusals.review();
+    const others = this.others.now();
+    this.outliers.review(others.loads, () => {
+      const daemons = [this.self, ...others.names];
       return [...this.servicesListed().values()].map((listed) => ({ names: listed.map(([name]) => name), daemons }));
     });
   }
@@ -225,11 +162,11 @@
   private workedOut(service: string): WorkedOut {
     const now = this.clock.nowMicroseconds();
     const of = this.ableNow(service);
-    const others = this.othersNow();
+    const others = this.others.now();
     const mark = `${this.ownChanges}/${this.work.changes}/${this.outliers.changes}`;
     const known = this.worked.get(service);
     // Why for a moment only where an engine said that it is full: that word loses its force with time.
-    const stands = this.full.size === 0 || now - (known?.at ?? 0) < workedMicroseconds;
+    const stands = !this.refusals.hasFull || now - (known?.at ?? 0) < workedMicroseconds;
     if (known !== undefined && stands && known.of === of && known.others === others && known.mark === mark)
       return known;
     const able = of.engines.map((engine): Candidate => ({
@@ -243,13 +180,13 @@
   }
 
   private inFlightAt({ name, capacity }: Able): number {
-    const counted = this.ownInFlight(name) + (this.othersNow().engines.get(name) ?? noneElsewhere).sends;
-    return this.isFull(name) ? Math.max(counted, capacity) : counted;
+    const counted = this.ownInFlight(name) + this.others.at(name).sends;
+    return this.refusals.isFull(name) ? Math.max(counted, capacity) : counted;
   }
 
   private workAt(name: string): WorkSum {
     const own = this.work.of(name);
-    const elsewhere = this.othersNow().engines.get(name) ?? noneElsewhere;
+    const elsewhere = this.others.at(name);
     return { reading: own.reading + elsewhere.work.reading, tokens: own.tokens + elsewhere.work.tokens };
   }
 
@@ -261,7 +198,7 @@
     const known = this.ableOnes.get(service);
     if (
       known !== undefined &&
-      ((known.isTimeless && this.other.size === 0) || now - known.at < workedMicroseconds) &&
+      ((known.isTimeless && !this.refusals.hasAbsent) || now - known.at < workedMicroseconds) &&
       known.mark === mark &&
       known.list === list &&
       known.blueprint === blueprint
@@ -281,7 +218,7 @@
       const word = this.fence.weights(service, fact.weights);
       if (word !== 'intended') isTimeless = false;
       if (word === 'untilChanged') hasOld = true;
-      if (word === 'forbidden' || this.isOther(name)) return [];
+      if (word === 'forbidden' || this.refusals.isAbsent(name)) return [];
       const { bootEpoch, weights, capacity } = fact;
       return [{ name, address, bootEpoch, weights, capacity, zone }];
     });
@@ -414,26 +351,6 @@
     };
   }
 
-  private isOther(engine: string): boolean {
-    const said = this.other.get(engine);
-    if (said === undefined) return false;
-    // Why not for long: it may have been this proxy's link, and the steward sees more than one send.
-    if (this.clock.nowMicroseconds() - said.at < otherMicroseconds && said.version === this.versionOf(engine))
-      return true;
-    this.other.delete(engine);
-    return false;
-  }
-
-  private isFull(engine: string): boolean {
-    const said = this.full.get(engine);
-    if (said === undefined) return false;
-    // Why any of three: an own order that ended made room, the steward has looked since, or the word is simply old.
-    const old = this.clock.nowMicroseconds() - said.at > fullMicroseconds;
-    if (!old && said.version === this.versionOf(engine) && this.ownInFlight(engine) >= said.own) return true;
-    this.full.delete(engine);
-    return false;
-  }
-
   private versionOf(engine: string): string {
     return this.facts.get(FactKeys.engine(engine))?.version.join('.') ?? '';
   }
@@ -448,35 +365,6 @@
     if (this.index?.of !== list) this.index = { of: list, services: byService(list) };
     return this.index.services;
   }
-
-  private othersNow(): Others {
-    const mark = `${this.facts.changesOf('load')}/${this.facts.changesOf('member')}`;
-    // Why not for a time: sums that are older than the news sent an order to an engine known to be full.
-    if (this.others?.mark === mark) return this.others;
-    const agents = new Set(this.agents().map(({ name }) => name));
-    const loads = this.facts
-      .withPrefix('load/')
-      .map(({ value }) => value as LoadFact)
-      .filter(({ agent }) => agent !== this.self && agents.has(agent));
-    const engines = new Map<string, Elsewhere>();
-    for (const load of loads)
-      for (const [name, sends] of Object.entries(load.engines)) {
-        const known = engines.get(name) ?? noneElsewhere;
-        const [reading, tokens] = load.work?.[name] ?? [0, 0];
-        engines.set(name, {
-          sends: known.sends + sends,
-          work: { reading: known.work.reading + reading, tokens: known.work.tokens + tokens },
-        });
-      }
-    const mixes = new Map<string, WorkMix>();
-    for (const { mix } of loads)
-      for (const [service, [short, long]] of Object.entries(mix ?? {})) {
-        const [knownShort, knownLong] = mixes.get(service) ?? noMix;
-        mixes.set(service, [knownShort + short, knownLong + long]);
-      }
-    this.others = { mark, loads, engines, mixes };
-    return this.others;
-  }
 }
 
 type Listed = readonly (readonly [string, Engine])[];
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -42,7 +42,7 @@
     const lanes = this.lanes.of(
       mapping.service,
       candidates.map(({ name }) => name),
-      this.view.otherMix(mapping.service),
+      this.view.others.mix(mapping.service),
     );
     const prompt = order.promptTokens ?? (order.parts ?? []).reduce((sum, { size }) => sum + size, 0);
     const books = new Map<string, Kept>();
--- a/source/measure/measurements/placement.ts
+++ b/source/measure/measurements/placement.ts
@@ -111,7 +111,7 @@
     random,
     Made.zone(1),
     new Lanes(clock, LaneSettings.usual),
-    new DeskLink(transport, clock, () => view.listHolder()?.address, 1_000_000),
+    new DeskLink(transport, clock, () => view.others.listHolder()?.address, 1_000_000),
     WorkPlacementSettings.usual,
     new DemandView(facts, clock, DemandSettings.usual),
     new Metrics(),
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -35,8 +35,12 @@
 /** Work of short and of long orders that a proxy placed lately, in hundredths of a second of an engine's time. */
 export type WorkMix = readonly [short: number, long: number];
 
+/** What a proxy says of itself, under its own name; the proxy is its author. */
 export type LoadFact = Readonly<{
+  /** Name of the agent through which the proxy says it; while that one is gone it does not count. */
   agent: string;
+  /** The agent has not heard the proxy for a while: it counts as gone until it refutes that. */
+  isSilent?: boolean;
   engines: Readonly<Record<string, number>>;
   classes: Readonly<Record<string, number>>;
   waiting: Readonly<Record<string, number>>;
@@ -55,9 +59,9 @@
   member: (name: string): string => `member/${name}`,
   engine: (name: string): string => `engine/${name}`,
   steward: (name: string): string => `steward/${name}`,
-  load: (agent: string): string => `load/${agent}`,
-  /** What its proxy is asked for most. */
-  demand: (agent: string): string => `demand/${agent}`,
+  load: (proxy: string): string => `load/${proxy}`,
+  /** What a proxy is asked for most. */
+  demand: (proxy: string): string => `demand/${proxy}`,
   /** Who reads the list of engines, and places long orders for all. */
   listDuty: 'duty/list',
 } as const;
--- /dev/null
+++ b/tests/agents-few.test.ts
@@ -0,0 +1,295 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { FedProxies } from '../source/edge-agent/proxies/fedProxies';
+import { Feeders, type Feeder } from '../source/edge-proxy/feeding/feeders';
+import { ProxyFacts, type ProxyLoad } from '../source/edge-proxy/feeding/proxyFacts';
+import { SeedContacts } from '../source/edge-proxy/feeding/seedContacts';
+import { judgeAll } from '../source/fleet-simulator/judges/judges';
+import { SimFleet, SimKinds, usualShape, type SimEdge } from '../source/fleet-simulator/machines/simFleet';
+import { World } from '../source/fleet-simulator/world/world';
+import { FleetName } from '../source/shared/fleet/fleetName';
+import { FactBook } from '../source/shared/news/facts';
+import { FactKeys, type LoadFact } from '../source/shared/news/factTypes';
+import { handClock } from './support/handClock';
+
+const noLoad: ProxyLoad = { engines: {}, classes: {}, waiting: {}, tenants: {} };
+const feeder = (name: string, zone: string): Feeder => ({ name, zone, address: `${name}:1` });
+
+describe('which agent feeds a proxy', () => {
+  const setUp = (known: readonly Feeder[]) => {
+    const clock = handClock();
+    const feeders = new Feeders({ name: 'p', zone: 'a', agentAddress: 'p:1' }, clock, () => known);
+    return { clock, feeders };
+  };
+
+  test('its own, then those of its zone, then others; a silent one is left alone for a while', () => {
+    const { clock, feeders } = setUp([feeder('far', 'b'), feeder('near', 'a')]);
+    assert.deepEqual(feeders.targets(false), ['p:1']);
+    feeders.unheard('p:1');
+    assert.deepEqual(feeders.targets(false), ['near:1']);
+    feeders.heard('near:1');
+    assert.equal(feeders.address, 'near:1');
+    assert.equal(feeders.agent, 'near');
+    clock.now += 600_000;
+    assert.deepEqual(feeders.targets(false), ['p:1', 'near:1'], 'the own one is tried again, and nothing is missed');
+    feeders.unheard('p:1');
+    feeders.unheard('near:1');
+    assert.deepEqual(feeders.targets(false), ['far:1']);
+    feeders.heard('far:1');
+    clock.now += 700_000;
+    assert.deepEqual(feeders.targets(false), ['near:1', 'far:1'], 'the own one waits longer each time');
+    feeders.heard('near:1');
+    assert.equal(feeders.address, 'near:1', 'the nearer one again');
+    clock.now += 10_000_000;
+    feeders.heard('p:1');
+    assert.equal(feeders.address, 'p:1');
+    feeders.heard('near:1');
+    assert.equal(feeders.address, 'p:1', 'a later one in line takes nothing over');
+  });
+
+  test('where all are silent the one that was left alone longest is asked, and first contacts are needed', () => {
+    const { clock, feeders } = setUp([feeder('near', 'a')]);
+    assert.ok(feeders.isLost, 'nobody has been heard yet');
+    feeders.heard('p:1');
+    assert.ok(!feeders.isLost);
+    feeders.unheard('p:1');
+    clock.now += 1_000;
+    feeders.unheard('near:1');
+    assert.ok(feeders.isLost);
+    assert.deepEqual(feeders.targets(false), ['p:1']);
+  });
+
+  test('another one is asked beside it where what it knows is old', () => {
+    const { feeders } = setUp([feeder('near', 'a')]);
+    assert.deepEqual(feeders.targets(true), ['p:1', 'near:1']);
+  });
+
+  test('the proxies of a zone spread over its agents', () => {
+    const known = ['x', 'y', 'z'].map((name) => feeder(name, 'a'));
+    const chosen = Array.from({ length: 60 }, (_, number) => {
+      const feeders = new Feeders({ name: `p${number}`, zone: 'a', agentAddress: 'none:1' }, handClock(), () => known);
+      feeders.unheard('none:1');
+      return feeders.targets(false)[0];
+    });
+    for (const { address } of known) {
+      const count = chosen.filter((one) => one === address).length;
+      assert.ok(count >= 10 && count <= 30, `${address}: ${count} of 60`);
+    }
+  });
+
+  test('one seed after the other is asked, and two that agree name the fleet', () => {
+    const clock = handClock();
+    const fleet = new FleetName();
+    const contacts = new SeedContacts(clock, fleet, { seeds: ['s1', 's2', 's3'], isOnlyFleet: false });
+    const first = contacts.next();
+    assert.equal(contacts.next(), undefined, 'not at once again');
+    clock.now += 200_000;
+    assert.notEqual(contacts.next(), first);
+    contacts.heard('s1', 'f');
+    assert.equal(fleet.name, '');
+    contacts.heard('s2', 'g');
+    assert.equal(fleet.name, '');
+    contacts.heard('s3', 'f');
+    assert.equal(fleet.name, 'f');
+    const only = new FleetName();
+    new SeedContacts(clock, only, { seeds: ['s1'], isOnlyFleet: true }).heard('s1', 'f');
+    assert.equal(only.name, 'f');
+  });
+});
+
+describe('what is said of a proxy', () => {
+  const setUp = () => {
+    const clock = handClock();
+    const proxyBook = new FactBook();
+    const agents = { name: 'a1' };
+    const proxy = new ProxyFacts(
+      'p',
+      proxyBook,
+      clock,
+      () => 1,
+      () => agents.name,
+    );
+    const agentOf = (name: string) => {
+      const facts = new FactBook();
+      return { facts, fed: new FedProxies(facts, clock, { name, forgetMicroseconds: 60_000_000 }, () => true) };
+    };
+    return { clock, proxyBook, agents, proxy, a1: agentOf('a1'), a2: agentOf('a2') };
+  };
+  const loadIn = (facts: FactBook): LoadFact | undefined => facts.value<LoadFact>(FactKeys.load('p'));
+  const copy = (from: FactBook, to: FactBook): void => {
+    for (const fact of from.withPrefix('')) to.put(fact);
+  };
+
+  test('an agent calls a proxy silent that it no longer hears, and the proxy refutes it', () => {
+    const { clock, proxyBook, proxy, a1 } = setUp();
+    proxy.sayLoad({ ...noLoad, engines: { e1: 2 } });
+    a1.fed.hear('p', proxy.own());
+    assert.deepEqual(loadIn(a1.facts)?.engines, { e1: 2 });
+    clock.now += 1_400_000;
+    a1.fed.review();
+    assert.equal(loadIn(a1.facts)?.isSilent, undefined);
+    clock.now += 200_000;
+    a1.fed.review();
+    assert.equal(loadIn(a1.facts)?.isSilent, true);
+    assert.deepEqual(loadIn(a1.facts)?.engines, {});
+    copy(a1.facts, proxyBook);
+    proxy.sayLoad({ ...noLoad, engines: { e1: 2 } });
+    a1.fed.hear('p', proxy.own());
+    assert.equal(loadIn(a1.facts)?.isSilent, undefined);
+    assert.deepEqual(loadIn(a1.facts)?.engines, { e1: 2 });
+  });
+
+  test('a proxy that went to another agent is not called silent by the one before', () => {
+    const { clock, agents, proxy, a1, a2 } = setUp();
+    proxy.sayLoad(noLoad);
+    a1.fed.hear('p', proxy.own());
+    agents.name = 'a2';
+    proxy.sayLoad(noLoad);
+    a2.fed.hear('p', proxy.own());
+    copy(a2.facts, a1.facts);
+    clock.now += 5_000_000;
+    a1.fed.review();
+    assert.equal(loadIn(a1.facts)?.isSilent, undefined);
+    a2.fed.review();
+    assert.equal(loadIn(a2.facts)?.isSilent, true, 'the later one looks after it');
+  });
+
+  test('a proxy that began anew goes on above what its earlier life said', () => {
+    const { clock, proxyBook, proxy, a1 } = setUp();
+    for (let count = 1; count <= 5; count += 1) {
+      clock.now += 1_000_000;
+      proxy.sayLoad({ ...noLoad, engines: { e1: count } });
+    }
+    a1.fed.hear('p', proxy.own());
+    const again = new FactBook();
+    const second = new ProxyFacts(
+      'p',
+      again,
+      clock,
+      () => 1,
+      () => 'a1',
+    );
+    second.sayLoad(noLoad);
+    a1.fed.hear('p', second.own());
+    assert.deepEqual(loadIn(a1.facts)?.engines, { e1: 5 }, 'an older version does not count');
+    copy(a1.facts, again);
+    second.sayLoad(noLoad);
+    a1.fed.hear('p', second.own());
+    assert.deepEqual(loadIn(a1.facts)?.engines, {});
+    assert.ok(proxyBook.size > 0);
+  });
+
+  test('what is said of one that is long gone is forgotten, and a proxy speaks for itself only', () => {
+    const { clock, proxy, a1 } = setUp();
+    proxy.sayLoad(noLoad);
+    a1.fed.hear('p', proxy.own());
+    a1.fed.hear('p', [{ key: FactKeys.load('q'), version: [9, 9], value: {} }]);
+    assert.equal(a1.facts.get(FactKeys.load('q')), undefined);
+    clock.now += 2_000_000;
+    a1.fed.review();
+    a1.fed.review();
+    clock.now += 59_000_000;
+    a1.fed.review();
+    assert.ok(loadIn(a1.facts) !== undefined);
+    clock.now += 2_000_000;
+    a1.fed.review();
+    assert.equal(loadIn(a1.facts), undefined);
+  });
+
+  test('in a large fleet a load stands for a while', () => {
+    const clock = handClock();
+    const book = new FactBook();
+    const proxy = new ProxyFacts(
+      'p',
+      book,
+      clock,
+      () => 64,
+      () => 'a',
+    );
+    proxy.sayLoad(noLoad);
+    clock.now += 300_000;
+    proxy.sayLoad({ ...noLoad, engines: { e: 1 } });
+    assert.deepEqual(loadIn(book)?.engines, {});
+    clock.now += 100_000;
+    proxy.sayLoad({ ...noLoad, engines: { e: 1 } });
+    assert.deepEqual(loadIn(book)?.engines, { e: 1 });
+  });
+});
+
+const few = { ...usualShape, edges: 8, agents: 3 };
+
+const started = async (seed: number): Promise<Readonly<{ world: World; fleet: SimFleet }>> => {
+  const world = new World(seed);
+  const fleet = new SimFleet(world, few);
+  await fleet.startAll();
+  await world.runFor(2_000_000);
+  return { world, fleet };
+};
+const callAll = async (world: World, fleet: SimFleet): Promise<void> => {
+  const calls = fleet.edges.map((edge) =>
+    fleet.callers.call(fleet.handle(edge), SimKinds.short, 'open1', 'key-open1-a'),
+  );
+  assert.ok(await world.runUntil(() => calls.every(({ over }) => over), 30_000_000));
+  for (const call of calls) assert.equal(call.status, 200, call.nonce);
+};
+const isFed = ({ proxy }: SimEdge): boolean => proxy.freshness.ageMicroseconds() < 900_000;
+
+describe('a fleet with an agent on few of its machines', () => {
+  test('every proxy is fed, counted by all, and serves', async () => {
+    const { world, fleet } = await started(5);
+    for (const { name, proxy } of fleet.edges) {
+      assert.ok(proxy.fresh(), name);
+      assert.equal(proxy.daemons(), few.edges, `${name} counts all proxies`);
+    }
+    await callAll(world, fleet);
+    assert.deepEqual(judgeAll(fleet).broken, []);
+  });
+
+  for (const how of ['killed', 'frozen'] as const)
+    test(`an agent that is ${how}: its proxies are fed by another within a second`, async () => {
+      const { world, fleet } = await started(6);
+      const { agentProcess } = fleet.edge(0);
+      if (how === 'killed') agentProcess.kill();
+      else agentProcess.freeze();
+      const worst = new Map<string, number>();
+      for (let step = 0; step < 60; step += 1) {
+        await world.runFor(50_000);
+        for (const { name, proxy } of fleet.edges)
+          worst.set(name, Math.max(worst.get(name) ?? 0, proxy.freshness.ageMicroseconds()));
+      }
+      for (const [name, age] of worst) assert.ok(age < 1_400_000, `${name}: ${age}`);
+      await callAll(world, fleet);
+      assert.deepEqual(judgeAll(fleet).broken, []);
+    });
+
+  test('a proxy that starts anew, and a new one, find an agent through the seeds', async () => {
+    const { world, fleet } = await started(7);
+    const edge = fleet.edge(6);
+    edge.proxyProcess.kill();
+    fleet.startProxy(edge);
+    assert.ok(await world.runUntil(() => edge.proxy.fresh() && edge.proxy.ready(), 1_500_000));
+    await world.runFor(1_000_000);
+    assert.equal(edge.proxy.daemons(), few.edges);
+    await callAll(world, fleet);
+  });
+
+  test('all agents lost at once: their proxies are fed again once agents are back', async () => {
+    const { world, fleet } = await started(8);
+    for (const edge of fleet.edges) edge.agentProcess.kill();
+    await world.runFor(4_000_000);
+    for (const edge of fleet.edges) fleet.startAgent(edge);
+    assert.ok(await world.runUntil(() => fleet.edges.every(isFed), 4_000_000));
+    await world.runFor(1_500_000);
+    await callAll(world, fleet);
+    assert.deepEqual(judgeAll(fleet).broken, []);
+  });
+
+  test('a proxy that is gone is no longer counted as there', async () => {
+    const { world, fleet } = await started(9);
+    const [gone, agents] = [fleet.edge(7), fleet.edges.filter((edge) => fleet.hasAgent(edge))];
+    gone.proxyProcess.kill();
+    const isKnown = (): boolean =>
+      agents.every(({ agent }) => agent.facts.value<LoadFact>(FactKeys.load(gone.name))?.isSilent === true);
+    assert.ok(await world.runUntil(isKnown, 4_000_000));
+  });
+});
