--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -312,6 +312,7 @@
             settings.workPlacement,
             this.demand,
             this.metrics,
+            sender.hasIdle,
           ),
         }),
         planner.policy(),
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -19,6 +19,8 @@
     copyMicroseconds?: number;
     /** Kept for short orders while there is room elsewhere. */
     lane: boolean;
+    /** No kept connection to it waits, so that one would have to be made. */
+    needsConnection?: boolean;
   }>;
 
 export type Demand = Readonly<{
@@ -49,6 +51,8 @@
   shortOutsideMicroseconds: number;
   /** What a part's first reader is drawn to its own engine by. */
   homeMicroseconds: number;
+  /** What a new connection costs: its engine has work with it, and takes a bounded number of them from all proxies. */
+  connectionMicroseconds: number;
   /** What keeps orders from an engine that some failed at lately. */
   suspectMicroseconds: number;
   /** What keeps long orders, and short ones, from an engine that is about to change its weights. */
@@ -67,6 +71,7 @@
     longInLaneMicroseconds: 250_000,
     shortOutsideMicroseconds: 60_000,
     homeMicroseconds: 300_000,
+    connectionMicroseconds: 20_000,
     suspectMicroseconds: 150_000,
     longChangesSoonMicroseconds: 120_000,
     // Why less than to leave a lane: one that is turned away is soon sent again, one behind a long read is late.
@@ -116,6 +121,7 @@
       apart +
       (offer.standing === 'suspected' ? settings.suspectMicroseconds : 0) +
       soon +
+      (offer.needsConnection === true ? settings.connectionMicroseconds : 0) +
       offer.moveMicroseconds +
       inFlight * settings.sendMicroseconds +
       turns * settings.turnMicroseconds +
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -30,6 +30,8 @@
     private readonly settings: WorkPlacementSettings,
     private readonly demand: DemandView,
     private readonly metrics: Metrics,
+    /** Whether a kept connection to an address waits. */
+    private readonly hasIdle: (address: string) => boolean = () => true,
   ) {}
 
   public async place(
@@ -71,6 +73,7 @@
         tokensPerMillisecond: engine.tokensPerMillisecond,
         keptTokens: service.kind === 'pool' ? (service.shape?.keptTokens ?? 0) : 0,
         lane: lanes.has(candidate.name),
+        needsConnection: !this.hasIdle(candidate.address),
       };
     });
     const first = candidates[0];
--- a/source/measure/main.ts
+++ b/source/measure/main.ts
@@ -4,6 +4,8 @@
 import path from 'node:path';
 import { Programs } from '../shared/settings/program';
 import { SettingFormats, Settings, type SettingSchema } from '../shared/settings/settings';
+import { DayLosses } from './days/dayLosses';
+import { JournalDays } from './days/journalDays';
 import { Measurements } from './measurements/all';
 import type { Measurement } from './measurements/measurement';
 import { Plots } from './report/plot';
@@ -29,6 +31,12 @@
     default: 'HEAD',
     kind: 'text',
   },
+  days: {
+    doc: 'entries of the journal of the users’ bench, one or two with a comma between them: prints where the worth of their days went',
+    format: SettingFormats.text,
+    default: '',
+    kind: 'text',
+  },
   out: {
     doc: 'folder for figures and plots; empty: they are printed alone',
     format: SettingFormats.text,
@@ -126,8 +134,21 @@
   };
 };
 
+/** One entry: where each day's worth went. Two: what changed from the first to the second. */
+const printDays = (files: readonly string[]): void => {
+  const [first, second, ...more] = files.map((file) => JournalDays.read(file));
+  if (first === undefined || more.length > 0) throw new Misused('one entry of the journal is read, or two');
+  const told = second === undefined ? first.map(DayLosses.table).join('\n\n') : DayLosses.pairedTable(first, second);
+  process.stdout.write(`${told}\n`);
+};
+
 const run = async (): Promise<void> => {
   const settings = Settings.read('measure', 'measures what grows with the fleet', schema, process.argv.slice(2));
+  const days = String(settings['days']);
+  if (days !== '') {
+    printDays(days.split(','));
+    return;
+  }
   const measurements = chosen(String(settings['measurement']));
   const text = String(settings['sizes']);
   if (text !== '' && measurements.length > 1) throw new Misused('sizes are those of one measurement, name it');
--- a/source/shared/back-end/keptConns/keptConnSender.ts
+++ b/source/shared/back-end/keptConns/keptConnSender.ts
@@ -68,6 +68,11 @@
     return this.dial(order, sink);
   };
 
+  public readonly hasIdle = (address: string): boolean => {
+    const conn = this.books.get(address)?.idle.at(-1);
+    return conn !== undefined && conn.idleMicroseconds < conn.usableMicroseconds;
+  };
+
   /** Conns that stand or are being made, and those of them that are idle. */
   public counts(address: string): Readonly<{ conns: number; idle: number }> {
     const book = this.books.get(address);
--- a/source/shared/back-end/protocol.ts
+++ b/source/shared/back-end/protocol.ts
@@ -244,4 +244,6 @@
 export interface BackEndSender {
   /** Returns the way to cut the send. Exactly one of end and failed is called, at most once; none after cut or leave. */
   readonly send: (order: SendOrder, sink: SendSink) => SendHandle;
+  /** Whether a kept connection to an address waits for a send; missing: none is ever kept. */
+  readonly hasIdle?: (address: string) => boolean;
 }
--- a/tests/named-parts.test.ts
+++ b/tests/named-parts.test.ts
@@ -154,6 +154,20 @@
   assert.equal(of([offer('b', { zone: 'y' }), offer('a')]), 'a');
 });
 
+test('with little between them the engine that a kept connection waits for is chosen, but not behind a queue', () => {
+  const short = { ...demand, parts: [], isShort: true, tokens: 300 };
+  const fresh = { needsConnection: true };
+  assert.equal(
+    ByWork.choose([offer('a', fresh), offer('b')], short, seededRandom(1), WorkPlacementSettings.usual)?.name,
+    'b',
+  );
+  const busy = offer('b', { inFlight: 9 });
+  assert.equal(
+    ByWork.choose([offer('a', fresh), busy], short, seededRandom(1), WorkPlacementSettings.usual)?.name,
+    'a',
+  );
+});
+
 test('short orders keep to their lane, long ones out of it, until there is no room elsewhere', () => {
   const lane = offer('a', { lane: true });
   const short = { ...demand, parts: [], isShort: true, tokens: 300 };
