--- a/source/edge-proxy/fetch/partMoves.ts
+++ b/source/edge-proxy/fetch/partMoves.ts
@@ -6,6 +6,9 @@
 
 export type MoveSettings = Readonly<{
   imports: boolean;
+  /** Whether a source is named where nobody is known to keep the parts, and one besides where the engine itself is. */
+  guesses: boolean;
+  spares: boolean;
   /** What any import costs, found or not. */
   setupMicroseconds: number;
   /** Where nobody says how fast links are. */
@@ -23,6 +26,8 @@
 export const MoveSettings = {
   usual: {
     imports: true,
+    guesses: true,
+    spares: true,
     setupMicroseconds: 2_000,
     linkBytesPerSecond: 12_500_000_000,
     tokenBytes: 163_840,
@@ -56,7 +61,7 @@
   public constructor(
     private readonly view: EngineView,
     private readonly ratios: LinkSpeeds,
-    private readonly settings: MoveSettings,
+    public readonly settings: MoveSettings,
   ) {}
 
   public best(
--- a/source/edge-proxy/fetch/partsPlanner.ts
+++ b/source/edge-proxy/fetch/partsPlanner.ts
@@ -76,6 +76,7 @@
     lookUp: LookUp,
   ): FetchPlan['source'] {
     const isKept = placed.matched >= parts.length - 1;
+    if (!(isKept ? this.moves.settings.spares : this.moves.settings.guesses)) return undefined;
     const holder = isKept ? this.spare(placed, parts, store, lookUp) : this.unknown(placed, store);
     const address = holder === undefined ? undefined : this.view.addressOf(holder);
     if (address === undefined || holder === undefined || holder === placed.engine) return undefined;
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -37,6 +37,8 @@
 export type WorkPlacementSettings = Readonly<{
   /** What one more running order costs the others, in microseconds of delay that they feel. */
   sendMicroseconds: number;
+  /** How much chance there is among engines that look alike; more of it among many proxies. */
+  chanceMicroseconds: number;
   /** What waiting costs where all places are taken, for each whole turn of them. */
   turnMicroseconds: number;
   /** What it costs to fill an engine's memory to the brim, where running orders are put back. */
@@ -63,6 +65,7 @@
 export const WorkPlacementSettings = {
   usual: {
     sendMicroseconds: 3_000,
+    chanceMicroseconds: 3_000,
     turnMicroseconds: 200_000,
     crowdMicroseconds: 400_000,
     memoryPerMille: 800,
@@ -157,7 +160,7 @@
     const home = known ? undefined : (demand.places?.[0] ?? ByWork.homeOf(demand.parts, offers));
     // Why chance: proxies that see the same numbers must not all choose the same engine. Why more among many: all place
     // orders by what was so half a second ago, and the engine that had least to do then would get them all.
-    const spread = settings.sendMicroseconds * Math.max(1, proxies / promptProxies);
+    const spread = settings.chanceMicroseconds * Math.max(1, proxies / promptProxies);
     let best: Readonly<{ offer: Offer; cost: number }> | undefined;
     for (const offer of offers) {
       const cost = ByWork.cost(offer, demand, home, settings) + random.fraction() * spread;
--- a/source/edge-proxy/placement/deskLink.ts
+++ b/source/edge-proxy/placement/deskLink.ts
@@ -15,12 +15,14 @@
     private readonly transport: Transport,
     private readonly clock: Clock,
     private readonly address: () => string | undefined,
+    /** How long a request waits for the desk's word; 0: none is asked. */
     private readonly askMicroseconds: number,
   ) {}
 
   public async reserve(order: DeskOrder): Promise<DeskWord | undefined> {
     const address = this.address();
-    if (address === undefined || this.clock.nowMicroseconds() < this.restUntil) return undefined;
+    if (address === undefined || this.askMicroseconds === 0 || this.clock.nowMicroseconds() < this.restUntil)
+      return undefined;
     const answer = await this.transport.ask(address, { kind: 'reserve', order }, this.askMicroseconds);
     const word = answer.kind === 'answered' && answer.message.kind === 'reserved' ? answer.message['word'] : undefined;
     if (DeskMessages.isWord(word) && word.engine !== '') {
--- a/source/edge-proxy/placement/lanes.ts
+++ b/source/edge-proxy/placement/lanes.ts
@@ -7,7 +7,7 @@
   shortMicroseconds: number;
   /** Over so long the mix of short and long orders is looked back at. */
   lookBackMicroseconds: number;
-  /** Engines kept for short orders, in per mille of their part of the work. Short orders wait little, and fill them well. */
+  /** Engines kept for short orders, in per mille of their part of the work; 0: none. Short orders wait little, and fill them well. */
   headroomPerMille: number;
   /** Work of one token that is put out, where an engine runs one order alone. */
   outputMicroseconds: number;
@@ -79,7 +79,8 @@
     const own = this.faded(service);
     const short = own.short + others[0] * toldMicroseconds;
     const long = own.long + others[1] * toldMicroseconds;
-    if (engines.length < 2 || short === 0 || long === 0) return new Set();
+    const isOff = this.settings.headroomPerMille === 0;
+    if (isOff || engines.length < 2 || short === 0 || long === 0) return new Set();
     const part = (short / (short + long)) * (this.settings.headroomPerMille / 1000);
     const count = Math.min(engines.length - 1, Math.max(1, Math.round(engines.length * part)));
     return new Set(this.ordered(service, engines).slice(0, count));
--- a/source/shared/settings/program.ts
+++ b/source/shared/settings/program.ts
@@ -1,6 +1,12 @@
 import { Logs } from '../log/log';
 
 export const Programs = {
+  /** The value of `--NAME=VALUE` on the command line; empty: it is not there. */
+  flag: (name: string, words: readonly string[] = process.argv): string => {
+    const prefix = `--${name}=`;
+    return words.find((word) => word.startsWith(prefix))?.slice(prefix.length) ?? '';
+  },
+
   /** Runs a program; what stops it at the start is one sentence on stderr and a code that is not 0. */
   run: (program: string, start: () => Promise<void>, notices = true): void => {
     if (notices) Logs.enableDefault();
