Old weights stay in use until engines are told: which were before is known from any control node

Cause: a control node that joined by taking others' state did not know the weights before the next change, and said none. Which weights were before is now taken from whoever knows it, and a node that joined learns them with the state.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -283,11 +283,13 @@
     if (opened.kind === 'corrupt') return opened;
     this.ledger.news.on('broken', (text) => void this.news.emit('broken', text));
     this.ledger.news.on('synced', (events) => {
-      for (const event of events)
+      for (const event of events) {
         if (event.kind === 'accepted' && event.key === 'blueprint') this.ages.accepted(event.entry);
+        // Why here too: what came with the state of others was accepted by none of this node's own steps.
+        if (event.kind === 'joined') this.restoreAges();
+      }
     });
-    const blueprint = KeeperStates.cell(this.core.state, 'blueprint').accepted;
-    if (blueprint !== null) this.ages.restored(blueprint.entry);
+    this.restoreAges();
     if (opened.fresh && this.settings.isFirstStart)
       void this.ledger.write([{ kind: 'firstStarted', seeds: this.settings.seeds }]);
     if (!opened.fresh) this.duties.waitOneLease(this.settings.leaseMicroseconds);
@@ -299,6 +301,11 @@
     return { kind: 'started', address: this.listener.address };
   }
 
+  private restoreAges(): void {
+    const blueprint = KeeperStates.cell(this.core.state, 'blueprint').accepted;
+    if (blueprint !== null) this.ages.restored(blueprint.entry);
+  }
+
   public seedsAre(seeds: readonly string[]): void {
     this.standing.seedsAre(seeds);
   }
--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -74,7 +74,7 @@
     longInLaneMicroseconds: 250_000,
     shortOutsideMicroseconds: 60_000,
     homeMicroseconds: 300_000,
-    connectionMicroseconds: 20_000,
+    connectionMicroseconds: 5_000,
     suspectMicroseconds: 150_000,
     longChangesSoonMicroseconds: 120_000,
     // Why less than to leave a lane: one that is turned away is soon sent again, one behind a long read is late.
@@ -124,7 +124,7 @@
       apart +
       (offer.standing === 'suspected' ? settings.suspectMicroseconds : 0) +
       soon +
-      (offer.needsConnection === true ? settings.connectionMicroseconds : 0) +
+      (offer.needsConnection === true && demand.isShort ? settings.connectionMicroseconds : 0) +
       offer.moveMicroseconds +
       inFlight * settings.sendMicroseconds +
       turns * settings.turnMicroseconds +
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -228,9 +228,14 @@
   }
 }
 
-/** Of two words on the same weights: a known time before an unknown one, the earlier of two known ones. */
+/**
+ * Of two words on the same weights: a known time before an unknown one, the earlier of two known ones. Which weights were
+ * before is taken from either: a control node that joined lately does not know it.
+ */
 const earlier = (left: WeightsSince, right: WeightsSince): WeightsSince => {
-  if (left.sinceMicroseconds === null) return right;
-  if (right.sinceMicroseconds === null) return left;
-  return left.sinceMicroseconds <= right.sinceMicroseconds ? left : right;
+  const isLeft =
+    right.sinceMicroseconds === null ||
+    (left.sinceMicroseconds !== null && left.sinceMicroseconds <= right.sinceMicroseconds);
+  const [first, second] = isLeft ? [left, right] : [right, left];
+  return { ...first, previous: first.previous ?? second.previous };
 };
--- a/source/shared/register/majorityRead.ts
+++ b/source/shared/register/majorityRead.ts
@@ -31,12 +31,14 @@
     for (const [service, age] of Object.entries(word.weights ?? {})) {
       const known = best[service];
       // Why the oldest: the clock of the old weights runs from the first keeper that had the change.
-      if (
+      const isOlder =
         known === undefined ||
         (age.ageMicroseconds !== null &&
-          (known.ageMicroseconds === null || age.ageMicroseconds > known.ageMicroseconds))
-      )
-        best[service] = { weights: age.weights, previous: age.previous, ageMicroseconds: age.ageMicroseconds };
+          (known.ageMicroseconds === null || age.ageMicroseconds > known.ageMicroseconds));
+      const [first, second] = isOlder ? [age, known] : [known, age];
+      // Why of another too: one that joined lately does not know which weights were before.
+      const previous = first.previous ?? second?.previous ?? null;
+      best[service] = { weights: first.weights, previous, ageMicroseconds: first.ageMicroseconds };
     }
   }
   return best;
--- a/source/shared/weights/weightsRounds.ts
+++ b/source/shared/weights/weightsRounds.ts
@@ -18,18 +18,20 @@
     Rendezvous.order(`weights/${service}/${weights}`, engines),
 
   /**
-   * Those of the round that goes on and of the next one that have not changed yet, as far as known here. Why the next too:
-   * word that a round is over may be here later than at the stewards of the next.
+   * Those that change now or next and have not changed yet, as far as known here. Why the next too: word that one has
+   * changed may be here later than at the stewards of those that wait for it.
    */
   soon: (order: readonly string[], hasChanged: (engine: string) => boolean): readonly string[] => {
     const width = WeightsRounds.width(order.length);
     const first = order.findIndex((engine) => !hasChanged(engine));
     if (first < 0) return [];
-    const begin = Math.floor(first / width) * width;
-    return order.slice(begin, begin + 2 * width).filter((engine) => !hasChanged(engine));
+    return order.slice(first, first + 2 * width).filter((engine) => !hasChanged(engine));
   },
 
-  /** Whether an engine's turn has come: all rounds before are done, or their time is over. */
+  /**
+   * Whether an engine's turn has come: fewer of those before it than may change at once are left, or their time is over.
+   * Why not whole rounds: the slowest engine of one would hold up all of the next.
+   */
   isDue: (
     engine: string,
     intended: WeightsSince,
@@ -47,14 +49,16 @@
     // Why the order once: it is asked for by each engine of a pool that may be large.
     const order = WeightsRounds.order(service, intended.weights, engines);
     const width = WeightsRounds.width(engines.length);
-    const round = Math.floor(order.indexOf(engine) / width);
+    const place = order.indexOf(engine);
+    const round = Math.floor(place / width);
     const begin = Math.max(intended.sinceMicroseconds, mayFromMicroseconds);
     const until = intended.sinceMicroseconds + (limitMicroseconds * roundsPerMille) / 1000;
     if (nowMicroseconds - begin >= (round * Math.max(0, until - begin)) / Math.ceil(engines.length / width))
       return true;
-    return order.slice(0, round * width).every((before) => {
+    const left = order.slice(0, place).filter((before) => {
       const fact = pool[before];
-      return fact?.weights === intended.weights && !fact.changing;
+      return fact?.weights !== intended.weights || fact.changing;
     });
+    return left.length < width;
   },
 } as const;
--- a/tests/agent-stewards.test.ts
+++ b/tests/agent-stewards.test.ts
@@ -270,10 +270,12 @@
   const proxy = new SimProcess(world, 'proxy', leaving.machine);
   const transport = fleet.keepers.network.transportOf(proxy);
   const fed: string[] = [];
-  const load = { engines: { 'engine-1': 2 }, classes: {}, waiting: {}, tenants: {} };
+  const load = { agent: leaving.name, engines: { 'engine-1': 2 }, classes: {}, waiting: {}, tenants: {} };
+  const facts = [{ key: FactKeys.load(leaving.name), version: [1, 1], value: load }];
+  const ask = { kind: 'news', fleet: leaving.agent.link.fleet, sums: {}, proxy: leaving.name, facts };
   const feed = (): void =>
     void transport
-      .ask(`${leaving.machine}:1`, { kind: 'news', fleet: leaving.agent.link.fleet, sums: {}, load }, 500_000)
+      .ask(`${leaving.machine}:1`, ask, 500_000)
       .then((answer) => fed.push(answer.kind === 'answered' ? answer.message.kind : answer.kind));
   feed();
   await world.runFor(100_000);
--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -313,11 +313,9 @@
     faults: ['agentsStopped'],
     seeds: 4,
     cuts: [
-      [
-        'edge-proxy/feeding/feeders.ts',
-        'if (this.missed === 0) return undefined;',
-        'if (this.missed >= 0) return undefined;',
-      ],
+      // Why both: the one that answered last would be asked besides.
+      ['edge-proxy/feeding/feeders.ts', 'const further = isStale ? able[1] : undefined;', 'const further = undefined;'],
+      ['edge-proxy/feeding/feeders.ts', 'const first = able[0] ?? this.soonest(order);', 'const first = order[0];'],
     ],
   },
   {
@@ -466,8 +464,8 @@
 /** Pieces of what keeps wanted prefixes warm, cut out; the simulated rush must show it. */
 export const demandSabotages: readonly Readonly<{ what: string; cuts: Cuts }>[] = [
   {
-    what: 'no agent tells the fleet what its proxy is asked for',
-    cuts: [['edge-agent/demand/demandTeller.ts', 'if (!PrefixDemand.isFact(fact)) return;', 'return;']],
+    what: 'no proxy tells the fleet what it is asked for',
+    cuts: [['edge-proxy/demand/demandTeller.ts', 'if (!PrefixDemand.isFact(fact)) return;', 'return;']],
   },
   {
     what: 'a store is sent every prefix that is read',
--- /dev/null
+++ b/tests/weights-known.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { WeightsAges } from '../source/core-keeper/register/weightsAges';
+import { ownDialect } from '../source/shared/blueprint/dialect';
+import { SimBlueprints } from '../source/fleet-simulator/machines/simFleet';
+import { Fence } from '../source/edge-proxy/fence/fence';
+import { Digests } from '../source/core-keeper/register/changes';
+import { Freshness, type Statement } from '../source/shared/freshness/freshness';
+import { MajorityReads, type WordsAnswer } from '../source/shared/register/majorityRead';
+import { Epochs, type Entry, type WeightsAge } from '../source/shared/register/types';
+import { handClock } from './support/handClock';
+
+const epoch = { ...Epochs.none, counter: 1 } as typeof Epochs.none;
+
+const answer = (keeper: string, age: WeightsAge): WordsAnswer => ({
+  kind: 'words',
+  stamp: { keeper, fleet: 'f', incarnation: 1, known: {} } as WordsAnswer['stamp'],
+  membersRevision: 1,
+  view: { revision: 1, sets: [['a', 'b', 'c']], members: {} },
+  words: [
+    {
+      key: 'blueprint',
+      epoch,
+      revision: 2,
+      digest: 'd',
+      decidedRevision: 2,
+      decidedDigest: 'd',
+      owner: 'a',
+      weights: { pool: age },
+    },
+  ],
+});
+
+test('which weights were before is told by those that know it, whoever has held the new ones for longest', () => {
+  // The control node that joined lately has had the change first, and does not know what was before it.
+  const joined: WeightsAge = { weights: 'w2', previous: null, ageMicroseconds: 900_000 };
+  const knows: WeightsAge = { weights: 'w2', previous: 'w1', ageMicroseconds: 400_000 };
+  for (const [first, second] of [
+    [joined, knows],
+    [knows, joined],
+  ] as const) {
+    const read = MajorityReads.judge([answer('a', first), answer('b', second)], 'f', () => undefined);
+    const [statement] = read.statements;
+    assert.deepEqual(statement?.weights, { pool: { weights: 'w2', previous: 'w1', ageMicroseconds: 900_000 } });
+  }
+});
+
+test('engines on the weights before go on being used until they are told, though one statement does not name them', () => {
+  const clock = handClock();
+  const freshness = new Freshness(clock);
+  const fence = new Fence(freshness, clock, Infinity, 8_000_000);
+  const text = JSON.stringify(SimBlueprints.first('w2'));
+  const digest = Digests.of(text);
+  const statement = (previous: string | null, ageMicroseconds: number): Statement => ({
+    key: 'blueprint',
+    revision: 2,
+    digest,
+    ageMicroseconds: 0,
+    weights: { pool: { weights: 'w2', previous, ageMicroseconds } },
+  });
+  clock.now = 5_000_000;
+  freshness.hear(statement('w1', 300_000), clock.now);
+  assert.ok(freshness.give({ key: 'blueprint', revision: 2, digest, text } as Parameters<Freshness['give']>[0]));
+  assert.equal(fence.weights('pool', 'w1'), 'untilChanged');
+  freshness.hear(statement(null, 900_000), clock.now);
+  assert.equal(
+    fence.weights('pool', 'w1'),
+    'untilChanged',
+    'an earlier time of one that does not know takes nothing away',
+  );
+  clock.now += 7_200_000;
+  assert.equal(fence.weights('pool', 'w1'), 'forbidden', 'and the earlier time counts');
+});
+
+test('a control node that took its state from others knows the weights before the next change', () => {
+  const clock = handClock();
+  const ages = new WeightsAges(clock, ownDialect);
+  const entry = (weights: string): Entry => {
+    const text = JSON.stringify(SimBlueprints.first(weights));
+    return { text, digest: Digests.of(text), revision: 1 } as Entry;
+  };
+  ages.restored(entry('w1'));
+  clock.now = 2_000_000;
+  ages.accepted(entry('w2'));
+  assert.deepEqual(ages.words()['pool'], { weights: 'w2', previous: 'w1', ageMicroseconds: 0 });
+});
