--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -18,6 +18,8 @@
   faults: readonly FaultName[];
   /** The first seed tried; 1 where it is left out. A mechanism that few days need is met sooner from a later one on. */
   firstSeed?: number;
+  /** Days that are known to show it, tried before the others; as the simulator's command line counts them. */
+  knownDays?: readonly number[];
   seeds: number;
   ending?: Ending;
   shape?: SimShape;
@@ -241,7 +243,8 @@
   {
     point: 'refusedButTaken',
     what: 'an outcome that is not known is called a refusal',
-    // Why so many: with one of each about one day in 80 shows it (of 230 others none did), with these about one in 25.
+    // Why so many: with one of each about one day in 80 shows it (of 230 others none did), with these about one in 100.
+    knownDays: [7],
     faults: [
       'coreSplit',
       'operatorsRace',
@@ -552,10 +555,12 @@
         assert.equal(cut, sabotage.cuts.length);
         const seen: string[] = [];
         const first = sabotage.firstSeed ?? 1;
-        for (let seed = first; seed < first + sabotage.seeds && !seen.includes(sabotage.point); seed += 1) {
+        const drawn = Array.from({ length: sabotage.seeds }, (_, index) => (first + index) * 6007);
+        for (const seed of [...(sabotage.knownDays ?? []), ...drawn]) {
+          if (seen.includes(sabotage.point)) break;
           const outcome = await module
             .runScenario({
-              seed: seed * 6007,
+              seed,
               faults: sabotage.faults,
               ending: sabotage.ending ?? 'healed',
               shape: sabotage.shape,
