Sight: a proxy tells of agents that fall silent and of a configuration not confirmed for long

Logs could not tell a proxy that is fed too late from one whose leader duels: neither said anything.

--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -21,6 +21,7 @@
 import type { Refusal } from '../shared/verdict/verdict';
 import { WeightsClocks } from '../shared/weights/weightsClocks';
 import { DemandSettings, DemandView } from './demand/demandView';
+import { FeedWatch } from './feeding/feedWatch';
 import { Feeders } from './feeding/feeders';
 import { NotePost } from './feeding/notePost';
 import { ProxyFacts } from './feeding/proxyFacts';
@@ -181,6 +182,7 @@
   private readonly speeds: LinkSpeeds;
   private readonly readSpeeds: ReadSpeeds;
   private readonly feeders: Feeders;
+  private readonly feedWatch: FeedWatch;
   private readonly seedContacts: SeedContacts;
   private readonly own: ProxyFacts;
   private readonly budgets = new Map<string, RetryBudget>();
@@ -236,6 +238,7 @@
       this.effects,
     );
     this.feeders = new Feeders(settings, clock, () => this.view.others.agents());
+    this.feedWatch = new FeedWatch(clock, this.metrics, this.notice);
     this.seedContacts = new SeedContacts(clock, this.fleet, settings);
     this.own = new ProxyFacts(
       settings.name,
@@ -437,6 +440,7 @@
       ...this.feeders.targets(isStale).map((address) => this.feedFrom(address, said)),
       ...(seed === undefined ? [] : [this.meet(seed)]),
     ]);
+    this.feedWatch.looked(this.freshness.ageMicroseconds(), this.freshness.revision('blueprint'));
     const listed = this.freshness.engines?.engines;
     if (listed !== undefined) {
       const holders = [...Object.keys(listed), ...Object.keys(this.freshness.blueprint?.stores ?? {})];
@@ -465,8 +469,10 @@
       if (address === this.settings.agentAddress) this.fleet.learn(String(message['fleet'] ?? ''));
     };
     const { feedAskMicroseconds } = this.settings;
+    const asked = this.effects.clock.nowMicroseconds();
     // Why following: a proxy has no news of its own but its load, and asks many times a second.
     const heard = await this.exchange.ask(address, feedAskMicroseconds, extra, learn, 'following');
+    this.feedWatch.asked(address, heard, this.effects.clock.nowMicroseconds() - asked);
     if (heard) this.feeders.heard(address);
     else this.feeders.unheard(address);
   }
