Long documents travel in small parts that the receiver asks for, not inside news

Cause: an answer with news held the whole configuration and was given up after half a second. On a thin link that many proxies share it took longer, was thrown away when it came, and was asked for again: congestion that feeds itself. Change: news leave long documents out for those that ask for parts of 4 kB, one at a time; what has come is kept when the agent changes, and what was begun is finished where a newer revision comes up.

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -437,6 +437,8 @@
         return this.exchange.answer(message);
       case 'newsMore':
         return this.exchange.more(message);
+      case 'bodyPart':
+        return this.exchange.part(message);
       case 'words':
         // Why answered: an agent as a seed says which fleet it leads to, and knows no keeper's words.
         return { kind: 'noVote' };
--- a/source/shared/freshness/bodies.ts
+++ b/source/shared/freshness/bodies.ts
@@ -6,10 +6,14 @@
 export type PackedBody = Readonly<{ key: DocumentKey; revision: number; digest: string; packed: Uint8Array }>;
 export type SentBody = Body | PackedBody;
 
+/** Starting value, ours: bytes of one part of a long document, and the most that travels inside other messages. */
+export const partBytes = 4096;
+
 const leastPackedLength = 4096;
 /** Why a bound: a few bytes of a stranger must not unfold into all memory. */
 const mostTextBytes = 8 * 1024 * 1024;
-const mostKept = 3;
+/** Starting value, ours: so many texts of late stay packed, for receivers that began with one of them. */
+const mostKept = 6;
 
 /** Packs each text once, however many ask for it. */
 export class BodyPacker {
@@ -21,6 +25,11 @@
     return { key, revision, digest, packed: this.packed(body) };
   }
 
+  /** A text that was sent lately; undefined: it is not kept any more. */
+  public sentLately(digest: string): Uint8Array | undefined {
+    return this.kept.find((item) => item.digest === digest)?.packed;
+  }
+
   private packed({ digest, text }: Body): Uint8Array {
     const found = this.kept.find((item) => item.digest === digest);
     if (found !== undefined) return found.packed;
@@ -32,6 +41,9 @@
 }
 
 export const Bodies = {
+  /** Whether a body is short enough to travel inside other messages. */
+  isShort: (body: SentBody): boolean => 'text' in body || body.packed.length <= partBytes,
+
   is: (value: unknown): value is SentBody => {
     const body = value as (Partial<Body> & Partial<PackedBody>) | null;
     return (
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -52,10 +52,15 @@
   isBody: Bodies.is,
 } as const;
 
+/** Starting value, ours: so many revisions that newer ones have overtaken may still arrive. */
+const mostPassedOver = 6;
+
 /** What one daemon applies of one key, and how long ago that was known to be current. Never goes back. */
 class KeyFreshness {
   public applied: Applied<DocumentValue> | undefined;
   public wanted: Confirmed | undefined;
+  /** Revisions that were wanted until a newer one was known; the newest last. */
+  private passedOver: readonly Confirmed[] = [];
 
   public constructor(
     private readonly key: DocumentKey,
@@ -76,29 +81,34 @@
       wanted === undefined ||
       confirmed.revision > wanted.revision ||
       (confirmed.revision === wanted.revision && confirmed.asOfMicroseconds > wanted.asOfMicroseconds)
-    )
+    ) {
+      if (wanted !== undefined && wanted.revision < confirmed.revision)
+        this.passedOver = [...this.passedOver, wanted].slice(-mostPassedOver);
       this.wanted = confirmed;
+    }
   }
 
-  /** A body counts only when its revision is known to be decided. */
+  /** What is known of a revision that is decided and newer than what is applied; undefined: nothing. */
+  public confirmed(revision: number, digest: string): Confirmed | undefined {
+    if (revision <= (this.applied?.revision ?? -1)) return undefined;
+    const known = this.wanted === undefined ? this.passedOver : [...this.passedOver, this.wanted];
+    return known.find((item) => item.revision === revision && item.digest === digest);
+  }
+
+  /** A body counts only when its revision is known to be decided, by whatever time a newer one is known too. */
   public give(body: SentBody): boolean {
-    const wanted = this.wanted;
-    if (wanted === undefined || body.revision !== wanted.revision || body.digest !== wanted.digest) return false;
+    const confirmed = this.confirmed(body.revision, body.digest);
+    if (confirmed === undefined) return false;
     const text = Bodies.text(body);
     if (text === undefined) return false;
-    if (createHash('sha256').update(text).digest('hex').slice(0, 32) !== wanted.digest) return false;
+    if (createHash('sha256').update(text).digest('hex').slice(0, 32) !== confirmed.digest) return false;
     // Why trusted: the digest is that of a text which keepers have checked and taken.
     const checked: Checked<DocumentValue> =
       this.key === 'blueprint' ? this.dialect.trusted(text) : Blueprints.checkText(this.key, text);
     if (checked.kind === 'faulty') return false;
-    this.applied = {
-      revision: wanted.revision,
-      digest: wanted.digest,
-      text,
-      value: checked.value,
-      asOfMicroseconds: wanted.asOfMicroseconds,
-    };
-    this.wanted = undefined;
+    this.applied = { ...confirmed, text, value: checked.value };
+    this.passedOver = this.passedOver.filter(({ revision }) => revision > confirmed.revision);
+    if (this.wanted !== undefined && this.wanted.revision <= confirmed.revision) this.wanted = undefined;
     return true;
   }
 
@@ -154,6 +164,21 @@
     return body === undefined ? undefined : this.packer.sent(body);
   }
 
+  /** The packed text of a document that is applied, or was sent lately; undefined: it is not here, or too short to be packed. */
+  public packed(key: DocumentKey, digest: string): Uint8Array | undefined {
+    const body = this.keys[key].applied?.digest === digest ? this.sent(key) : undefined;
+    return body === undefined ? this.packer.sentLately(digest) : 'packed' in body ? body.packed : undefined;
+  }
+
+  /** Whether a body of this revision would be applied. */
+  public wouldTake({
+    key,
+    revision,
+    digest,
+  }: Readonly<{ key: DocumentKey; revision: number; digest: string }>): boolean {
+    return this.keys[key].confirmed(revision, digest) !== undefined;
+  }
+
   /** How long ago what is applied of one key was known to be current. */
   public ageOf(key: DocumentKey): number {
     return this.keys[key].ageMicroseconds();
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -1,9 +1,11 @@
 import type { Effects } from '../effects/effects';
 import type { Message } from '../effects/transport/transport';
 import { FactLimits, Facts, type Fact, type FactBook } from './facts';
+import { Bodies } from '../freshness/bodies';
+import { BodyParts, BodyTransfers } from '../freshness/bodyParts';
 import { Statements, type Freshness, type SentBody } from '../freshness/freshness';
 import type { Pulses } from './pulses';
-import type { DocumentKey } from '../blueprint/types';
+import { DocumentKeys, type DocumentKey } from '../blueprint/types';
 import type { ShardBook, ShardMarkBook } from '../directory/shardBook';
 import type { ShardChange } from '../directory/shardNews';
 
@@ -45,12 +47,14 @@
   /** Why a name: a book of an agent that started anew counts its changes anew. */
   private readonly book: string;
   private readonly followed = new Map<string, Follows>();
+  private readonly transfers: BodyTransfers;
 
   public constructor(
     private readonly parts: NewsParts,
     private readonly effects: Effects,
   ) {
     this.book = effects.random.name();
+    this.transfers = new BodyTransfers(parts.freshness, effects.transport);
   }
 
   /** Asks one colleague. False when it stayed silent. `extra` and `onAnswer` carry what only one pair says. */
@@ -70,15 +74,20 @@
       ...(manner === 'following' ? { follows: follows ?? null } : {}),
       marks: shards.marks(),
       revisions: this.revisions(),
+      takesParts: true,
       ...extra,
     };
     const answer = await this.effects.transport.ask(address, opening, limitMicroseconds);
-    if (answer.kind !== 'answered' || answer.message.kind !== 'newsBack') return false;
+    if (answer.kind !== 'answered' || answer.message.kind !== 'newsBack') {
+      this.transfers.silent(address);
+      return false;
+    }
     const message = answer.message;
     onAnswer(message);
     // Why deaf until then: who does not know its own fleet cannot tell whose news this is.
     if (!this.isOurs(message)) return true;
     this.take(message, asked);
+    this.transfers.answered(address, (message['revisions'] ?? {}) as Revisions);
     const follow = isFollows(message['follow']) ? message['follow'] : undefined;
     if (follow === undefined) this.followed.delete(address);
     // Why no more to a keeper asked as a seed: it keeps no news, and tells no versions.
@@ -116,7 +125,8 @@
       // Why only those: of the others the asker has nothing that is lacked here.
       marks: shards.marksBehind(theirs),
       revisions: this.revisions(),
-      bodies: this.bodiesSince((message['revisions'] ?? {}) as Revisions),
+      takesParts: true,
+      bodies: this.bodiesFor(message),
       shards: shards.since(theirs, mostShardEntries),
     };
   }
@@ -142,19 +152,28 @@
   }
 
   private revisions(): Revisions {
-    return Object.fromEntries(
-      (['blueprint', 'engines', 'core-members'] as const).map((key) => [key, this.parts.freshness.revision(key)]),
-    );
+    return Object.fromEntries(DocumentKeys.map((key) => [key, this.parts.freshness.revision(key)]));
   }
 
   private isOurs(message: Message): boolean {
     return this.parts.fleet.name !== '' && message['fleet'] === this.parts.fleet.name;
   }
 
-  private bodiesSince(theirs: Revisions): readonly SentBody[] {
-    return (['blueprint', 'engines', 'core-members'] as const).flatMap((key) => {
+  /** A part of a document that another daemon asks for. */
+  public part(message: Message): Message {
+    return BodyParts.answer(this.parts.freshness, message);
+  }
+
+  /**
+   * What the one that said its revisions lacks. Long documents are left out for those that ask for them in parts: an answer that
+   * holds one may take longer than its asker waits, and asked for again it would only take longer still.
+   */
+  private bodiesFor(message: Message): readonly SentBody[] {
+    const theirs = (message['revisions'] ?? {}) as Revisions;
+    return DocumentKeys.flatMap((key) => {
       const body = this.parts.freshness.sent(key);
-      return body !== undefined && body.revision > (theirs[key] ?? 0) ? [body] : [];
+      if (body === undefined || body.revision <= (theirs[key] ?? 0)) return [];
+      return message['takesParts'] === true && !Bodies.isShort(body) ? [] : [body];
     });
   }
 
@@ -166,7 +185,7 @@
     const newer = Facts.isDigest(message['digest'])
       ? facts.newerThan(message['digest'], Object.keys(message['digest']))
       : [];
-    const bodies = this.bodiesSince((message['revisions'] ?? {}) as Revisions);
+    const bodies = this.bodiesFor(message);
     const changes = shards.sinceOf((message['marks'] ?? {}) as ShardMarkBook, mostShardEntries);
     return newer.length === 0 && bodies.length === 0 && changes.length === 0
       ? undefined
--- /dev/null
+++ b/tests/body-parts.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
+import { describe, test } from 'node:test';
+import type { Answer, Message, Transport } from '../source/shared/effects/transport/transport';
+import { partBytes } from '../source/shared/freshness/bodies';
+import { BodyParts, BodyTransfers } from '../source/shared/freshness/bodyParts';
+import { Freshness } from '../source/shared/freshness/freshness';
+import { handClock } from './support/handClock';
+import { blueprintOf } from './support/largeConfiguration';
+
+const digestOf = (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 32);
+const textOf = (weights: string): string => JSON.stringify(blueprintOf(900, weights));
+
+const hear = (freshness: Freshness, revision: number, text: string): void =>
+  freshness.hear({ key: 'blueprint', revision, digest: digestOf(text), ageMicroseconds: 0, weights: {} }, 0);
+
+const holderOf = (revision: number, text: string): Freshness => {
+  const holder = new Freshness(handClock());
+  hear(holder, revision, text);
+  assert.ok(holder.give({ key: 'blueprint', revision, digest: digestOf(text), text }));
+  return holder;
+};
+
+type Ask = Readonly<{ address: string; message: Message; settle: (answer: Answer) => void }>;
+
+/** A transport that answers when the test says so. */
+const heldTransport = () => {
+  const asks: Ask[] = [];
+  const transport: Transport = {
+    ask: (address, message) => new Promise((settle) => asks.push({ address, message, settle })),
+    listen: () => Promise.reject(new Error('nobody listens')),
+    close: () => Promise.resolve(),
+  };
+  return { asks, transport };
+};
+
+const settled = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
+const setUp = (revision: number, text: string) => {
+  const receiver = new Freshness(handClock());
+  hear(receiver, revision, text);
+  const { asks, transport } = heldTransport();
+  const transfers = new BodyTransfers(receiver, transport);
+  const answerNext = async (holder: Freshness): Promise<Message> => {
+    const ask = asks.shift();
+    assert.ok(ask !== undefined);
+    ask.settle({ kind: 'answered', message: BodyParts.answer(holder, ask.message) });
+    await settled();
+    return ask.message;
+  };
+  return { receiver, asks, transfers, answerNext };
+};
+
+describe('long documents in parts', () => {
+  test('one part after the other, and the document is applied with the last', async () => {
+    const text = textOf('w1');
+    const holder = holderOf(3, text);
+    const { receiver, asks, transfers, answerNext } = setUp(3, text);
+    transfers.answered('a:1', { blueprint: 2 });
+    assert.equal(asks.length, 0, 'this one has not got it yet');
+    transfers.answered('a:1', { blueprint: 3 });
+    transfers.answered('b:1', { blueprint: 3 });
+    let parts = 0;
+    for (; receiver.revision('blueprint') === 0; parts += 1) {
+      assert.equal(asks.length, 1, 'one ask at a time, at one sender');
+      const { from } = await answerNext(holder);
+      assert.equal(from, parts * partBytes);
+    }
+    assert.ok(parts >= 3, `${parts} parts`);
+    assert.equal(asks.length, 0);
+    assert.equal(receiver.applied('blueprint')?.text, text);
+  });
+
+  test('a sender that falls silent: another one goes on where it stopped', async () => {
+    const text = textOf('w1');
+    const holder = holderOf(3, text);
+    const { receiver, asks, transfers, answerNext } = setUp(3, text);
+    transfers.answered('a:1', { blueprint: 3 });
+    await answerNext(holder);
+    transfers.silent('a:1');
+    transfers.answered('b:1', { blueprint: 3 });
+    assert.deepEqual(
+      asks.map(({ address, message }) => [address, message['from']]),
+      [
+        ['a:1', partBytes],
+        ['b:1', partBytes],
+      ],
+    );
+    await answerNext(holder);
+    for (let asked = 0; receiver.revision('blueprint') === 0 && asked < 100; asked += 1) await answerNext(holder);
+    assert.equal(receiver.applied('blueprint')?.text, text);
+  });
+
+  test('what was begun is finished where a newer revision comes up, and that one follows', async () => {
+    const [first, second] = [textOf('w1'), textOf('w2')];
+    const holder = holderOf(3, first);
+    const { receiver, transfers, answerNext } = setUp(3, first);
+    transfers.answered('a:1', { blueprint: 3 });
+    await answerNext(holder);
+    holder.packed('blueprint', digestOf(first));
+    hear(holder, 4, second);
+    assert.ok(holder.give({ key: 'blueprint', revision: 4, digest: digestOf(second), text: second }));
+    hear(receiver, 4, second);
+    transfers.answered('a:1', { blueprint: 4 });
+    const applied: number[] = [];
+    for (let asked = 0; receiver.revision('blueprint') < 4 && asked < 100; asked += 1) {
+      await answerNext(holder);
+      if (applied.at(-1) !== receiver.revision('blueprint')) applied.push(receiver.revision('blueprint'));
+      transfers.answered('a:1', { blueprint: 4 });
+    }
+    assert.deepEqual(applied, [0, 3, 4]);
+  });
+
+  test('a sender that does not have the revision any more: what it has now is asked for next', async () => {
+    const [first, second] = [textOf('w1'), textOf('w2')];
+    const { receiver, transfers, answerNext } = setUp(3, first);
+    transfers.answered('a:1', { blueprint: 4 });
+    await answerNext(holderOf(4, second));
+    hear(receiver, 4, second);
+    const holder = holderOf(4, second);
+    for (let asked = 0; receiver.revision('blueprint') === 0 && asked < 100; asked += 1) {
+      transfers.answered('a:1', { blueprint: 4 });
+      await answerNext(holder);
+    }
+    assert.equal(receiver.revision('blueprint'), 4);
+  });
+
+  test('what is no part, or of another document, is not taken', async () => {
+    const text = textOf('w1');
+    const { receiver, asks, transfers } = setUp(3, text);
+    for (const message of [
+      { kind: 'bodyPart', digest: 'another', from: 0, total: 3, bytes: new Uint8Array(3) },
+      { kind: 'bodyPart', digest: digestOf(text), from: 0, total: 3, bytes: new Uint8Array(0) },
+      { kind: 'bodyPart', digest: digestOf(text), from: 0, total: 3, bytes: new Uint8Array(3) },
+      { kind: 'heard' },
+    ]) {
+      transfers.answered('a:1', { blueprint: 3 });
+      asks.shift()?.settle({ kind: 'answered', message });
+      await settled();
+    }
+    assert.equal(receiver.revision('blueprint'), 0);
+    assert.equal(
+      BodyParts.answer(receiver, { kind: 'bodyPart', key: 'blueprint', digest: 'x', from: 0 }).kind,
+      'noBody',
+    );
+  });
+});
