A daemon that has the configuration before is sent only what changed

Cause: each change of one route, and new weights alone, sent the whole document to every proxy. Change: a transfer names the text that its receiver has; the sender ships the items that differ from it, checked by the digest of the whole.

--- a/source/shared/freshness/bodies.ts
+++ b/source/shared/freshness/bodies.ts
@@ -1,23 +1,43 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { isDocumentKey, type DocumentKey } from '../blueprint/types';
+import { TextDeltas } from './textDelta';
 
 export type Body = Readonly<{ key: DocumentKey; revision: number; digest: string; text: string }>;
 /** Long texts travel packed: a daemon at a thin link must have a change within a part of a second. */
 export type PackedBody = Readonly<{ key: DocumentKey; revision: number; digest: string; packed: Uint8Array }>;
 export type SentBody = Body | PackedBody;
 
+/** What is sent of a text: all of it, packed, or what changed since another one. `base`: digest of that one; empty: none. */
+export type Shipment = Readonly<{ base: string; packed: Uint8Array }>;
+
 /** Starting value, ours: bytes of one part of a long document, and the most that travels inside other messages. */
 export const partBytes = 4096;
 
 const leastPackedLength = 4096;
 /** Why a bound: a few bytes of a stranger must not unfold into all memory. */
 const mostTextBytes = 8 * 1024 * 1024;
-/** Starting value, ours: so many texts of late stay packed, for receivers that began with one of them. */
+/** Starting values, ours: so many texts of each key and deltas of late are kept, for receivers that have or began with one of them. */
 const mostKept = 6;
+const mostKeptDeltas = 12;
+
+// Why level 1: documents repeat themselves so much that more work gains little.
+const pack = (text: string): Uint8Array => deflateRawSync(text, { level: 1 });
+
+const unpack = (packed: Uint8Array): string | undefined => {
+  try {
+    return inflateRawSync(packed, { maxOutputLength: mostTextBytes }).toString('utf8');
+  } catch {
+    return undefined;
+  }
+};
+
+type Kept = Readonly<{ key: DocumentKey; digest: string; text: string; packed: Uint8Array }>;
+type KeptDelta = Readonly<{ digest: string; shipment: Shipment }>;
 
 /** Packs each text once, however many ask for it. */
 export class BodyPacker {
-  private kept: readonly Readonly<{ digest: string; packed: Uint8Array }>[] = [];
+  private kept: readonly Kept[] = [];
+  private deltas: readonly KeptDelta[] = [];
 
   public sent(body: Body): SentBody {
     if (body.text.length < leastPackedLength) return body;
@@ -25,17 +45,37 @@
     return { key, revision, digest, packed: this.packed(body) };
   }
 
-  /** A text that was sent lately; undefined: it is not kept any more. */
-  public sentLately(digest: string): Uint8Array | undefined {
-    return this.kept.find((item) => item.digest === digest)?.packed;
+  /** A text that was sent lately, to one that has the text of digest `base`; undefined: it is not kept any more. */
+  public shipment(digest: string, base: string): Shipment | undefined {
+    const text = this.find(digest);
+    if (text === undefined) return undefined;
+    const before = this.find(base);
+    if (before === undefined || base === digest) return { base: '', packed: text.packed };
+    const known = this.deltas.find((item) => item.digest === digest && item.shipment.base === base);
+    if (known !== undefined) return known.shipment;
+    const shipment = this.shorter(text, before);
+    this.deltas = [{ digest, shipment }, ...this.deltas].slice(0, mostKeptDeltas);
+    return shipment;
   }
 
-  private packed({ digest, text }: Body): Uint8Array {
-    const found = this.kept.find((item) => item.digest === digest);
+  private shorter(text: Kept, before: Kept): Shipment {
+    const delta = pack(JSON.stringify(TextDeltas.between(before.text, text.text)));
+    return delta.length < text.packed.length
+      ? { base: before.digest, packed: delta }
+      : { base: '', packed: text.packed };
+  }
+
+  private find(digest: string): Kept | undefined {
+    return this.kept.find((item) => item.digest === digest);
+  }
+
+  private packed({ key, digest, text }: Body): Uint8Array {
+    const found = this.find(digest);
     if (found !== undefined) return found.packed;
-    // Why level 1: documents repeat themselves so much that more work gains little.
-    const packed = deflateRawSync(text, { level: 1 });
-    this.kept = [{ digest, packed }, ...this.kept].slice(0, mostKept);
+    const packed = pack(text);
+    // Why apart by key: the list of engines changes far more often, and would drive the configuration's texts out.
+    const [same, others] = [true, false].map((isSame) => this.kept.filter((item) => (item.key === key) === isSame));
+    this.kept = [{ key, digest, text, packed }, ...(same ?? []).slice(0, mostKept - 1), ...(others ?? [])];
     return packed;
   }
 }
@@ -57,10 +97,14 @@
   },
 
   /** Undefined: it cannot be unpacked. */
-  text: (body: SentBody): string | undefined => {
-    if ('text' in body) return body.text;
+  text: (body: SentBody): string | undefined => ('text' in body ? body.text : unpack(body.packed)),
+
+  /** The text of what was shipped, by the text that it builds on; undefined: it makes no sense. */
+  shippedText: ({ base, packed }: Shipment, before: string): string | undefined => {
+    const text = unpack(packed);
+    if (text === undefined || base === '') return text;
     try {
-      return inflateRawSync(body.packed, { maxOutputLength: mostTextBytes }).toString('utf8');
+      return TextDeltas.applied(before, JSON.parse(text));
     } catch {
       return undefined;
     }
--- a/source/shared/freshness/bodyParts.ts
+++ b/source/shared/freshness/bodyParts.ts
@@ -5,7 +5,7 @@
  */
 import { isDocumentKey, type DocumentKey } from '../blueprint/types';
 import type { Message, Transport } from '../effects/transport/transport';
-import { partBytes, type SentBody } from './bodies';
+import { Bodies, partBytes } from './bodies';
 import type { Freshness } from './freshness';
 
 /**
@@ -14,14 +14,22 @@
  */
 const partLimitMicroseconds = 2_000_000;
 
-/** A part of a packed document, and the length of the whole. */
-export type BodyPart = Readonly<{ kind: 'bodyPart'; digest: string; from: number; total: number; bytes: Uint8Array }>;
+/** A part of what is shipped of a document, and the length of the whole. `base`: digest of the text that it builds on. */
+export type BodyPart = Readonly<{
+  kind: 'bodyPart';
+  digest: string;
+  base: string;
+  from: number;
+  total: number;
+  bytes: Uint8Array;
+}>;
 
 const isPart = (message: Message): boolean => {
-  const { kind, digest, from, total, bytes } = message as Partial<BodyPart>;
+  const { kind, digest, base, from, total, bytes } = message as Partial<BodyPart>;
   return (
     kind === 'bodyPart' &&
     typeof digest === 'string' &&
+    typeof base === 'string' &&
     Number.isSafeInteger(from) &&
     Number.isSafeInteger(total) &&
     bytes instanceof Uint8Array &&
@@ -29,27 +37,40 @@
   );
 };
 
+const isPlace = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0;
+
 export const BodyParts = {
   /** The part of a document that was asked for; `noBody` where this daemon does not have that text any more. */
   answer: (freshness: Freshness, message: Message): Message => {
-    const { key, digest, from } = message;
-    const packed = isDocumentKey(key) && typeof digest === 'string' ? freshness.packed(key, digest) : undefined;
-    if (packed === undefined || !Number.isSafeInteger(from) || (from as number) < 0) return { kind: 'noBody' };
-    const start = from as number;
-    const bytes = packed.subarray(start, start + partBytes);
-    return { kind: 'bodyPart', digest, from: start, total: packed.length, bytes } as BodyPart;
+    const { key, digest, base, from } = message;
+    if (!isDocumentKey(key) || typeof digest !== 'string' || !isPlace(from)) return { kind: 'noBody' };
+    const shipment = freshness.shipment(key, digest, typeof base === 'string' ? base : '');
+    if (shipment === undefined) return { kind: 'noBody' };
+    const { packed } = shipment;
+    const bytes = packed.subarray(from, from + partBytes);
+    return { kind: 'bodyPart', digest, base: shipment.base, from, total: packed.length, bytes } satisfies BodyPart;
   },
 } as const;
 
 type Lacking = Readonly<{ key: DocumentKey; revision: number; digest: string }>;
-type Transfer = Readonly<{ of: Lacking; parts: Uint8Array[] }>;
-const lengthOf = (parts: readonly Uint8Array[]): number => parts.reduce((sum, { length }) => sum + length, 0);
+type Transfer = Readonly<{
+  of: Lacking;
+  /** The text that the sender may build on: what was applied here when the transfer began. */
+  before: Readonly<{ digest: string; text: string }>;
+  parts: BodyPart[];
+}>;
+
+const noText = { digest: '', text: '' };
+
+const lengthOf = (parts: readonly BodyPart[]): number => parts.reduce((sum, { bytes }) => sum + bytes.length, 0);
 
 type Revisions = Readonly<Partial<Record<DocumentKey, number>>>;
 
 /** One daemon's transfers: one at a time, gone on with at another sender where the one before falls silent. */
 export class BodyTransfers {
   private open: Transfer | undefined;
+  /** Digest of a document whose delta made no sense, so that all of it is asked for; empty: none. */
+  private wholeOnly = '';
   /** The sender that is being asked; undefined: none is. */
   private sender: string | undefined;
 
@@ -91,30 +112,43 @@
   }
 
   private transferOf(of: Lacking): Transfer {
-    this.open ??= { of, parts: [] };
+    this.open ??= { of, before: this.freshness.applied(of.key) ?? noText, parts: [] };
     return this.open;
   }
 
   /** False: this sender has nothing more of use. */
-  private async receivePart(address: string, { of, parts }: Transfer): Promise<boolean> {
+  private async receivePart(address: string, transfer: Transfer): Promise<boolean> {
+    const { of, before, parts } = transfer;
     const from = lengthOf(parts);
-    const ask = { kind: 'bodyPart', key: of.key, digest: of.digest, from };
+    // Why whole after a delta that made no sense: its base may be another text than the one here.
+    const base = this.wholeOnly === of.digest ? '' : before.digest;
+    const ask = { kind: 'bodyPart', key: of.key, digest: of.digest, base, from };
     const answer = await this.transport.ask(address, ask, partLimitMicroseconds);
     if (answer.kind !== 'answered') return false;
     if (!isPart(answer.message)) {
       // A sender that has gone on to later revisions: what it has now is asked for with its next answer.
-      if (this.open?.of === of) this.open = undefined;
+      if (this.open === transfer) this.open = undefined;
       return false;
     }
     const part = answer.message as unknown as BodyPart;
     if (part.digest !== of.digest || part.from !== from) return false;
     // A sender that was given up may have answered after all, with this part or the last one.
-    const isNext = this.open?.of === of && lengthOf(parts) === from;
-    if (!isNext) return true;
-    parts.push(part.bytes);
+    if (this.open !== transfer || lengthOf(parts) !== from) return true;
+    // Another sender builds on another text: from the start, since its parts do not fit those that came.
+    if (parts[0] !== undefined && (parts[0].base !== part.base || parts[0].total !== part.total)) {
+      this.open = undefined;
+      return true;
+    }
+    parts.push(part);
     if (from + part.bytes.length < part.total) return true;
     this.open = undefined;
-    const body: SentBody = { ...of, packed: Buffer.concat(parts) };
-    return this.freshness.give(body);
+    return this.give(transfer, part.base);
+  }
+
+  private give({ of, before, parts }: Transfer, base: string): boolean {
+    const text = Bodies.shippedText({ base, packed: Buffer.concat(parts.map(({ bytes }) => bytes)) }, before.text);
+    const isGiven = text !== undefined && this.freshness.give({ ...of, text });
+    this.wholeOnly = isGiven ? '' : of.digest;
+    return isGiven;
   }
 }
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -4,7 +4,7 @@
 import type { Blueprint, CoreMembers, DocumentKey, EngineList } from '../blueprint/types';
 import { isDocumentKey } from '../blueprint/types';
 import type { Clock } from '../effects/clock/clock';
-import { Bodies, BodyPacker, type Body, type SentBody } from './bodies';
+import { Bodies, BodyPacker, type Body, type SentBody, type Shipment } from './bodies';
 
 export type { Body, SentBody } from './bodies';
 
@@ -164,10 +164,13 @@
     return body === undefined ? undefined : this.packer.sent(body);
   }
 
-  /** The packed text of a document that is applied, or was sent lately; undefined: it is not here, or too short to be packed. */
-  public packed(key: DocumentKey, digest: string): Uint8Array | undefined {
-    const body = this.keys[key].applied?.digest === digest ? this.sent(key) : undefined;
-    return body === undefined ? this.packer.sentLately(digest) : 'packed' in body ? body.packed : undefined;
+  /**
+   * What to send of a document that is applied, or was lately, to one that has the text of digest `base`; undefined: it is not
+   * here, or too short to be packed.
+   */
+  public shipment(key: DocumentKey, digest: string, base: string): Shipment | undefined {
+    if (this.keys[key].applied?.digest === digest) this.sent(key);
+    return this.packer.shipment(digest, base);
   }
 
   /** Whether a body of this revision would be applied. */
--- a/tests/body-parts.test.ts
+++ b/tests/body-parts.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { describe, test } from 'node:test';
+import fc from 'fast-check';
 import type { Answer, Message, Transport } from '../source/shared/effects/transport/transport';
 import { partBytes } from '../source/shared/freshness/bodies';
 import { BodyParts, BodyTransfers } from '../source/shared/freshness/bodyParts';
+import { TextDeltas } from '../source/shared/freshness/textDelta';
 import { Freshness } from '../source/shared/freshness/freshness';
 import { handClock } from './support/handClock';
 import { blueprintOf } from './support/largeConfiguration';
@@ -51,6 +53,28 @@
   return { receiver, asks, transfers, answerNext };
 };
 
+describe('what changed between two texts', () => {
+  const piece = fc.constantFrom('{a},', '{b},', '{c},', 'x', '},', '', '[{');
+  const text = fc.array(piece, { maxLength: 12 }).map((pieces) => pieces.join(''));
+
+  test('applied to the one before it gives the one after', () => {
+    fc.assert(
+      fc.property(text, text, (before, after) => {
+        const delta: unknown = JSON.parse(JSON.stringify(TextDeltas.between(before, after)));
+        assert.equal(TextDeltas.applied(before, delta), after);
+      }),
+    );
+  });
+
+  test('of a long list in which one item changed it is short, and what is no delta is not applied', () => {
+    const [before, after] = [textOf('w1'), textOf('w2')];
+    const delta = TextDeltas.between(before, after);
+    assert.ok(JSON.stringify(delta).length < 2_000, JSON.stringify(delta).slice(0, 200));
+    for (const wrong of [{}, [5], [[0]], [[0, 1e9]], [[-1, 1]], [null]])
+      assert.equal(TextDeltas.applied(before, wrong), undefined);
+  });
+});
+
 describe('long documents in parts', () => {
   test('one part after the other, and the document is applied with the last', async () => {
     const text = textOf('w1');
@@ -97,7 +121,6 @@
     const { receiver, transfers, answerNext } = setUp(3, first);
     transfers.answered('a:1', { blueprint: 3 });
     await answerNext(holder);
-    holder.packed('blueprint', digestOf(first));
     hear(holder, 4, second);
     assert.ok(holder.give({ key: 'blueprint', revision: 4, digest: digestOf(second), text: second }));
     hear(receiver, 4, second);
@@ -125,13 +148,44 @@
     assert.equal(receiver.revision('blueprint'), 4);
   });
 
+  test('one that has the text before is sent what changed, in one part', async () => {
+    const [first, second] = [textOf('w1'), textOf('w2')];
+    const sender = holderOf(3, first);
+    const { receiver, transfers, answerNext, asks } = setUp(3, first);
+    assert.ok(receiver.give({ key: 'blueprint', revision: 3, digest: digestOf(first), text: first }));
+    sender.sent('blueprint');
+    for (const freshness of [sender, receiver]) hear(freshness, 4, second);
+    assert.ok(sender.give({ key: 'blueprint', revision: 4, digest: digestOf(second), text: second }));
+    transfers.answered('a:1', { blueprint: 4 });
+    await answerNext(sender);
+    assert.equal(receiver.applied('blueprint')?.text, second);
+    assert.equal(asks.length, 0);
+  });
+
+  test('a delta that makes no sense: the whole document is asked for', async () => {
+    const [first, second] = [textOf('w1'), textOf('w2')];
+    const { receiver, transfers, answerNext, asks } = setUp(3, first);
+    assert.ok(receiver.give({ key: 'blueprint', revision: 3, digest: digestOf(first), text: first }));
+    hear(receiver, 4, second);
+    transfers.answered('a:1', { blueprint: 4 });
+    const bytes = Buffer.from('no delta');
+    const message = { kind: 'bodyPart', digest: digestOf(second), base: digestOf(first), from: 0, total: 8, bytes };
+    asks.shift()?.settle({ kind: 'answered', message });
+    await settled();
+    transfers.answered('a:1', { blueprint: 4 });
+    assert.equal(asks[0]?.message['base'], '');
+    const sender = holderOf(4, second);
+    for (let asked = 0; receiver.revision('blueprint') < 4 && asked < 100; asked += 1) await answerNext(sender);
+    assert.equal(receiver.applied('blueprint')?.text, second);
+  });
+
   test('what is no part, or of another document, is not taken', async () => {
     const text = textOf('w1');
     const { receiver, asks, transfers } = setUp(3, text);
     for (const message of [
-      { kind: 'bodyPart', digest: 'another', from: 0, total: 3, bytes: new Uint8Array(3) },
-      { kind: 'bodyPart', digest: digestOf(text), from: 0, total: 3, bytes: new Uint8Array(0) },
-      { kind: 'bodyPart', digest: digestOf(text), from: 0, total: 3, bytes: new Uint8Array(3) },
+      { kind: 'bodyPart', digest: 'another', base: '', from: 0, total: 3, bytes: new Uint8Array(3) },
+      { kind: 'bodyPart', digest: digestOf(text), base: '', from: 0, total: 3, bytes: new Uint8Array(0) },
+      { kind: 'bodyPart', digest: digestOf(text), base: '', from: 0, total: 3, bytes: new Uint8Array(3) },
       { kind: 'heard' },
     ]) {
       transfers.answered('a:1', { blueprint: 3 });
