--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -373,6 +373,11 @@
     return this.view.others.everSeen();
   }
 
+  /** Entries of the index of kept prompts that are known here. */
+  public indexSize(): number {
+    return this.shards.all().reduce((sum, { size }) => sum + size, 0);
+  }
+
   /** What should be nothing once all orders are over. */
   public remains(): Readonly<Record<string, number>> {
     return {
