The index and facts in news answers are bounded by a pace learned from how answers come

Cause: up to 5,000 entries of the index in an answer that is given up after half a second: on links that many proxies share none came, and all were sent again.

--- a/source/shared/directory/shardBook.ts
+++ b/source/shared/directory/shardBook.ts
@@ -56,12 +56,11 @@
     for (const holder of holders) {
       const shard = this.shards.get(holder);
       if (shard === undefined) continue;
-      const change = shard.since(marks[holder]);
+      // Why in parts: what does not fit now is asked for again with the next marks.
+      if (room <= 0) break;
+      const change = shard.since(marks[holder], room);
       if (change === undefined) continue;
-      const size = change.put.length + change.gone.length;
-      // Why in parts: what does not fit now is asked for again with the next digest.
-      if (changes.length > 0 && size > room) continue;
-      room -= size;
+      room -= change.put.length + change.gone.length;
       changes.push(change);
     }
     return changes;
--- a/source/shared/directory/shardNews.ts
+++ b/source/shared/directory/shardNews.ts
@@ -8,12 +8,15 @@
   bootEpoch: string;
   weights: string;
   version: number;
+  /** Of a frame that is only partly here: the version that its sender had when the first part left. */
+  framedAt?: number;
 }>;
-export type ShardMark = readonly [term: number, epoch: number, version: number];
+/** How far a daemon is; `framedAt` as in the head. */
+export type ShardMark = readonly [term: number, epoch: number, version: number, framedAt?: number];
 
 export type ShardChange = Readonly<{
   head: ShardHead;
-  /** The version the change starts from; null for a frame, which holds all. */
+  /** The version the change starts from; null for a frame, which holds all, or the first part of all. */
   from: number | null;
   put: readonly NamedKey[];
   gone: readonly string[];
@@ -28,15 +31,28 @@
 
 export const ShardMarks = {
   compare: compareMarks,
-  of: (head: ShardHead): ShardMark => [head.term, head.epoch, head.version],
+  of: ({ term, epoch, version, framedAt }: ShardHead): ShardMark =>
+    framedAt === undefined ? [term, epoch, version] : [term, epoch, version, framedAt],
 } as const;
 
+/** Why by the version that a frame leads to first: its first parts may name versions that this state is long past. */
+const isFurther = (next: ShardHead, present: ShardHead): boolean => {
+  const leadsTo = ({ term, epoch, version, framedAt }: ShardHead): ShardMark => [term, epoch, framedAt ?? version];
+  return (compareMarks(leadsTo(next), leadsTo(present)) || next.version - present.version) > 0;
+};
+
 export class ShardNews {
   private readonly committed = new Map<string, NamedKey>();
   private readonly logicals = new Map<string, number>();
+  /** At which version each block came. Like `committed` in the order of these versions. */
+  private readonly versions = new Map<string, number>();
   private steps: Step[] = [];
+  /** All steps after this version are here. */
+  private stepsSince: number;
 
-  public constructor(private head: ShardHead) {}
+  public constructor(private head: ShardHead) {
+    this.stepsSince = head.version;
+  }
 
   public get present(): ShardHead {
     return this.head;
@@ -72,47 +88,90 @@
   public put(key: NamedKey): void {
     const known = this.committed.get(key.physical);
     if (known?.name === key.name && known.size === key.size) return;
-    if (known !== undefined) this.forget(known);
-    this.committed.set(key.physical, key);
-    this.logicals.set(key.logical, (this.logicals.get(key.logical) ?? 0) + 1);
-    this.note(key.physical, key);
+    const version = this.nextVersion();
+    this.place(key, version);
+    this.note({ version, physical: key.physical, key });
   }
 
   public remove(physical: string): void {
     const known = this.committed.get(physical);
     if (known === undefined) return;
     this.forget(known);
-    this.note(physical, null);
+    this.note({ version: this.nextVersion(), physical, key: null });
   }
 
   /** A new epoch starts empty: nothing of the old one is a hit any more. */
   public fence(head: Omit<ShardHead, 'holder' | 'version'>): void {
     this.committed.clear();
     this.logicals.clear();
+    this.versions.clear();
     this.steps = [];
+    this.stepsSince = 0;
     this.head = { ...head, holder: this.head.holder, version: 0 };
   }
 
-  public since(mark: ShardMark | undefined): ShardChange | undefined {
-    const { term, epoch, version } = this.head;
-    if (mark !== undefined && compareMarks(mark, [term, epoch, version]) >= 0) return undefined;
-    const oldest = this.steps[0]?.version ?? version + 1;
-    const sameEpoch = mark !== undefined && mark[0] === term && mark[1] === epoch;
-    if (!sameEpoch || mark[2] + 1 < oldest) return { head: this.head, from: null, put: this.entries(), gone: [] };
+  /**
+   * What one with this mark lacks, in a change of about `most` blocks; more of it follows when it asks again. Undefined: it lacks
+   * nothing, or this state is itself only partly here.
+   */
+  public since(mark: ShardMark | undefined, most = Infinity): ShardChange | undefined {
+    const { term, epoch, version, framedAt } = this.head;
+    if (framedAt !== undefined || (mark !== undefined && compareMarks(mark, [term, epoch, version]) >= 0))
+      return undefined;
+    const isSameEpoch = mark !== undefined && mark[0] === term && mark[1] === epoch;
+    if (!isSameEpoch) return this.framePart(null, version, most);
+    const [, , known, begunAt] = mark;
+    if ((begunAt ?? known) < this.stepsSince) return this.framePart(null, version, most);
+    return begunAt === undefined ? this.stepsAfter(known, most) : this.framePart(known, begunAt, most);
+  }
+
+  /** The first steps after a version, all that share the last one's version included. */
+  private stepsAfter(known: number, most: number): ShardChange {
     const last = new Map<string, NamedKey | null>();
-    for (const step of this.steps) if (step.version > mark[2]) last.set(step.physical, step.key);
+    let upTo = known;
+    let count = 0;
+    for (const step of this.steps) {
+      if (step.version <= known) continue;
+      if (count >= most && step.version > upTo) return this.change(known, { ...this.head, version: upTo }, last);
+      last.set(step.physical, step.key);
+      upTo = step.version;
+      count += 1;
+    }
+    return this.change(known, this.head, last);
+  }
+
+  private change(from: number, head: ShardHead, last: ReadonlyMap<string, NamedKey | null>): ShardChange {
     return {
-      head: this.head,
-      from: mark[2],
+      head,
+      from,
       put: [...last.values()].flatMap((key) => key ?? []),
       gone: [...last].filter(([, key]) => key === null).map(([physical]) => physical),
     };
   }
 
+  /**
+   * Blocks that came after `known` (null: all), in the order in which they came. The last part also takes back what was removed
+   * since the first one left, which is why the steps must reach back to then.
+   */
+  private framePart(known: number | null, begunAt: number, most: number): ShardChange {
+    const put: NamedKey[] = [];
+    let upTo = known ?? -1;
+    for (const [physical, key] of this.committed) {
+      const version = this.versions.get(physical) ?? 0;
+      if (version <= (known ?? -1)) continue;
+      if (put.length >= most && version > upTo)
+        return { head: { ...this.head, version: upTo, framedAt: begunAt }, from: known, put, gone: [] };
+      put.push(key);
+      upTo = version;
+    }
+    const removed = known === null ? [] : this.steps.filter(({ version, key }) => version > begunAt && key === null);
+    const gone = removed.map(({ physical }) => physical).filter((physical) => !this.committed.has(physical));
+    return { head: this.head, from: known, put, gone: [...new Set(gone)] };
+  }
+
   /** Takes another daemon's change if it continues this state; false asks for a frame later. */
   public apply(change: ShardChange): boolean {
-    const order = compareMarks(ShardMarks.of(change.head), ShardMarks.of(this.head));
-    if (order <= 0) return false;
+    if (!isFurther(change.head, this.head)) return false;
     const { term, epoch } = this.head;
     const continues =
       change.from !== null &&
@@ -120,27 +179,51 @@
       change.head.epoch === epoch &&
       change.from <= this.head.version;
     if (!continues && change.from !== null) return false;
+    const isFrame = !continues || this.head.framedAt !== undefined;
     if (!continues) this.fence(change.head);
-    for (const physical of change.gone) this.remove(physical);
-    for (const key of change.put) this.put(key);
-    // Why set anew: versions are the steward's; the steps noted here must not run ahead of them.
-    this.steps = this.steps.map((step) =>
-      step.version > change.head.version ? { ...step, version: change.head.version } : step,
-    );
+    // Why each noted, also what changes nothing here: who follows this state may be one that it does change.
+    const { version } = change.head;
+    for (const physical of change.gone) {
+      const known = this.committed.get(physical);
+      if (known !== undefined) this.forget(known);
+      this.note({ version, physical, key: null });
+    }
+    for (const key of change.put) {
+      this.place(key, version);
+      this.note({ version, physical: key.physical, key });
+    }
+    // Why no steps after a frame: it tells what is there, and not what was removed on the way.
+    if (isFrame) [this.steps, this.stepsSince] = [[], version];
     this.head = change.head;
     return true;
   }
 
+  private nextVersion(): number {
+    this.head = { ...this.head, version: this.head.version + 1 };
+    return this.head.version;
+  }
+
+  /** Last in order, also where it was known before. */
+  private place(key: NamedKey, version: number): void {
+    const known = this.committed.get(key.physical);
+    if (known !== undefined) this.forget(known);
+    this.committed.set(key.physical, key);
+    this.versions.set(key.physical, version);
+    this.logicals.set(key.logical, (this.logicals.get(key.logical) ?? 0) + 1);
+  }
+
   private forget({ physical, logical }: NamedKey): void {
     this.committed.delete(physical);
+    this.versions.delete(physical);
     const count = (this.logicals.get(logical) ?? 1) - 1;
     if (count <= 0) this.logicals.delete(logical);
     else this.logicals.set(logical, count);
   }
 
-  private note(physical: string, key: NamedKey | null): void {
-    this.head = { ...this.head, version: this.head.version + 1 };
-    this.steps.push({ version: this.head.version, physical, key });
-    if (this.steps.length > keptSteps) this.steps = this.steps.slice(-keptSteps / 2);
+  private note(step: Step): void {
+    this.steps.push(step);
+    if (this.steps.length <= keptSteps) return;
+    const dropped = this.steps.splice(0, this.steps.length - keptSteps / 2);
+    this.stepsSince = dropped.at(-1)?.version ?? this.stepsSince;
   }
 }
--- a/source/shared/news/facts.ts
+++ b/source/shared/news/facts.ts
@@ -132,12 +132,15 @@
   }
 
   /** What came after a change of this book, the earliest first, and up to which change that is all. */
-  public changedSince(change: number): Readonly<{ facts: readonly Fact[]; change: number }> {
+  public changedSince(
+    change: number,
+    most: number = FactLimits.perMessage,
+  ): Readonly<{ facts: readonly Fact[]; change: number }> {
     const found: Fact[] = [];
     let upTo = change;
     for (const [key, at] of this.changedAt) {
       if (at <= change) continue;
-      if (found.length >= FactLimits.perMessage) return { facts: found, change: upTo };
+      if (found.length >= most) return { facts: found, change: upTo };
       const fact = this.facts.get(key);
       if (fact !== undefined) found.push(fact);
       upTo = at;
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -8,6 +8,7 @@
 import { DocumentKeys, type DocumentKey } from '../blueprint/types';
 import type { ShardBook, ShardMarkBook } from '../directory/shardBook';
 import type { ShardChange } from '../directory/shardNews';
+import { AnswerPaces } from './answerPace';
 
 import type { FleetName } from '../fleet/fleetName';
 
@@ -27,13 +28,18 @@
   return typeof book === 'string' && Number.isSafeInteger(change);
 };
 
+/** How many entries of one kind an asker takes at a time. */
+const entriesFor = ({ mostEntries: wanted }: Message): number =>
+  typeof wanted === 'number' && wanted >= 1 ? Math.min(mostEntries, wanted) : mostEntries;
+
 /**
  * `mutual`: each gives the other what it lacks. `following`: the asker takes what came since it last asked, in one answer;
  * it is for those who have little news of their own.
  */
 export type ExchangeManner = 'mutual' | 'following';
 
-const mostShardEntries = 5000;
+/** Entries of one kind in one answer, where the asker says no less. */
+const mostEntries = 5000;
 
 /** A follower has few that it follows at a time; the longest unheard are begun anew. */
 const mostFollowed = 8;
@@ -48,6 +54,7 @@
   private readonly book: string;
   private readonly followed = new Map<string, Follows>();
   private readonly transfers: BodyTransfers;
+  private readonly paces = new AnswerPaces();
 
   public constructor(
     private readonly parts: NewsParts,
@@ -68,6 +75,7 @@
     const { facts, shards } = this.parts;
     const asked = this.effects.clock.nowMicroseconds();
     const follows = manner === 'following' ? this.followed.get(address) : undefined;
+    const pace = this.paces.of(address);
     const opening = {
       kind: 'news',
       ...(follows === undefined ? { sums: facts.sums() } : {}),
@@ -75,13 +83,16 @@
       marks: shards.marks(),
       revisions: this.revisions(),
       takesParts: true,
+      mostEntries: pace.entries,
       ...extra,
     };
     const answer = await this.effects.transport.ask(address, opening, limitMicroseconds);
     if (answer.kind !== 'answered' || answer.message.kind !== 'newsBack') {
       this.transfers.silent(address);
+      pace.silent();
       return false;
     }
+    pace.answered(this.effects.clock.nowMicroseconds() - asked, limitMicroseconds);
     const message = answer.message;
     onAnswer(message);
     // Why deaf until then: who does not know its own fleet cannot tell whose news this is.
@@ -92,17 +103,19 @@
     if (follow === undefined) this.followed.delete(address);
     // Why no more to a keeper asked as a seed: it keeps no news, and tells no versions.
     if (!Facts.isDigest(message['digest']) && follow === undefined) return true;
-    const lacks = this.lacking(message);
-    const wants = Facts.isDigest(message['digest']) ? facts.lacks(message['digest']) : [];
-    if (lacks === undefined && wants.length === 0) {
+    const lacks = this.lacking(message, pace.entries);
+    const wanted = Facts.isDigest(message['digest']) ? facts.lacks(message['digest']) : [];
+    if (lacks === undefined && wanted.length === 0) {
       this.follow(address, follow);
       return true;
     }
+    const wants = wanted.slice(0, pace.entries);
     const more = await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore', wants }, limitMicroseconds);
+    if (more.kind !== 'answered') pace.silent();
     if (more.kind !== 'answered' || !this.isOurs(more.message)) return true;
     this.takeFacts(more.message);
     // Why not where some may be left: a follower is never told again of what came before.
-    if (wants.length < FactLimits.perMessage) this.follow(address, follow);
+    if (wants.length === wanted.length && wanted.length < FactLimits.perMessage) this.follow(address, follow);
     return true;
   }
 
@@ -127,7 +140,7 @@
       revisions: this.revisions(),
       takesParts: true,
       bodies: this.bodiesFor(message),
-      shards: shards.since(theirs, mostShardEntries),
+      shards: shards.since(theirs, entriesFor(message)),
     };
   }
 
@@ -135,7 +148,10 @@
     const { facts } = this.parts;
     const { follows, sums } = message;
     if (isFollows(follows) && follows.book === this.book && follows.change <= facts.changes) {
-      const { facts: changed, change } = facts.changedSince(follows.change);
+      const { facts: changed, change } = facts.changedSince(
+        follows.change,
+        Math.min(FactLimits.perMessage, entriesFor(message)),
+      );
       return { digest: null, facts: changed, follow: { book: this.book, change } };
     }
     const follow = follows === undefined ? {} : { follow: { book: this.book, change: facts.changes } };
@@ -180,13 +196,14 @@
   /** What the one that sent these versions, marks and revisions lacks. */
   private lacking(
     message: Message,
+    most: number,
   ): Readonly<{ facts: readonly Fact[]; bodies: readonly SentBody[]; shards: readonly ShardChange[] }> | undefined {
     const { facts, shards } = this.parts;
     const newer = Facts.isDigest(message['digest'])
       ? facts.newerThan(message['digest'], Object.keys(message['digest']))
       : [];
     const bodies = this.bodiesFor(message);
-    const changes = shards.sinceOf((message['marks'] ?? {}) as ShardMarkBook, mostShardEntries);
+    const changes = shards.sinceOf((message['marks'] ?? {}) as ShardMarkBook, most);
     return newer.length === 0 && bodies.length === 0 && changes.length === 0
       ? undefined
       : { facts: newer, bodies, shards: changes };
