A statement that names no weights takes nothing back that is known of them

Cause: an agent that had heard of a newer revision without having it named no weights for the one it applied; whoever heard that held all weights before to be forbidden and, as an engine's controller, named none to load. Result: the new test of tests/weights-known was red before (1 failed), green now.

--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -212,6 +212,8 @@
       asOfMicroseconds: askedMicroseconds - statement.ageMicroseconds,
     });
     if (statement.key !== 'blueprint' || statement.revision < this.sinceRevision) return;
+    // Why kept: a daemon that has heard of a later revision names no weights for the one it applies, and that says nothing of them.
+    if (Object.keys(statement.weights).length === 0) return;
     const same = statement.revision === this.sinceRevision;
     this.sinceRevision = statement.revision;
     const next: Record<string, WeightsSince> = {};
--- a/tests/weights-known.test.ts
+++ b/tests/weights-known.test.ts
@@ -84,3 +84,28 @@
   ages.accepted(entry('w2'));
   assert.deepEqual(ages.words()['pool'], { weights: 'w2', previous: 'w1', ageMicroseconds: 0 });
 });
+
+test('a daemon that lacks the newest revision names no weights, and those that hear it keep what they know of them', () => {
+  const clock = handClock();
+  const freshness = new Freshness(clock);
+  const fence = new Fence(freshness, clock, Infinity, 8_000_000);
+  const texts = ['one', 'two'].map((path) => {
+    const first = SimBlueprints.first('w2');
+    const route = first.mappings['slip'];
+    assert.ok(route !== undefined);
+    return JSON.stringify({ ...first, mappings: { ...first.mappings, more: { ...route, path: `/${path}` } } });
+  });
+  const hear = (revision: number, weights: Statement['weights']): void => {
+    const text = texts[revision - 1] ?? '';
+    const digest = Digests.of(text);
+    freshness.hear({ key: 'blueprint', revision, digest, ageMicroseconds: 0, weights }, clock.now);
+    freshness.give({ key: 'blueprint', revision, digest, text });
+  };
+  hear(1, { pool: { weights: 'w2', previous: 'w1', ageMicroseconds: 300_000 } });
+  assert.equal(fence.weights('pool', 'w1'), 'untilChanged');
+  hear(2, {});
+  assert.equal(freshness.revision('blueprint'), 2);
+  assert.equal(fence.weights('pool', 'w1'), 'untilChanged');
+  clock.now += 8_000_000;
+  assert.equal(fence.weights('pool', 'w1'), 'forbidden');
+});
