--- /dev/null
+++ b/tests/control-read-back.test.ts
@@ -0,0 +1,119 @@
+/**
+ * After the worst that may come at once, right behind a confirmed change, the configuration is read back: by an operator that goes from
+ * one control node to the next, for four seconds, each read with less than a second to be answered.
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { platformDialect } from '../platform/operators/dialect';
+import { ControlFleet, type ControlMachine } from './support/controlFleet';
+import { largePut, linkBytesPerSecond } from './support/leaderDuel';
+
+const firstSeed = Number(process.env['POSTDRUM_READ_BACK_FIRST'] ?? 7001);
+const seeds = Number(process.env['POSTDRUM_READ_BACK_SEEDS'] ?? 12);
+
+const readLimitMicroseconds = 850_000;
+const readBackMicroseconds = 4_000_000;
+/** From the return of the machines until the operator begins to read. */
+const recoverMicroseconds = 6_000_000;
+
+const pick = <Item>(fleet: ControlFleet, items: readonly Item[]): Item => {
+  const item = items[Math.floor(fleet.world.random.fraction() * items.length)];
+  assert.ok(item !== undefined);
+  return item;
+};
+
+const cutOff = (fleet: ControlFleet, machine: ControlMachine): readonly (() => void)[] =>
+  fleet.machines
+    .filter((other) => other !== machine)
+    .flatMap(({ machine: other }) => [
+      fleet.network.cut(other, machine.machine),
+      fleet.network.cut(machine.machine, other),
+    ]);
+
+type Confirmed = { version: number };
+
+/** Two changes on one base through two nodes, both sent again until one of them has an outcome. */
+const race = async (fleet: ControlFleet, confirmed: Confirmed): Promise<void> => {
+  const base = confirmed.version;
+  const [first, second] = [largePut(base + 1, base), largePut(base + 2, base)];
+  fleet.send(pick(fleet, fleet.machines), second);
+  const outcome = await fleet.persist(first, 12_000_000);
+  if (outcome?.kind === 'taken') confirmed.version = base + 1;
+  else if ((await fleet.persist(second, 12_000_000))?.kind === 'taken') confirmed.version = base + 2;
+  else assert.fail(`neither change of a race has an outcome: ${JSON.stringify(outcome)}`);
+};
+
+const troubles: readonly ((fleet: ControlFleet, confirmed: Confirmed) => Promise<void>)[] = [
+  async (fleet, confirmed) => {
+    const machine = pick(fleet, fleet.machines);
+    machine.kill(fleet.world.random.fraction() < 0.5);
+    await race(fleet, confirmed);
+    machine.start();
+  },
+  async (fleet, confirmed) => {
+    const mends = cutOff(fleet, pick(fleet, fleet.machines));
+    await race(fleet, confirmed);
+    await fleet.world.runFor(1_000_000 + Math.floor(fleet.world.random.fraction() * 3_000_000));
+    for (const mend of mends) mend();
+  },
+  async (fleet, confirmed) => {
+    for (const machine of fleet.machines) machine.kill();
+    await fleet.world.runFor(500_000);
+    for (const machine of fleet.machines) machine.start();
+    await race(fleet, confirmed);
+  },
+];
+
+/** Two machines lose their disks, all others power, a moment after a change was confirmed while another one is on its way. */
+const closingLoss = async (fleet: ControlFleet): Promise<void> => {
+  const order = [...fleet.machines].sort(() => fleet.world.random.fraction() - 0.5);
+  await fleet.world.runFor(Math.floor(fleet.world.random.fraction() * 60_000));
+  for (const machine of order) machine.kill(true);
+  for (const machine of order.slice(0, 2)) machine.disk.wipe();
+  await fleet.world.runFor(500_000 + Math.floor(fleet.world.random.fraction() * 800_000));
+  for (const machine of order) {
+    machine.start();
+    await fleet.world.runFor(Math.floor(fleet.world.random.fraction() * 200_000));
+  }
+};
+
+/** How many reads were answered, and the least version that one of them gave. */
+const readBack = async (fleet: ControlFleet): Promise<Readonly<{ answered: number; asked: number; least: number }>> => {
+  const until = fleet.world.nowMicroseconds + readBackMicroseconds;
+  let [answered, asked, least] = [0, 0, Infinity];
+  while (fleet.world.nowMicroseconds < until) {
+    const outcome = await fleet.read(pick(fleet, fleet.machines), readLimitMicroseconds);
+    asked += 1;
+    if (outcome?.kind === 'read') {
+      answered += 1;
+      least = Math.min(
+        least,
+        (JSON.parse(outcome.text.slice(outcome.text.indexOf('\n') + 1)) as { version: number }).version,
+      );
+    }
+    await fleet.world.runFor(250_000);
+  }
+  return { answered, asked, least };
+};
+
+describe('the configuration is read back after two disks and all power were lost', () => {
+  for (let seed = firstSeed; seed < firstSeed + seeds; seed += 1)
+    test(`seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect, { membersWanted: 5 });
+      assert.ok(await fleet.begin(5));
+      fleet.network.linkBytesPerSecond = linkBytesPerSecond;
+      const confirmed: Confirmed = { version: 0 };
+      await race(fleet, confirmed);
+      for (let count = 0; count < 2; count += 1) {
+        await pick(fleet, troubles)(fleet, confirmed);
+        await fleet.world.runFor(Math.floor(fleet.world.random.fraction() * 3_000_000));
+      }
+      await race(fleet, confirmed);
+      fleet.send(pick(fleet, fleet.machines), largePut(confirmed.version + 3, confirmed.version));
+      await closingLoss(fleet);
+      await fleet.world.runFor(recoverMicroseconds);
+      const { answered, asked, least } = await readBack(fleet);
+      assert.ok(answered >= asked - 1, `${answered} of ${asked} reads are answered`);
+      assert.ok(least >= confirmed.version, `version ${least} was read, ${confirmed.version} was confirmed`);
+    });
+});
--- a/tests/support/leaderDuel.ts
+++ b/tests/support/leaderDuel.ts
@@ -18,13 +18,13 @@
   return JSON.stringify({ ...small, routes: [...small.routes, ...more] });
 };
 
-const put = (version: number, ifMatch: number): ChangeOrder => {
+export const largePut = (version: number, ifMatch: number): ChangeOrder => {
   const text = largeDocument(version);
   return { key: 'blueprint', form: 'whole', text, ifMatch, id: `put ${ifMatch} ${version}` };
 };
 
 /** The incident's links between core machines. */
-const linkBytesPerSecond = 15_000_000;
+export const linkBytesPerSecond = 15_000_000;
 const readLimitMicroseconds = 850_000;
 const writePauseMicroseconds = 500_000;
 const readPauseMicroseconds = 200_000;
@@ -69,8 +69,8 @@
     machine?.process.enter(() => void machine.keeper?.change(order));
     fleet.world.plan(writePauseMicroseconds, () => send(order, turn + 1));
   };
-  send(put(2, 1), 0);
-  send(put(3, 1), 2);
+  send(largePut(2, 1), 0);
+  send(largePut(3, 1), 2);
   return () => {
     isOn = false;
   };
@@ -96,7 +96,7 @@
   const fleet = new ControlFleet(seed, platformDialect, { membersWanted: 5 });
   assert.ok(await fleet.begin(5));
   fleet.network.linkBytesPerSecond = linkBytesPerSecond;
-  assert.equal((await fleet.persist(put(1, 0), 10_000_000))?.kind, 'taken');
+  assert.equal((await fleet.persist(largePut(1, 0), 10_000_000))?.kind, 'taken');
   await fleet.world.runFor(1_000_000);
   const leader = leaderOf(fleet);
   const reads = { answered: 0, begun: 0 };
