A connection is dead when nothing has come on it for long, not when one short ask is given up

Cause: an ask of 60 ms for a place in the work queue, not answered in time by an agent under load, closed the connection that also carried the news, the parts of documents and all other asks to that agent. Change: closed once asks have left and nothing has come for 350 ms.

--- a/source/shared/effects/transport/tcpTransport.ts
+++ b/source/shared/effects/transport/tcpTransport.ts
@@ -18,7 +18,8 @@
 class AskingConn {
   private readonly open = new Map<number, Open>();
   private nextNumber = 1;
-  private heardMicroseconds = -Infinity;
+  /** When the first ask left of those since which nothing has come; undefined: something came after the last one. */
+  private unheardSince: number | undefined;
   private readonly socket: net.Socket;
   public closed = false;
 
@@ -31,7 +32,7 @@
     this.socket = net.connect({ host, port, noDelay: true });
     const reader = new FrameReader();
     this.socket.on('data', (chunk: Buffer) => {
-      this.heardMicroseconds = this.clock.nowMicroseconds();
+      this.unheardSince = undefined;
       try {
         for (const whole of reader.read(chunk)) this.answered(whole.number, whole.bytes);
       } catch {
@@ -53,18 +54,25 @@
         this.open.delete(number);
         resolve(answer);
       };
-      const askedMicroseconds = this.clock.nowMicroseconds();
+      this.unheardSince ??= this.clock.nowMicroseconds();
       const cancel = this.clock.after(limitMicroseconds, () => {
         settle({ kind: 'silent', reason: 'limit passed' });
-        // Why close: a frozen side or a cut link leaves a conn that looks open; the next ask dials anew. Why not when
-        // something came since: the conn lives, and a long answer is on its way to another ask.
-        if (this.heardMicroseconds < askedMicroseconds) this.close('limit passed');
+        this.closeIfDead();
       });
       this.open.set(number, { settle, cancel });
       for (const part of Framing.split('ask', number, pack(message))) this.socket.write(part);
     });
   }
 
+  /**
+   * A frozen side or a cut link leaves a connection that looks open; the next ask dials anew. Why by how long nothing has come, and not
+   * by one ask's limit: an ask of little patience would take the answers to all others with it, from a side that is only slow.
+   */
+  private closeIfDead(): void {
+    const unheard = this.unheardSince === undefined ? 0 : this.clock.nowMicroseconds() - this.unheardSince;
+    if (unheard >= TransportLimits.deadMicroseconds) this.close('limit passed');
+  }
+
   public close(reason: string): void {
     if (this.closed) return;
     this.closed = true;
--- a/source/shared/effects/transport/transport.ts
+++ b/source/shared/effects/transport/transport.ts
@@ -21,6 +21,8 @@
   partBytes: 64 * 1024,
   messageBytes: 8 * 1024 * 1024,
   openAsks: 1024,
+  /** Starting value, ours: a connection on which asks leave and nothing comes for so long, in microseconds, is dead. */
+  deadMicroseconds: 350_000,
 } as const;
 
 export const Messages = {
