--- a/source/shared/freshness/bodies.ts
+++ b/source/shared/freshness/bodies.ts
@@ -10,7 +10,7 @@
 /** What is sent of a text: all of it, packed, or what changed since another one. `base`: digest of that one; empty: none. */
 export type Shipment = Readonly<{ base: string; packed: Uint8Array }>;
 
-/** Starting value, ours: bytes of one part of a long document, and the most that travels inside other messages. */
+/** Starting value, ours: bytes of the smallest part of a long document, and the most that travels inside other messages. */
 export const partBytes = 4096;
 
 const leastPackedLength = 4096;
--- a/source/shared/freshness/bodyParts.ts
+++ b/source/shared/freshness/bodyParts.ts
@@ -1,9 +1,10 @@
 /**
- * Long documents travel in small parts that the receiver asks for one after the other. A link that many share then holds one part of
- * each receiver at a time, whatever a document's length: short news get through beside it, no part takes longer than the
- * patience with it, and what has come is kept when the sender changes.
+ * Long documents travel in parts that the receiver asks for one after the other. A link that many share then holds one part of
+ * each receiver at a time, whatever a document's length, and parts get smaller where they are slow: short news get through beside
+ * it, no part takes longer than the patience with it, and what has come is kept when the sender changes.
  */
 import { isDocumentKey, type DocumentKey } from '../blueprint/types';
+import type { Clock } from '../effects/clock/clock';
 import type { Message, Transport } from '../effects/transport/transport';
 import { Bodies, partBytes } from './bodies';
 import type { Freshness } from './freshness';
@@ -14,6 +15,17 @@
  */
 const partLimitMicroseconds = 2_000_000;
 
+/**
+ * Starting values, ours: the first part that is asked for, and the largest. Why not small at first: where a sender is busy and not its
+ * link each part waits as long as all of them together would.
+ */
+const firstPartBytes = 16 * 1024;
+const largestPartBytes = 64 * 1024;
+
+/** Starting values, ours: after a part that came so fast the next one is twice as long, after one so slow half as long. */
+const fastMicroseconds = 150_000;
+const slowMicroseconds = 600_000;
+
 /** A part of what is shipped of a document, and the length of the whole. `base`: digest of the text that it builds on. */
 export type BodyPart = Readonly<{
   kind: 'bodyPart';
@@ -39,6 +51,10 @@
 
 const isPlace = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0;
 
+/** How many bytes a receiver takes at a time. */
+const partSizeFor = ({ mostBytes }: Message): number =>
+  typeof mostBytes === 'number' && mostBytes >= 1 ? Math.min(largestPartBytes, mostBytes) : partBytes;
+
 export const BodyParts = {
   /** The part of a document that was asked for; `noBody` where this daemon does not have that text any more. */
   answer: (freshness: Freshness, message: Message): Message => {
@@ -47,7 +63,7 @@
     const shipment = freshness.shipment(key, digest, typeof base === 'string' ? base : '');
     if (shipment === undefined) return { kind: 'noBody' };
     const { packed } = shipment;
-    const bytes = packed.subarray(from, from + partBytes);
+    const bytes = packed.subarray(from, from + partSizeFor(message));
     return { kind: 'bodyPart', digest, base: shipment.base, from, total: packed.length, bytes } satisfies BodyPart;
   },
 } as const;
@@ -71,12 +87,15 @@
   private open: Transfer | undefined;
   /** Digest of a document whose delta made no sense, so that all of it is asked for; empty: none. */
   private wholeOnly = '';
+  /** How many bytes the next part should have, learned from how fast they come. */
+  private size = firstPartBytes;
   /** The sender that is being asked; undefined: none is. */
   private sender: string | undefined;
 
   public constructor(
     private readonly freshness: Freshness,
     private readonly transport: Transport,
+    private readonly clock: Clock,
   ) {}
 
   /** A daemon answered, and has these revisions: what is lacking here is asked for, unless another one is being asked. */
@@ -122,8 +141,10 @@
     const from = lengthOf(parts);
     // Why whole after a delta that made no sense: its base may be another text than the one here.
     const base = this.wholeOnly === of.digest ? '' : before.digest;
-    const ask = { kind: 'bodyPart', key: of.key, digest: of.digest, base, from };
+    const ask = { kind: 'bodyPart', key: of.key, digest: of.digest, base, from, mostBytes: this.size };
+    const asked = this.clock.nowMicroseconds();
     const answer = await this.transport.ask(address, ask, partLimitMicroseconds);
+    this.learn(answer.kind === 'answered' ? this.clock.nowMicroseconds() - asked : Infinity);
     if (answer.kind !== 'answered') return false;
     if (!isPart(answer.message)) {
       // A sender that has gone on to later revisions: what it has now is asked for with its next answer.
@@ -145,6 +166,12 @@
     return this.give(transfer, part.base);
   }
 
+  private learn(tookMicroseconds: number): void {
+    if (tookMicroseconds === Infinity) this.size = partBytes;
+    else if (tookMicroseconds >= slowMicroseconds) this.size = Math.max(partBytes, this.size / 2);
+    else if (tookMicroseconds <= fastMicroseconds) this.size = Math.min(largestPartBytes, this.size * 2);
+  }
+
   private give({ of, before, parts }: Transfer, base: string): boolean {
     const text = Bodies.shippedText({ base, packed: Buffer.concat(parts.map(({ bytes }) => bytes)) }, before.text);
     const isGiven = text !== undefined && this.freshness.give({ ...of, text });
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -61,7 +61,7 @@
     private readonly effects: Effects,
   ) {
     this.book = effects.random.name();
-    this.transfers = new BodyTransfers(parts.freshness, effects.transport);
+    this.transfers = new BodyTransfers(parts.freshness, effects.transport, effects.clock);
   }
 
   /** Asks one colleague. False when it stayed silent. `extra` and `onAnswer` carry what only one pair says. */
