--- a/source/shared/effects/transport/tcpTransport.ts
+++ b/source/shared/effects/transport/tcpTransport.ts
@@ -18,6 +18,7 @@
 class AskingConn {
   private readonly open = new Map<number, Open>();
   private nextNumber = 1;
+  private heardMicroseconds = -Infinity;
   /** When the first ask left of those since which nothing has come; undefined: something came after the last one. */
   private unheardSince: number | undefined;
   private readonly socket: net.Socket;
@@ -32,6 +33,7 @@
     this.socket = net.connect({ host, port, noDelay: true });
     const reader = new FrameReader();
     this.socket.on('data', (chunk: Buffer) => {
+      this.heardMicroseconds = this.clock.nowMicroseconds();
       this.unheardSince = undefined;
       try {
         for (const whole of reader.read(chunk)) this.answered(whole.number, whole.bytes);
@@ -54,10 +56,11 @@
         this.open.delete(number);
         resolve(answer);
       };
-      this.unheardSince ??= this.clock.nowMicroseconds();
+      const askedMicroseconds = this.clock.nowMicroseconds();
+      this.unheardSince ??= askedMicroseconds;
       const cancel = this.clock.after(limitMicroseconds, () => {
         settle({ kind: 'silent', reason: 'limit passed' });
-        this.closeIfDead();
+        if (this.heardMicroseconds < askedMicroseconds) this.closeIfDead();
       });
       this.open.set(number, { settle, cancel });
       for (const part of Framing.split('ask', number, pack(message))) this.socket.write(part);
@@ -65,8 +68,8 @@
   }
 
   /**
-   * A frozen side or a cut link leaves a connection that looks open; the next ask dials anew. Why by how long nothing has come, and not
-   * by one ask's limit: an ask of little patience would take the answers to all others with it, from a side that is only slow.
+   * A frozen side or a cut link leaves a connection that looks open; the next ask dials anew. Only for an ask since which nothing has
+   * come: else a long answer may be on its way to another one. Why by how long nothing has come too, and not by that ask's limit alone: an ask of little patience would take the answers to all others with it, from a side that is only slow.
    */
   private closeIfDead(): void {
     const unheard = this.unheardSince === undefined ? 0 : this.clock.nowMicroseconds() - this.unheardSince;
