What is shipped of a document is kept by what was asked, also where no delta is shorter

A delta longer than the whole was worked out anew for every part that was asked for, since the kept one was looked up by the base that was chosen and not by the one that was asked.

--- a/source/shared/freshness/bodies.ts
+++ b/source/shared/freshness/bodies.ts
@@ -16,9 +16,9 @@
 const leastPackedLength = 4096;
 /** Why a bound: a few bytes of a stranger must not unfold into all memory. */
 const mostTextBytes = 8 * 1024 * 1024;
-/** Starting values, ours: so many texts of each key and deltas of late are kept, for receivers that have or began with one of them. */
+/** Starting values, ours: so many texts of each key and shipments of late are kept, for receivers that have or began with one of them. */
 const mostKept = 6;
-const mostKeptDeltas = 12;
+const mostKeptShipments = 12;
 
 // Why level 1: documents repeat themselves so much that more work gains little.
 const pack = (text: string): Uint8Array => deflateRawSync(text, { level: 1 });
@@ -32,12 +32,13 @@
 };
 
 type Kept = Readonly<{ key: DocumentKey; digest: string; text: string; packed: Uint8Array }>;
-type KeptDelta = Readonly<{ digest: string; shipment: Shipment }>;
+/** `before`: the text that the receiver has; what is shipped may build on none all the same. */
+type KeptShipment = Readonly<{ digest: string; before: string; shipment: Shipment }>;
 
 /** Packs each text once, however many ask for it. */
 export class BodyPacker {
   private kept: readonly Kept[] = [];
-  private deltas: readonly KeptDelta[] = [];
+  private shipments: readonly KeptShipment[] = [];
 
   public sent(body: Body): SentBody {
     if (body.text.length < leastPackedLength) return body;
@@ -51,10 +52,10 @@
     if (text === undefined) return undefined;
     const before = this.find(base);
     if (before === undefined || base === digest) return { base: '', packed: text.packed };
-    const known = this.deltas.find((item) => item.digest === digest && item.shipment.base === base);
+    const known = this.shipments.find((item) => item.digest === digest && item.before === base);
     if (known !== undefined) return known.shipment;
     const shipment = this.shorter(text, before);
-    this.deltas = [{ digest, shipment }, ...this.deltas].slice(0, mostKeptDeltas);
+    this.shipments = [{ digest, before: base, shipment }, ...this.shipments].slice(0, mostKeptShipments);
     return shipment;
   }
 
@@ -74,8 +75,8 @@
     if (found !== undefined) return found.packed;
     const packed = pack(text);
     // Why apart by key: the list of engines changes far more often, and would drive the configuration's texts out.
-    const [same, others] = [true, false].map((isSame) => this.kept.filter((item) => (item.key === key) === isSame));
-    this.kept = [{ key, digest, text, packed }, ...(same ?? []).slice(0, mostKept - 1), ...(others ?? [])];
+    const same = this.kept.filter((item) => item.key === key).slice(0, mostKept - 1);
+    this.kept = [{ key, digest, text, packed }, ...same, ...this.kept.filter((item) => item.key !== key)];
     return packed;
   }
 }
