--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -375,7 +375,7 @@
 
   /** Entries of the index of kept prompts that are known here. */
   public indexSize(): number {
-    return this.shards.all().reduce((sum, { size }) => sum + size, 0);
+    return this.shards.size;
   }
 
   /** What should be nothing once all orders are over. */
--- a/source/shared/directory/shardBook.ts
+++ b/source/shared/directory/shardBook.ts
@@ -19,6 +19,11 @@
     return [...this.shards.values()];
   }
 
+  /** Entries of all shards together. */
+  public get size(): number {
+    return this.all().reduce((sum, { size }) => sum + size, 0);
+  }
+
   /** Holders that left the platform's list take their entries with them. */
   public keepOnly(holders: readonly string[]): void {
     const kept = new Set(holders);
--- a/tests/agents-few.test.ts
+++ b/tests/agents-few.test.ts
@@ -5,12 +5,13 @@
 import { ProxyFacts, type ProxyLoad } from '../source/edge-proxy/feeding/proxyFacts';
 import { SeedContacts } from '../source/edge-proxy/feeding/seedContacts';
 import { judgeAll } from '../source/fleet-simulator/judges/judges';
-import { SimFleet, SimKinds, usualShape, type SimEdge } from '../source/fleet-simulator/machines/simFleet';
-import { World } from '../source/fleet-simulator/world/world';
+import { SimKinds, type SimEdge, type SimFleet } from '../source/fleet-simulator/machines/simFleet';
+import type { World } from '../source/fleet-simulator/world/world';
 import { FleetName } from '../source/shared/fleet/fleetName';
 import { FactBook } from '../source/shared/news/facts';
 import { FactKeys, type LoadFact } from '../source/shared/news/factTypes';
 import { handClock } from './support/handClock';
+import { startedFleet, type FedFleet } from './support/largeConfiguration';
 
 const noLoad: ProxyLoad = { engines: {}, classes: {}, waiting: {}, tenants: {} };
 const feeder = (name: string, zone: string): Feeder => ({ name, zone, address: `${name}:1` });
@@ -216,15 +217,9 @@
   });
 });
 
-const few = { ...usualShape, edges: 8, agents: 3 };
+const few = { edges: 8, agents: 3 };
 
-const started = async (seed: number): Promise<Readonly<{ world: World; fleet: SimFleet }>> => {
-  const world = new World(seed);
-  const fleet = new SimFleet(world, few);
-  await fleet.startAll();
-  await world.runFor(2_000_000);
-  return { world, fleet };
-};
+const started = (seed: number): Promise<FedFleet> => startedFleet(seed, few, Infinity);
 const callAll = async (world: World, fleet: SimFleet): Promise<void> => {
   const calls = fleet.edges.map((edge) =>
     fleet.callers.call(fleet.handle(edge), SimKinds.short, 'open1', 'key-open1-a'),
--- a/tests/incident-starved-proxies.test.ts
+++ b/tests/incident-starved-proxies.test.ts
@@ -92,7 +92,7 @@
     assert.ok(fed.fleet.edges.every(({ proxy }) => proxy.ready()));
     await fed.world.runFor(settledMicroseconds);
     const agents = fed.fleet.edges.filter((edge) => fed.fleet.hasAgent(edge));
-    const whole = Math.max(...agents.map(({ agent }) => agent.shards.all().reduce((sum, { size }) => sum + size, 0)));
+    const whole = Math.max(...agents.map(({ agent }) => agent.shards.size));
     const known = fed.fleet.edges.map(({ proxy }) => proxy.indexSize());
     assert.ok(whole > 0);
     assert.equal(Math.min(...known), whole, 'the least that one knows');
