Entries of news and bytes of parts go by one pace

The same rule stood in AnswerPace and in BodyTransfers: twice as much after a fast answer, half after a slow one, the least after silence. Bounds as before, now given to one class in shared/pace; the test renames its constants only.

--- a/source/shared/freshness/bodyParts.ts
+++ b/source/shared/freshness/bodyParts.ts
@@ -6,6 +6,7 @@
 import { isDocumentKey, type DocumentKey } from '../blueprint/types';
 import type { Clock } from '../effects/clock/clock';
 import type { Message, Transport } from '../effects/transport/transport';
+import { AnswerPace, type PaceBounds } from '../pace/answerPace';
 import { Bodies, partBytes } from './bodies';
 import type { Freshness } from './freshness';
 
@@ -16,15 +17,10 @@
 const partLimitMicroseconds = 2_000_000;
 
 /**
- * Starting values, ours: the first part that is asked for, and the largest. Why not small at first: where a sender is busy and not its
- * link each part waits as long as all of them together would.
+ * Starting values, ours: bytes of one part, and which parts are fast and slow. Why not small at first: where a sender is busy and not
+ * its link each part waits as long as all of them together would.
  */
-const firstPartBytes = 16 * 1024;
-const largestPartBytes = 64 * 1024;
-
-/** Starting values, ours: after a part that came so fast the next one is twice as long, after one so slow half as long. */
-const fastMicroseconds = 150_000;
-const slowMicroseconds = 600_000;
+const partPace: PaceBounds = { least: partBytes, first: 16 * 1024, most: 64 * 1024, fastPart: 0.075, slowPart: 0.3 };
 
 /** A part of what is shipped of a document, and the length of the whole. `base`: digest of the text that it builds on. */
 export type BodyPart = Readonly<{
@@ -53,7 +49,7 @@
 
 /** How many bytes a receiver takes at a time. */
 const partSizeFor = ({ mostBytes }: Message): number =>
-  typeof mostBytes === 'number' && mostBytes >= 1 ? Math.min(largestPartBytes, mostBytes) : partBytes;
+  typeof mostBytes === 'number' && mostBytes >= 1 ? Math.min(partPace.most, mostBytes) : partBytes;
 
 export const BodyParts = {
   /** The part of a document that was asked for; `noBody` where this daemon does not have that text any more. */
@@ -88,7 +84,7 @@
   /** Digest of a document whose delta made no sense, so that all of it is asked for; empty: none. */
   private wholeOnly = '';
   /** How many bytes the next part should have, learned from how fast they come. */
-  private size = firstPartBytes;
+  private readonly pace = new AnswerPace(partPace);
   /** The sender that is being asked; undefined: none is. */
   private sender: string | undefined;
 
@@ -141,11 +137,14 @@
     const from = lengthOf(parts);
     // Why whole after a delta that made no sense: its base may be another text than the one here.
     const base = this.wholeOnly === of.digest ? '' : before.digest;
-    const ask = { kind: 'bodyPart', key: of.key, digest: of.digest, base, from, mostBytes: this.size };
+    const ask = { kind: 'bodyPart', key: of.key, digest: of.digest, base, from, mostBytes: this.pace.amount };
     const asked = this.clock.nowMicroseconds();
     const answer = await this.transport.ask(address, ask, partLimitMicroseconds);
-    this.learn(answer.kind === 'answered' ? this.clock.nowMicroseconds() - asked : Infinity);
-    if (answer.kind !== 'answered') return false;
+    if (answer.kind !== 'answered') {
+      this.pace.silent();
+      return false;
+    }
+    this.pace.answered(this.clock.nowMicroseconds() - asked, partLimitMicroseconds);
     if (!isPart(answer.message)) {
       // A sender that has gone on to later revisions: what it has now is asked for with its next answer.
       if (this.open === transfer) this.open = undefined;
@@ -166,12 +165,6 @@
     return this.give(transfer, part.base);
   }
 
-  private learn(tookMicroseconds: number): void {
-    if (tookMicroseconds === Infinity) this.size = partBytes;
-    else if (tookMicroseconds >= slowMicroseconds) this.size = Math.max(partBytes, this.size / 2);
-    else if (tookMicroseconds <= fastMicroseconds) this.size = Math.min(largestPartBytes, this.size * 2);
-  }
-
   private give({ of, before, parts }: Transfer, base: string): boolean {
     const text = Bodies.shippedText({ base, packed: Buffer.concat(parts.map(({ bytes }) => bytes)) }, before.text);
     const isGiven = text !== undefined && this.freshness.give({ ...of, text });
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -8,7 +8,7 @@
 import { DocumentKeys, type DocumentKey } from '../blueprint/types';
 import type { ShardBook, ShardMarkBook } from '../directory/shardBook';
 import type { ShardChange } from '../directory/shardNews';
-import { AnswerPaces } from './answerPace';
+import { AnswerPaces } from '../pace/answerPace';
 
 import type { FleetName } from '../fleet/fleetName';
 
@@ -83,7 +83,7 @@
       marks: shards.marks(),
       revisions: this.revisions(),
       takesParts: true,
-      mostEntries: pace.entries,
+      mostEntries: pace.amount,
       ...extra,
     };
     const answer = await this.effects.transport.ask(address, opening, limitMicroseconds);
@@ -103,13 +103,13 @@
     if (follow === undefined) this.followed.delete(address);
     // Why no more to a keeper asked as a seed: it keeps no news, and tells no versions.
     if (!Facts.isDigest(message['digest']) && follow === undefined) return true;
-    const lacks = this.lacking(message, pace.entries);
+    const lacks = this.lacking(message, pace.amount);
     const wanted = Facts.isDigest(message['digest']) ? facts.lacks(message['digest']) : [];
     if (lacks === undefined && wanted.length === 0) {
       this.follow(address, follow);
       return true;
     }
-    const wants = wanted.slice(0, pace.entries);
+    const wants = wanted.slice(0, pace.amount);
     const more = await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore', wants }, limitMicroseconds);
     if (more.kind !== 'answered') pace.silent();
     if (more.kind !== 'answered' || !this.isOurs(more.message)) return true;
--- a/source/shared/pace/answerPace.ts
+++ b/source/shared/pace/answerPace.ts
@@ -3,30 +3,32 @@
  * all that is new takes longer than its asker waits, and is sent in vain; in small answers everything comes, a little later.
  */
 
-/** Starting values, ours: entries of one kind in one answer. */
-export const PaceLimits = { leastEntries: 20, firstEntries: 100, mostEntries: 200 } as const;
+/** Bounds of what is asked for at a time, and which answers are fast and slow, as parts of the limit of an ask. */
+export type PaceBounds = Readonly<{ least: number; first: number; most: number; fastPart: number; slowPart: number }>;
 
-/** Starting values, ours: an answer within this part of the limit is fast, one that took longer than that part is slow. */
-const fastPart = 0.2;
-const slowPart = 0.5;
+/** Starting values, ours: entries of one kind in one answer. */
+export const entryPace: PaceBounds = { least: 20, first: 100, most: 200, fastPart: 0.2, slowPart: 0.5 };
 
+/** How much the next answer should hold: twice as much after a fast one, half after a slow one, the least after silence. */
 export class AnswerPace {
-  private wanted: number = PaceLimits.firstEntries;
+  private wanted: number;
+
+  public constructor(private readonly bounds: PaceBounds = entryPace) {
+    this.wanted = bounds.first;
+  }
 
-  /** The most entries of one kind that the next answer should hold. */
-  public get entries(): number {
+  public get amount(): number {
     return this.wanted;
   }
 
   public answered(tookMicroseconds: number, limitMicroseconds: number): void {
-    if (tookMicroseconds <= limitMicroseconds * fastPart)
-      this.wanted = Math.min(PaceLimits.mostEntries, this.wanted * 2);
-    else if (tookMicroseconds >= limitMicroseconds * slowPart)
-      this.wanted = Math.max(PaceLimits.leastEntries, this.wanted / 2);
+    const { least, most, fastPart, slowPart } = this.bounds;
+    if (tookMicroseconds <= limitMicroseconds * fastPart) this.wanted = Math.min(most, this.wanted * 2);
+    else if (tookMicroseconds >= limitMicroseconds * slowPart) this.wanted = Math.max(least, this.wanted / 2);
   }
 
   public silent(): void {
-    this.wanted = PaceLimits.leastEntries;
+    this.wanted = this.bounds.least;
   }
 }
 
--- a/tests/agent-news.test.ts
+++ b/tests/agent-news.test.ts
@@ -10,7 +10,7 @@
 import { FleetName } from '../source/shared/fleet/fleetName';
 import { FleetTransport } from '../source/shared/fleet/fleetTransport';
 import { Freshness } from '../source/shared/freshness/freshness';
-import { PaceLimits } from '../source/shared/news/answerPace';
+import { entryPace } from '../source/shared/pace/answerPace';
 import { FactBook, FactLimits, type Fact } from '../source/shared/news/facts';
 import { NewsExchange } from '../source/shared/news/newsExchange';
 import { Pulses } from '../source/shared/news/pulses';
@@ -193,12 +193,12 @@
   assert.ok(await follows(world, one, 'two'));
   for (let number = 0; number < FactLimits.perMessage * 2 + 5; number += 1) two.facts.put(fact(`a/${number}`, 1));
   // Each part as long as the pace allows: a fast answer lets the next one be longer, up to the most.
-  const rounds = Math.ceil(two.facts.size / PaceLimits.mostEntries) + 1;
+  const rounds = Math.ceil(two.facts.size / entryPace.most) + 1;
   for (let round = 1; round <= rounds; round += 1) {
     const before = one.facts.size;
     assert.ok(await follows(world, one, 'two'));
     const came = one.facts.size - before;
-    assert.ok(came > 0 && came <= PaceLimits.mostEntries, `round ${round}: ${came}`);
+    assert.ok(came > 0 && came <= entryPace.most, `round ${round}: ${came}`);
     if (one.facts.size === two.facts.size) break;
   }
   assert.equal(one.facts.size, two.facts.size);
--- a/tests/answer-pace.test.ts
+++ b/tests/answer-pace.test.ts
@@ -2,34 +2,34 @@
 import { describe, test } from 'node:test';
 import fc from 'fast-check';
 import { ShardMarks, ShardNews, type ShardHead } from '../source/shared/directory/shardNews';
-import { AnswerPace, AnswerPaces, PaceLimits } from '../source/shared/news/answerPace';
+import { AnswerPace, AnswerPaces, entryPace } from '../source/shared/pace/answerPace';
 
 const limit = 500_000;
 
 describe('how much is asked of one daemon at a time', () => {
   test('more after a fast answer, less after a slow one, least after silence', () => {
     const pace = new AnswerPace();
-    assert.equal(pace.entries, PaceLimits.firstEntries);
+    assert.equal(pace.amount, entryPace.first);
     for (let turn = 0; turn < 9; turn += 1) pace.answered(5_000, limit);
-    assert.equal(pace.entries, PaceLimits.mostEntries);
+    assert.equal(pace.amount, entryPace.most);
     pace.answered(150_000, limit);
-    assert.equal(pace.entries, PaceLimits.mostEntries, 'neither fast nor slow');
+    assert.equal(pace.amount, entryPace.most, 'neither fast nor slow');
     pace.answered(400_000, limit);
-    assert.equal(pace.entries, PaceLimits.mostEntries / 2);
+    assert.equal(pace.amount, entryPace.most / 2);
     pace.silent();
-    assert.equal(pace.entries, PaceLimits.leastEntries);
+    assert.equal(pace.amount, entryPace.least);
     pace.answered(400_000, limit);
-    assert.equal(pace.entries, PaceLimits.leastEntries);
+    assert.equal(pace.amount, entryPace.least);
   });
 
   test('each address has its own, and those that were not asked for longest are forgotten', () => {
     const paces = new AnswerPaces(2);
     paces.of('a').silent();
     paces.of('b');
-    assert.equal(paces.of('a').entries, PaceLimits.leastEntries);
+    assert.equal(paces.of('a').amount, entryPace.least);
     paces.of('c');
     paces.of('b');
-    assert.equal(paces.of('a').entries, PaceLimits.firstEntries);
+    assert.equal(paces.of('a').amount, entryPace.first);
   });
 });
 
