A leader fetches what other members cannot bring to it, over connections of its own

Cause: a leader whose heartbeats are heard and answered keeps its lead, also where no other node can open a connection to it. Change: after the limit of one ask a change also waits to be fetched; the answer to a heartbeat says so, the leader fetches it, carries it out and tells the outcome. In the same way it sends a value to a member that lacks it and did not reach it. Heartbeats are a module of their own.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -12,22 +12,25 @@
 import { Metrics } from '../shared/metrics/metrics';
 import { Rendezvous } from '../shared/rendezvous/rendezvous';
 import type { WordsAnswer } from '../shared/register/majorityRead';
-import { Epochs, type Epoch, type KeyWord } from '../shared/register/types';
+import { Epochs, type KeyWord } from '../shared/register/types';
 import { DutyVoter, type Ballot } from './duties/dutyVoter';
 import { Ledger } from './ledger/ledger';
 import { KeeperStates, type Standing } from './ledger/keeperState';
 import { AgentContacts } from './operators/agentContacts';
 import { Acceptor } from './register/acceptor';
+import { ChangeFetcher } from './register/changeFetcher';
 import { ChangeRouter } from './register/changeRouter';
 import { Digests } from './register/changes';
 import { EntryTransfer } from './register/entryTransfer';
+import { Heartbeats } from './register/heartbeats';
 import { KeeperCore } from './register/keeperCore';
-import type { Accept, ChangeOrder, ChangeOutcome, Confirm, OwnerWord, Prepare } from './register/messages';
+import type { Accept, ChangeOrder, ChangeOutcome, Confirm, FetchChange, Prepare } from './register/messages';
 import { Ownership } from './register/ownership';
 import { QuorumReader, type ReadOutcome } from './register/quorumReader';
 import { QuorumWatch } from './register/quorumWatch';
 import { RegisterMetrics } from './register/registerMetrics';
 import { WeightsAges } from './register/weightsAges';
+import { WaitingChanges } from './register/waitingChanges';
 import { LeaderWatch } from './standing/leaderWatch';
 import { MemberChanges } from './standing/memberChanges';
 import { MemberWatch } from './standing/memberWatch';
@@ -93,9 +96,6 @@
 /** How often whoever leads the list of members looks whether a newcomer has caught up. */
 const memberStepMicroseconds = 150_000;
 
-/** A key whose leader's epoch a member cannot accept any more, since it has promised a higher one. */
-type HigherPromise = Readonly<{ key: DocumentKey; epoch: Epoch }>;
-
 /** What one replica holds of a key, and since when it leads it; null where it does not. */
 export type ReplicaKeyStatus = Readonly<{
   epoch: string;
@@ -125,11 +125,9 @@
   private readonly ownerships: ReadonlyMap<DocumentKey, Ownership>;
   private readonly leaders: LeaderWatch;
   private readonly reader: QuorumReader;
-  private readonly decided = new Map<DocumentKey, OwnerWord>();
   private readonly ages: WeightsAges;
   private readonly watch: MemberWatch;
   private readonly packer = new BodyPacker();
-  private readonly telling = new Set<string>();
   private readonly quorum: QuorumWatch;
   private readonly members: MemberChanges;
   private readonly tickers: readonly Ticker[];
@@ -139,7 +137,8 @@
   private readonly startedMicroseconds: number;
   private readonly agentContacts: AgentContacts;
   private readonly changeRouter: ChangeRouter;
-  private readonly repairing = new Set<DocumentKey>();
+  private readonly waitingChanges = new WaitingChanges();
+  private readonly heartbeats: Heartbeats;
   private readonly quietUntil = new Map<DocumentKey, number>();
 
   public constructor(
@@ -211,6 +210,7 @@
       clock,
       random,
       settings,
+      this.waitingChanges,
     );
     this.reader = new QuorumReader(
       {
@@ -247,6 +247,29 @@
         ),
       ]),
     );
+    const fetcher = new ChangeFetcher(
+      {
+        fleet: () => this.core.state.fleet,
+        ledKeys: () => this.heartbeats.ledKeys(),
+        changeAsLeader: (order) => this.changeRouter.changeAsLeader(order),
+      },
+      transport,
+      settings.askMicroseconds,
+    );
+    this.heartbeats = new Heartbeats(
+      {
+        core: this.core,
+        leaderships: this.ownerships,
+        leaders: this.leaders,
+        members: this.watch,
+        quorum: this.quorum,
+        entries: this.entries,
+        waiting: this.waitingChanges,
+        fetcher,
+      },
+      transport,
+      settings,
+    );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     this.tickers = [
       new Ticker(
@@ -258,7 +281,7 @@
       new Ticker(
         clock,
         () => settings.heartbeatMicroseconds,
-        () => this.heartbeat(),
+        () => this.beat(),
         failed,
       ),
       new Ticker(
@@ -398,7 +421,7 @@
   public words(): readonly KeyWord[] {
     return DocumentKeys.map((key) => {
       const accepted = KeeperStates.cell(this.core.state, key).accepted;
-      const decided = this.ownership(key).word() ?? this.decided.get(key);
+      const decided = this.ownership(key).word() ?? this.heartbeats.decidedWord(key);
       return {
         key,
         epoch: accepted?.epoch ?? Epochs.none,
@@ -427,7 +450,11 @@
       case 'confirm':
         return this.acceptor.confirm(message as unknown as Confirm);
       case 'owners':
-        return this.hearOwners(message);
+        return this.heartbeats.hear(message);
+      case 'fetchChange':
+        return message['fleet'] === this.core.state.fleet
+          ? this.waitingChanges.fetch(message as unknown as FetchChange)
+          : { kind: 'noVote' };
       case 'ownerLeaves':
         this.leaders.forget(String(message['owner']));
         return { kind: 'heard' };
@@ -573,78 +600,11 @@
     if (before !== this.core.state.standing) await this.news.emit('standing', this.core.state.standing);
   }
 
-  private heartbeat(): Promise<void> {
-    // Why silent when stalled: the others take the keys over while this disk hangs.
-    if (!this.core.votes() || this.ledger.stalledMicroseconds() > this.settings.ownerSilentMicroseconds)
-      return Promise.resolve();
-    for (const ownership of this.ownerships.values())
-      if (!this.quorum.isReached(ownership.ledSinceMicroseconds)) ownership.stepDown();
-    const words = DocumentKeys.flatMap((key) => this.ownership(key).word() ?? []);
-    // Why also without words: where places change hands, members must know who is still there.
-    if (words.length === 0 && this.settings.joins !== 'asks') return Promise.resolve();
-    this.quorum.look();
-    const message = { kind: 'owners', fleet: this.core.state.fleet, owner: this.settings.name, words };
-    for (const [name, member] of this.core.others()) void this.tell(name, member.address, message);
+  private beat(): Promise<void> {
+    this.heartbeats.send();
     return Promise.resolve();
   }
 
-  /** Why not wait for all: one member that says nothing must not make this owner look silent to the others. */
-  private async tell(name: string, address: string, message: Message): Promise<void> {
-    if (this.telling.has(name)) return;
-    this.telling.add(name);
-    try {
-      const answer = await this.effects.transport.ask(address, message, this.settings.askMicroseconds);
-      if (answer.kind !== 'answered' || answer.message.kind !== 'heard') return;
-      this.watch.hear(name);
-      this.quorum.answered(name);
-      for (const { key, epoch } of (answer.message['promised'] ?? []) as readonly HigherPromise[])
-        this.leadAbove(key, epoch);
-    } finally {
-      this.telling.delete(name);
-    }
-  }
-
-  /** A member that promised a higher epoch can follow this leader only under one that is higher still. */
-  private leadAbove(key: DocumentKey, epoch: Epoch): void {
-    if (this.ownership(key).outranked(epoch)) void this.ownership(key).win();
-  }
-
-  private hearOwners(message: Message): Message {
-    if (message['fleet'] !== this.core.state.fleet) return { kind: 'noVote' };
-    const owner = String(message['owner']);
-    this.watch.hear(owner);
-    const words = message['words'] as readonly OwnerWord[];
-    for (const word of this.leaders.heartbeat(owner, words)) {
-      if ((this.decided.get(word.key)?.revision ?? 0) <= word.revision) this.decided.set(word.key, word);
-      this.ownership(word.key).outranked(word.epoch);
-      void this.repair(word, owner);
-    }
-    return { kind: 'heard', promised: words.flatMap((word) => this.higherPromise(word)) };
-  }
-
-  private higherPromise({ key, epoch }: OwnerWord): readonly HigherPromise[] {
-    const { promised } = KeeperStates.cell(this.core.state, key);
-    return Epochs.compare(promised, epoch) > 0 ? [{ key, epoch: promised }] : [];
-  }
-
-  /** A keeper that was away takes what it missed from the owner, instead of staying behind until the next change. */
-  private async repair(word: OwnerWord, owner: string): Promise<void> {
-    const accepted = KeeperStates.cell(this.core.ledger.pending, word.key).accepted;
-    const behind =
-      word.revision > 0 &&
-      (accepted === null ||
-        Epochs.compare(accepted.epoch, word.epoch) < 0 ||
-        (Epochs.compare(accepted.epoch, word.epoch) === 0 && accepted.entry.revision < word.revision));
-    const address = this.core.members().members[owner]?.address;
-    if (!behind || !this.core.votes() || address === undefined || this.repairing.has(word.key)) return;
-    this.repairing.add(word.key);
-    try {
-      await this.entries.take(word.key, address);
-    } finally {
-      this.repairing.delete(word.key);
-    }
-  }
-
   private async fillVacancies(): Promise<void> {
     if (!this.core.votes() || this.ledger.stalledMicroseconds() > this.settings.ownerSilentMicroseconds) return;
     const now = this.effects.clock.nowMicroseconds();
@@ -661,7 +621,7 @@
         this.quietUntil.set(key, now + Math.max(0, rank) * 250_000);
       } else if (now >= quiet) {
         const won = await ownership.win('vacancy');
-        if (won) await this.heartbeat();
+        if (won) this.heartbeats.send();
         this.quietUntil.set(key, now + 200_000 + Math.floor(this.effects.random.fraction() * 400_000));
       }
     }
--- a/source/core-keeper/register/changeRouter.ts
+++ b/source/core-keeper/register/changeRouter.ts
@@ -1,9 +1,10 @@
 import type { CoreMember, DocumentKey } from '../../shared/blueprint/types';
 import { Clocks, type Clock } from '../../shared/effects/clock/clock';
 import type { Random } from '../../shared/effects/random/random';
-import type { Answer, Message, Transport } from '../../shared/effects/transport/transport';
+import type { Answer, Transport } from '../../shared/effects/transport/transport';
 import type { ChangeOrder, ChangeOutcome } from './messages';
 import type { Ownership } from './ownership';
+import type { WaitingChanges } from './waitingChanges';
 
 /** Starting value, ours: how often a replica that waits for a leader looks whether that one still lives. */
 const leaderLookMicroseconds = 50_000;
@@ -33,6 +34,8 @@
   changeMicroseconds: number;
   /** How long a leader that still lives may take for a change that was passed on to it. */
   passMicroseconds: number;
+  /** A leader that has not answered within this time may be out of reach, and is offered the change to fetch. */
+  askMicroseconds: number;
 }>;
 
 /** Brings an operator's change to whoever leads its key, and a change that is sent again to the attempt under way. */
@@ -46,6 +49,7 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly limits: ChangeLimits,
+    private readonly waiting: WaitingChanges,
   ) {}
 
   /**
@@ -90,7 +94,7 @@
   private async changeAtLeader(order: ChangeOrder): Promise<ChangeOutcome | undefined> {
     const address = this.node.leaderAddress(order.key);
     if (address === undefined) return undefined;
-    const answer = await this.askLeader(order.key, address, { kind: 'change', order }, this.limits.passMicroseconds);
+    const answer = await this.askLeader(order, address);
     if (answer.kind !== 'answered' || answer.message.kind !== 'changed') return { kind: 'unknown' };
     return (answer.message['outcome'] as ChangeOutcome | null) ?? undefined;
   }
@@ -105,21 +109,33 @@
     return (answer.message['outcome'] as ChangeOutcome | null) ?? undefined;
   }
 
-  /** Why not wait for the limit: a leader that falls silent meanwhile will not answer, and others can take over. */
-  private askLeader(key: DocumentKey, leader: string, message: Message, limitMicroseconds: number): Promise<Answer> {
+  /**
+   * Why not wait for the limit: a leader that falls silent meanwhile will not answer, and others can take over. One that is heard
+   * but does not answer may be out of reach for connections of this node alone, so it is offered the change to fetch.
+   */
+  private askLeader(order: ChangeOrder, leader: string): Promise<Answer> {
     return new Promise((resolve) => {
       let isOpen = true;
+      let takeBack = (): void => undefined;
       const settle = (answer: Answer): void => {
         isOpen = false;
+        takeBack();
         resolve(answer);
       };
       const look = (): void => {
         if (!isOpen) return;
-        if (this.node.leaderAddress(key) !== leader) settle({ kind: 'silent', reason: 'the leader fell silent' });
+        if (this.node.leaderAddress(order.key) !== leader) settle({ kind: 'silent', reason: 'the leader fell silent' });
         else this.clock.after(leaderLookMicroseconds, look);
       };
+      const offer = (): void => {
+        if (!isOpen) return;
+        takeBack = this.waiting.offer(order, (outcome) =>
+          settle({ kind: 'answered', message: { kind: 'changed', outcome: outcome ?? null } }),
+        );
+      };
       this.clock.after(leaderLookMicroseconds, look);
-      void this.transport.ask(leader, message, limitMicroseconds).then(settle);
+      this.clock.after(this.limits.askMicroseconds, offer);
+      void this.transport.ask(leader, { kind: 'change', order }, this.limits.passMicroseconds).then(settle);
     });
   }
 
--- a/source/core-keeper/register/entryTransfer.ts
+++ b/source/core-keeper/register/entryTransfer.ts
@@ -31,11 +31,12 @@
     } satisfies Accept;
   }
 
-  /** Takes what the replica at an address has accepted, unless this one has promised a higher epoch. */
-  public async take(key: DocumentKey, address: string): Promise<void> {
+  /** Takes what the replica at an address has accepted, unless this one has promised a higher epoch. False: no answer came. */
+  public async take(key: DocumentKey, address: string): Promise<boolean> {
     const answer = await this.transport.ask(address, { kind: 'entry', key }, this.askMicroseconds * 2);
     if (answer.kind === 'answered' && answer.message.kind === 'accept')
       await this.acceptor.accept(answer.message as unknown as Accept);
+    return answer.kind === 'answered';
   }
 
   /**
--- a/source/core-keeper/register/messages.ts
+++ b/source/core-keeper/register/messages.ts
@@ -63,3 +63,17 @@
   | Readonly<{ kind: 'unknown' }>;
 
 export type OwnerWord = Readonly<{ key: DocumentKey; epoch: Epoch; revision: number; digest: string }>;
+
+/** A leader fetches the next change that a member could not bring to it, and tells the outcome of the one before (`after`). */
+export type FetchChange = Readonly<{
+  kind: 'fetchChange';
+  fleet: string;
+  /** What the asker leads. */
+  keys: readonly DocumentKey[];
+  /** The number of the change that was fetched last; 0: none yet. */
+  after: number;
+  /** Null: the asker did not lead the key any more. */
+  done?: Readonly<{ outcome: ChangeOutcome | null }>;
+}>;
+export type FetchedChange =
+  Readonly<{ kind: 'fetchedChange'; number: number; order: ChangeOrder }> | Readonly<{ kind: 'nothingWaits' }>;
--- a/source/fleet-runner/machines/fleet.ts
+++ b/source/fleet-runner/machines/fleet.ts
@@ -222,10 +222,11 @@
     revision: number,
     id: string,
     limitMilliseconds = 15_000,
+    firstKeeper = 0,
   ): Promise<Readonly<{ status: number; body: string }>> {
     const until = performance.now() + limitMilliseconds;
     for (let turn = 0; ; turn += 1) {
-      const keeper = this.keepers[turn % this.keepers.length];
+      const keeper = this.keepers[(firstKeeper + turn) % this.keepers.length];
       try {
         const answer = await request(`http://${keeper?.operatorsAddress}/${key}`, {
           method: 'PUT',
--- a/tests/control-unreached-leader.test.ts
+++ b/tests/control-unreached-leader.test.ts
@@ -53,6 +53,25 @@
       }
     });
 
+  test('a member that missed a change takes it over a connection of the leader', async () => {
+    const fleet = new ControlFleet(721, platformDialect);
+    assert.ok(await fleet.begin(3));
+    assert.equal((await fleet.change(fleet.machine(1), put(1)))?.kind, 'taken');
+    const leader = leaderOf(fleet);
+    const [behind, other] = fleet.machines.filter((machine) => machine !== leader);
+    assert.ok(behind !== undefined && other !== undefined);
+    const mends = [leader, other].flatMap(({ machine }) => [
+      fleet.network.cut(machine, behind.machine),
+      fleet.network.cut(behind.machine, machine),
+    ]);
+    assert.equal((await fleet.change(other, put(2)))?.kind, 'taken');
+    fleet.network.refuseConnections(behind.machine, leader.machine);
+    for (const mend of mends) mend();
+    await fleet.world.runFor(4_000_000);
+    assert.equal(leaderOf(fleet), leader);
+    assert.equal(behind.keeper?.replicaStatus().keys['blueprint']?.revision, 2);
+  });
+
   test('its death meanwhile leaves no change behind that is confirmed twice or lost', async () => {
     const fleet = new ControlFleet(711, platformDialect);
     assert.ok(await fleet.begin(3));
--- a/tests/real-links.test.ts
+++ b/tests/real-links.test.ts
@@ -86,6 +86,29 @@
     }
   });
 
+  test('the leader of the configuration cannot be connected to: a change at each other node is confirmed', async () => {
+    const statusOf = async (): Promise<{ owners: Record<string, { owner: string }> }> =>
+      JSON.parse(await fleet.page(`http://${fleet.keepers[0]?.operatorsAddress}/status`)) as {
+        owners: Record<string, { owner: string }>;
+      };
+    let leader = '';
+    await until('somebody to lead', async () => {
+      leader = (await statusOf()).owners['blueprint']?.owner ?? '';
+      return leader !== '';
+    });
+    for (const state of ['cutThere', 'cutBack', 'cut'] as const) {
+      relayOf(leader).set(state);
+      for (const [index, { name }] of fleet.keepers.entries()) {
+        if (name === leader) continue;
+        const text = JSON.stringify(blueprint);
+        const taken = await fleet.take('blueprint', text, revision, `change-${revision}`, 0, index);
+        assert.equal(taken.status, 200, `${state}: ${taken.body}`);
+        revision += 1;
+      }
+      relayOf(leader).set('open');
+    }
+  });
+
   test('slow links to the core: setups are older, and service goes on', async () => {
     for (const relay of keeperRelays()) relay.slow(60);
     await take();
--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -140,7 +140,7 @@
     faults: ['keyRevoked', 'keeperKilled', 'keeperPowerLost'],
     seeds: 40,
     cuts: [
-      ['core-keeper/coreKeeper.ts', 'void this.repair(word, owner);', ''],
+      ['core-keeper/register/heartbeats.ts', 'void this.repair(word, owner);', ''],
       ['shared/news/newsExchange.ts', 'body.revision <= (theirs[key] ?? 0)', 'body.revision === (theirs[key] ?? 0)'],
       ['shared/freshness/freshness.ts', 'if (revision <= (this.applied?.revision ?? -1)) return undefined;', ''],
       [
