A member acts by a list of members that it has heard of and cannot accept any more

Cause: a list with a newcomer stood on its leader and one member, the leader was lost, and a campaign raised the third member's promise above the epoch of that list. Change: such a list is kept as learned, on disk; the replica acts by it and hands it on, and never counts among those that accepted it. Changed check: the mutation 'votes under an older list' follows the moved line.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -228,8 +228,7 @@
       changeMicroseconds: settings.changeMicroseconds,
       firstMembersText: () => this.firstMembersText(),
       dialect,
-      learnMembers: (address: string) =>
-        this.entries.takeMembers(address, () => this.ownership('core-members').win('request')),
+      learnMembers: (address: string) => this.entries.takeMembers(address),
       metrics: this.registerMetrics,
     };
     this.ownerships = new Map(
--- a/source/core-keeper/ledger/keeperState.ts
+++ b/source/core-keeper/ledger/keeperState.ts
@@ -19,6 +19,11 @@
   known: Incarnations;
   firstMembers: FirstMembers;
   cells: Readonly<Partial<Record<DocumentKey, Cell>>>;
+  /**
+   * A list of members that this replica heard of and could not accept any more, since it had promised a higher epoch. It acts by
+   * this list, but never counts among those that accepted it. Null: none.
+   */
+  learnedMembers: Accepted | null;
   duties: Readonly<Record<string, DutyTerm>>;
   /** The highest term of any duty that was forgotten: a duty that is not listed counts as having had this one. */
   dutyFloor: number;
@@ -29,9 +34,9 @@
   firstSeeds: readonly string[];
 }>;
 
-/** Why the floor may be missing: a keeper of an earlier build forgot none. */
+/** What may be missing: a replica of an earlier build forgot no duty, and learned no list without accepting it. */
 export type KeeperFrame = Pick<KeeperState, 'firstMembers' | 'cells' | 'duties' | 'known'> &
-  Partial<Pick<KeeperState, 'dutyFloor'>>;
+  Partial<Pick<KeeperState, 'dutyFloor' | 'learnedMembers'>>;
 
 export type KeeperEvent =
   | Readonly<{ kind: 'firstStarted'; seeds: readonly string[] }>
@@ -43,6 +48,7 @@
   | Readonly<{ kind: 'knew'; keeper: string; incarnation: number }>
   | Readonly<{ kind: 'promised'; key: DocumentKey; epoch: Epoch }>
   | Readonly<{ kind: 'accepted'; key: DocumentKey; epoch: Epoch; entry: Entry }>
+  | Readonly<{ kind: 'membersLearned'; epoch: Epoch; entry: Entry }>
   | Readonly<{ kind: 'dutyGranted'; duty: string; term: number; holder: string }>
   | Readonly<{ kind: 'dutiesForgotten'; duties: readonly string[] }>
   | Readonly<{ kind: 'whole'; state: KeeperState }>;
@@ -76,13 +82,16 @@
   return order > 0 || (order === 0 && left.entry.revision > right.entry.revision);
 };
 
+const newest = (left: Accepted | null, right: Accepted | null): Accepted | null =>
+  right !== null && outranks(right, left) ? right : left;
+
 const joinCells = (left: KeeperState['cells'], right: KeeperState['cells']): KeeperState['cells'] => {
   const joined: Partial<Record<DocumentKey, Cell>> = { ...left };
   for (const [key, cell] of Object.entries(right) as readonly (readonly [DocumentKey, Cell])[]) {
     const own = joined[key] ?? emptyCell;
     joined[key] = {
       promised: higher(own.promised, cell.promised),
-      accepted: cell.accepted !== null && outranks(cell.accepted, own.accepted) ? cell.accepted : own.accepted,
+      accepted: newest(own.accepted, cell.accepted),
     };
   }
   return joined;
@@ -117,6 +126,7 @@
     known: {},
     firstMembers: {},
     cells: {},
+    learnedMembers: null,
     duties: {},
     dutyFloor: 0,
     firstSeeds: [],
@@ -124,6 +134,10 @@
   cell: (state: KeeperState, key: DocumentKey): Cell => state.cells[key] ?? emptyCell,
   outranks,
 
+  /** The newest list of members that this replica accepted or learned of; null: the first one stands. */
+  members: (state: KeeperState): Accepted | null =>
+    newest(KeeperStates.cell(state, 'core-members').accepted, state.learnedMembers),
+
   /** The term below which a keeper never votes for this duty, and who had it; nobody: it was never granted, or forgotten. */
   duty: ({ duties, dutyFloor }: KeeperState, duty: string): DutyTerm => duties[duty] ?? { term: dutyFloor, holder: '' },
 
@@ -145,6 +159,7 @@
             cells: joinCells(joined.cells, presentCells(frame.cells)),
             ...joinDuties(joined, { duties: frame.duties, dutyFloor: frame.dutyFloor ?? 0 }),
             known: joinKnown(joined.known, frame.known),
+            learnedMembers: newest(joined.learnedMembers, presentAccepted(frame.learnedMembers ?? null)),
             firstMembers: Object.keys(joined.firstMembers).length > 0 ? joined.firstMembers : frame.firstMembers,
           }),
           { ...state, standing: 'voting' },
@@ -173,6 +188,11 @@
           },
         };
       }
+      case 'membersLearned':
+        return {
+          ...state,
+          learnedMembers: newest(state.learnedMembers, { epoch: event.epoch, entry: presentEntry(event.entry) }),
+        };
       case 'dutyGranted':
         return { ...state, duties: { ...state.duties, [event.duty]: { term: event.term, holder: event.holder } } };
       case 'dutiesForgotten':
@@ -183,7 +203,12 @@
         };
       case 'whole':
         // Why over the start: a frame of an earlier build lacks what came later.
-        return { ...KeeperStates.start, ...event.state, cells: presentCells(event.state.cells) };
+        return {
+          ...KeeperStates.start,
+          ...event.state,
+          cells: presentCells(event.state.cells),
+          learnedMembers: presentAccepted(event.state.learnedMembers ?? null),
+        };
     }
   },
 } as const;
--- a/source/core-keeper/register/keeperCore.ts
+++ b/source/core-keeper/register/keeperCore.ts
@@ -49,12 +49,12 @@
   }
 
   public members(): MemberView {
-    const accepted = KeeperStates.cell(this.state, 'core-members').accepted;
-    if (accepted === null)
+    const newest = KeeperStates.members(this.state);
+    if (newest === null)
       return { revision: 0, sets: [Object.keys(this.state.firstMembers)], members: this.state.firstMembers };
-    if (accepted.entry !== this.viewOf) {
-      this.view = MemberViews.of(accepted.entry);
-      this.viewOf = accepted.entry;
+    if (newest.entry !== this.viewOf) {
+      this.view = MemberViews.of(newest.entry);
+      this.viewOf = newest.entry;
     }
     return this.view;
   }
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -247,7 +247,7 @@
     this.hearers = hearers;
     const [address] = newer;
     // Members refuse whoever goes by an older list, and the leader that would repair this replica may be out of its reach.
-    if (address !== undefined && this.key !== 'core-members') await this.settings.learnMembers(address);
+    if (address !== undefined) await this.settings.learnMembers(address);
     return isReached(answers);
   }
 
--- a/source/core-keeper/standing/standing.ts
+++ b/source/core-keeper/standing/standing.ts
@@ -159,8 +159,9 @@
     if ((this.core.state.known[keeper] ?? 0) >= incarnation) return { kind: 'noVote' };
     const written = await this.core.ledger.write([{ kind: 'knew', keeper, incarnation }]);
     if (written !== 'synced') return { kind: 'noVote' };
-    const { firstMembers, cells, duties, dutyFloor, known } = this.core.state;
-    return { kind: 'frame', frame: { firstMembers, cells, duties, dutyFloor, known } satisfies KeeperFrame };
+    const { firstMembers, cells, learnedMembers, duties, dutyFloor, known } = this.core.state;
+    const frame = { firstMembers, cells, learnedMembers, duties, dutyFloor, known } satisfies KeeperFrame;
+    return { kind: 'frame', frame };
   }
 
   /** The voting keeper with the newest list, of the fleet that this keeper belongs to as far as can be told. */
--- a/tests/model-checker.test.ts
+++ b/tests/model-checker.test.ts
@@ -111,7 +111,11 @@
       ['core-keeper/register/acceptor.ts', 'if (oldList || outranked)', 'if (outranked)'],
       ['core-keeper/register/ownership.ts', '|| answer.membersRevision <= membersRevision', '|| true'],
       ['core-keeper/register/ownership.ts', '|| answer.membersRevision <= order.membersRevision', '|| true'],
-      ['core-keeper/register/ownership.ts', "address !== undefined && this.key !== 'core-members'", 'false'],
+      [
+        'core-keeper/register/ownership.ts',
+        'if (address !== undefined) await this.settings.learnMembers(address);',
+        '',
+      ],
     ],
     sees: /two changes on one base/,
   },
--- a/tests/support/model/modelReplica.ts
+++ b/tests/support/model/modelReplica.ts
@@ -108,8 +108,7 @@
       changeMicroseconds: 1,
       firstMembersText: () => firstMembersText(founders),
       dialect: registerDialect,
-      learnMembers: (address: string) =>
-        this.entries.takeMembers(address, () => this.leadership('core-members').win('request')),
+      learnMembers: (address: string) => this.entries.takeMembers(address),
       metrics: new RegisterMetrics(new Metrics()),
     };
     this.leaderships = new Map(
