--- a/tests/model-checker.test.ts
+++ b/tests/model-checker.test.ts
@@ -6,6 +6,7 @@
 import { loadWithout, type Cuts } from './support/sabotages';
 
 /** For long: `POSTDRUM_MODEL_STATES=200000 POSTDRUM_MODEL_UNUSUAL=3 node build/runTests.mjs dist/tests/model-checker.test.cjs`. */
+const only = process.env['POSTDRUM_MODEL_SCOPE'] ?? '';
 const mostStates = Number(process.env['POSTDRUM_MODEL_STATES'] ?? 2500);
 const unusualChoices = Number(process.env['POSTDRUM_MODEL_UNUSUAL'] ?? 2);
 const bounds = { unusualChoices, mostStates, mostSteps: 1500 };
@@ -49,7 +50,7 @@
 });
 
 describe('all histories within a bound', () => {
-  for (const name of scopeNames)
+  for (const name of scopeNames.filter((scope) => scope.includes(only)))
     test(name, async (context) => {
       const { states, histories, isComplete, broken } = await exploreScope(name, bounds);
       context.diagnostic(
--- a/tests/support/model/modelReplica.ts
+++ b/tests/support/model/modelReplica.ts
@@ -49,15 +49,28 @@
 }
 
 const askMicroseconds = 50_000;
+/** How long a member that leaves waits for its successor: so long that only a history without one sees the end of it. */
+const handOverMicroseconds = 3_000_000;
 /** How often a read campaigns before it gives up. */
 const readAttempts = 4;
 const silent = (): void => undefined;
 
+/** How a replica of the model is set up beyond the register. */
+export type ModelSetup = Readonly<{
+  /** The system starts for the first time: seeds may found a fleet. */
+  isFirstStart: boolean;
+  /** A log longer than this is rewritten as a snapshot. */
+  rewriteBytes: number;
+  /** Distinguishes the fleets that a replica would found in its lives. */
+  life: number;
+}>;
+
 export type ModelEffects = Readonly<{
+  setup: ModelSetup;
   transport: Transport;
   disk: ModelDisk;
   /** An act of this replica's disk, which the explorer completes. */
-  later: (act: () => void) => void;
+  later: (act: () => void, what: string) => void;
   /** A timer of this replica, which runs when nothing else is left. */
   timer: (act: () => void) => void;
   /** Stands for the heartbeats: who within reach leads the key. */
@@ -97,11 +110,12 @@
   ) {
     const { transport } = effects;
     const clock = new ModelClock(effects.timer);
-    this.ledger = new Ledger(effects.disk.open(effects.later), clock, silent, 1 << 30);
+    const { isFirstStart, rewriteBytes, life } = effects.setup;
+    this.ledger = new Ledger(effects.disk.open(effects.later), clock, silent, rewriteBytes);
     this.core = new KeeperCore(name, this.ledger, clock);
     this.acceptor = new Acceptor(this.core);
     this.entries = new EntryTransfer(this.core, this.acceptor, transport, askMicroseconds);
-    const random = { fraction: () => 0, name: () => 'fleet' };
+    const random = { fraction: () => 0, name: () => `fleet of ${name} ${life}` };
     const settings = {
       askMicroseconds,
       // One attempt a call: the explorer's script says who tries again, and when.
@@ -127,7 +141,7 @@
         replaces: '',
         askMicroseconds,
         founders: founders.length,
-        isFirstStart: false,
+        isFirstStart,
         foundingPatienceMicroseconds: 0,
         joins: 'asks',
         isOnlyFleet: true,
@@ -154,15 +168,15 @@
       {
         leadership: () => this.leadership('core-members'),
         words: () => this.words(),
-        read: () => Promise.resolve({ kind: 'noMajority' }),
-        change: () => Promise.resolve({ kind: 'unknown' }),
+        read: (key) => this.reader.read(key, 1),
+        change: async (order) => (await this.leadership(order.key).change(order)) ?? { kind: 'unknown' },
       },
       {
         joins: 'asks',
         membersWanted: founders.length,
         askMicroseconds,
         learnerMicroseconds: 1,
-        handOverMicroseconds: 1,
+        handOverMicroseconds,
       },
     );
   }
@@ -173,7 +187,15 @@
   }
 
   public async open(): Promise<void> {
-    await this.ledger.open();
+    const opened = await this.ledger.open();
+    if (opened.kind === 'corrupt') throw new Error('a disk that only lost its power is taken for corrupt');
+    if (opened.fresh && this.effects.setup.isFirstStart)
+      void this.ledger.write([{ kind: 'firstStarted', seeds: this.founders.map(addressOf) }]);
+  }
+
+  /** A planned stop: the member goes once its successor votes. */
+  public leave(): Promise<void> {
+    return this.members.handOver(() => this.standingStep());
   }
 
   /** The state of a member of a fleet that was founded long ago, or of a machine that was never in it. */
@@ -218,12 +240,16 @@
 
   /** What a replica does by itself from time to time: joins, settles a change of members, fills a vacancy. */
   public async step(): Promise<void> {
-    await this.standing.step();
-    if (Replaced.isOut(this.core)) await this.ledger.write([{ kind: 'replaced' }]);
+    await this.standingStep();
     await this.members.step();
     for (const key of ['core-members', 'blueprint'] as const) await this.follow(key);
   }
 
+  private async standingStep(): Promise<void> {
+    await this.standing.step();
+    if (Replaced.isOut(this.core)) await this.ledger.write([{ kind: 'replaced' }]);
+  }
+
   private async follow(key: DocumentKey): Promise<void> {
     if (!this.core.votes()) return;
     const leader = this.effects.leaderOf(key);
@@ -251,6 +277,14 @@
         return this.standing.hello(String(message['asker']));
       case 'frame':
         return this.standing.frame(message);
+      case 'form':
+        return this.standing.form(message);
+      case 'takeIn':
+        return this.members.takeIn(String(message['name']), message['member'] as CoreMember);
+      case 'memberLeaves':
+        return this.members.hearLeaving(String(message['keeper']));
+      case 'silentMembers':
+        return { kind: 'silentMembers', silent: [] };
       case 'mayLead':
         return this.core.votes()
           ? { kind: 'mayLead', hearsLeader: this.hearsLeader(message), membersRevision: this.core.members().revision }
--- a/tests/support/model/registerModel.ts
+++ b/tests/support/model/registerModel.ts
@@ -8,13 +8,15 @@
 import type { Message, Transport } from '../../../source/shared/effects/transport/transport';
 import { Epochs, type Epoch } from '../../../source/shared/register/types';
 import type { Choice, ModelRun } from './explorer';
-import { ModelDisk } from './modelDisk';
+import { ModelDisk, powerLosses, type PowerLoss } from './modelDisk';
 import { ModelReplica, nameAt } from './modelReplica';
 
 export type Call =
   | Readonly<{ kind: 'change'; at: string; text: string; ifMatch: number }>
   | Readonly<{ kind: 'read'; at: string }>
   | Readonly<{ kind: 'replace'; at: string; gone: string; newcomer: string }>
+  /** A planned stop for good. */
+  | Readonly<{ kind: 'leave'; at: string }>
   /** From here on only replicas of one side reach each other. */
   | Readonly<{ kind: 'split'; sides: readonly (readonly string[])[] }>
   | Readonly<{ kind: 'heal' }>
@@ -22,10 +24,10 @@
   /** Waits until nothing is left to happen: all are up, those without a vote have tried to join. */
   | Readonly<{ kind: 'rest' }>;
 
-type Asked = Extract<Call, Readonly<{ kind: 'change' | 'read' | 'replace' }>>;
+type Asked = Extract<Call, Readonly<{ kind: 'change' | 'read' | 'replace' | 'leave' }>>;
 
 const isAsked = (call: Call): call is Asked =>
-  call.kind === 'change' || call.kind === 'read' || call.kind === 'replace';
+  call.kind === 'change' || call.kind === 'read' || call.kind === 'replace' || call.kind === 'leave';
 
 export type Scope = Readonly<{
   founders: readonly string[];
@@ -37,10 +39,20 @@
   messageLosses: number;
   /** Replicas whose disk is never lost: what a scope wipes must be borne. */
   kept?: readonly string[];
+  /** The founders found their fleet in the history itself, from a first start on. */
+  isFirstStart?: boolean;
+  /** Logs longer than this are rewritten as a snapshot; undefined: never. */
+  rewriteBytes?: number;
+  /** A loss of power may also leave all or half of what was not synced. */
+  keepsUnsynced?: boolean;
+  /** Replicas look for something to do before timers run: those that leave wait for others by timers. */
+  stepsBeforeTimers?: boolean;
 }>;
 
+const neverRewritten = 1 << 30;
+
 type Pending = { readonly label: string; readonly act: () => void; readonly lose?: () => void };
-type Machine = { readonly disk: ModelDisk; replica: ModelReplica; life: number; isUp: boolean };
+type Machine = { readonly disk: ModelDisk; replica: ModelReplica; life: number; isUp: boolean; hasLeft: boolean };
 type Finished = { readonly call: Asked; outcome: ChangeOutcome | undefined; revision: number | undefined; at: number };
 
 export class RegisterModel implements ModelRun {
@@ -68,6 +80,7 @@
   public static async begin(scope: Scope): Promise<RegisterModel> {
     const model = new RegisterModel(scope);
     for (const name of [...scope.founders, ...scope.newcomers]) await model.boot(name, new ModelDisk());
+    if (scope.isFirstStart === true) return model;
     for (const name of scope.founders) {
       void model.machine(name).replica.found();
       await new Promise((resolve) => setImmediate(resolve));
@@ -81,7 +94,7 @@
     const usual = this.pending.map((event): Choice => ({ label: event.label, act: () => this.happen(event) }));
     const call = this.nextCall();
     const calls = call === undefined ? [] : [call];
-    const idle = usual.length > 0 ? [] : this.timers.length > 0 ? [this.nextTimer()] : this.idleChoices();
+    const idle = usual.length > 0 ? [] : this.idle();
     // A next call begins by itself once the one before is over; earlier it races with it.
     const next = this.isBusy() ? [...usual, ...idle, ...calls] : [...usual, ...calls, ...idle];
     return next.length === 0 ? [] : [...next, ...this.faults()];
@@ -92,6 +105,8 @@
     const finished = this.finished.map(({ outcome, revision }) => [outcome?.kind, revision]);
     return JSON.stringify([
       this.states(),
+      // Where power takes only what was not synced, the states of the replicas say what the disks hold.
+      this.scope.keepsUnsynced === true ? [...this.machines.values()].map(({ disk }) => disk.fingerprint()) : [],
       pending,
       this.timers.length,
       this.sides,
@@ -107,7 +122,7 @@
   }
 
   public broken(): string {
-    return this.twoConfirmed() || this.readBack() || this.twoLeaders();
+    return this.twoConfirmed() || this.readBack() || this.twoLeaders() || this.twoFleets();
   }
 
   public brokenAtEnd(): string {
@@ -154,6 +169,13 @@
     return new Set(led).size === led.length ? '' : 'two lead under one epoch';
   }
 
+  private twoFleets(): string {
+    const fleets = [...this.machines.values()].flatMap(({ replica, isUp }) =>
+      isUp && replica.core.votes() ? [replica.core.state.fleet] : [],
+    );
+    return new Set(fleets).size <= 1 ? '' : 'two fleets have voters';
+  }
+
   private nextCall(): Choice | undefined {
     const call = this.scope.script[this.called];
     if (call === undefined || ('at' in call && !this.machine(call.at).isUp)) return undefined;
@@ -165,12 +187,19 @@
   }
 
   private isRecovering(): boolean {
-    return [...this.machines.values()].some(({ isUp }) => !isUp) || this.stepsLeft().length > 0;
+    return [...this.machines.values()].some(({ isUp, hasLeft }) => !isUp && !hasLeft) || this.stepsLeft().length > 0;
+  }
+
+  private idle(): readonly Choice[] {
+    const timer = this.timers.length > 0 ? [this.nextTimer()] : [];
+    if (this.scope.stepsBeforeTimers !== true) return timer.length > 0 ? timer : this.idleChoices();
+    const steps = this.idleChoices();
+    return steps.length > 0 ? steps : timer;
   }
 
   /** What happens once nothing else is left: replicas start again, those without a vote join, changes of members settle. */
   private idleChoices(): readonly Choice[] {
-    const down = [...this.machines].filter(([, { isUp }]) => !isUp);
+    const down = [...this.machines].filter(([, { isUp, hasLeft }]) => !isUp && !hasLeft);
     if (down.length > 0)
       return down.map(([name]): Choice => ({ label: `${name} starts`, act: () => void this.restart(name) }));
     return this.stepsLeft().map((name): Choice => ({ label: `${name} steps`, act: () => this.step(name) }));
@@ -185,7 +214,8 @@
     const states = this.states();
     const lastFirst = [...this.stepped.keys()];
     return [...this.machines]
-      .filter(([name, { replica }]) => {
+      .filter(([name, { replica, hasLeft }]) => {
+        if (hasLeft) return false;
         const last = this.stepped.get(name);
         const times = last?.states === states ? last.times : 0;
         return times < (replica.core.votes() ? 1 : this.scope.messageLosses + 1);
@@ -195,7 +225,9 @@
   }
 
   private states(): string {
-    return JSON.stringify([...this.machines].map(([name, { replica, isUp }]) => [name, isUp, replica.fingerprint()]));
+    return JSON.stringify(
+      [...this.machines].map(([name, { replica, isUp, hasLeft }]) => [name, isUp, hasLeft, replica.fingerprint()]),
+    );
   }
 
   /** Something is under way on a machine that has not died since. */
@@ -217,10 +249,7 @@
             event.lose === undefined ? [] : [{ label: `lost: ${event.label}`, act: () => this.loseMessage(event) }],
           );
     const machines = [...this.machines].filter(([, { isUp }]) => isUp);
-    const power: Choice[] =
-      this.powerLosses === 0
-        ? []
-        : machines.map(([name]) => ({ label: `${name} loses power`, act: () => this.losePower(name) }));
+    const power: Choice[] = this.powerLosses === 0 ? [] : machines.flatMap(([name]) => this.powerChoices(name));
     const disks: Choice[] =
       this.diskLosses === 0 || this.powerLosses === 0
         ? []
@@ -230,6 +259,11 @@
     return [...losses, ...power, ...disks];
   }
 
+  private powerChoices(name: string): readonly Choice[] {
+    const losses = this.scope.keepsUnsynced === true ? powerLosses : powerLosses.slice(0, 1);
+    return losses.map((loss) => ({ label: `${name} loses power, ${loss}`, act: () => this.losePower(name, loss) }));
+  }
+
   private happen(event: Pending): void {
     this.pending.splice(this.pending.indexOf(event), 1);
     event.act();
@@ -241,16 +275,16 @@
     event.lose?.();
   }
 
-  private losePower(name: string): void {
+  private losePower(name: string, loss: PowerLoss): void {
     this.powerLosses -= 1;
-    this.stop(name);
+    this.stop(name, loss);
   }
 
-  private stop(name: string): void {
+  private stop(name: string, loss: PowerLoss = 'unsynced lost'): void {
     const machine = this.machine(name);
     machine.isUp = false;
     machine.life += 1;
-    machine.disk.losePower();
+    machine.disk.losePower(loss);
   }
 
   private loseDisk(name: string): void {
@@ -306,12 +340,23 @@
       this.time += 1;
       this.finished.push({ ...entry, outcome, revision, at: this.time });
     };
-    if (call.kind === 'read') void replica.read().then((revision) => finish(undefined, revision));
+    // Whoever stands by may have a place now.
+    if (call.kind === 'leave') this.stepped.clear();
+    if (call.kind === 'leave') void replica.leave().then(() => this.left(call.at, life, over));
+    else if (call.kind === 'read') void replica.read().then((revision) => finish(undefined, revision));
     else if (call.kind === 'change')
       void replica.change(this.order(call)).then((outcome) => finish(outcome, undefined));
     else void replica.replaceMember(call.gone, call.newcomer).then((outcome) => finish(outcome, undefined));
   }
 
+  private left(name: string, life: number, over: () => void): void {
+    over();
+    const machine = this.machine(name);
+    if (machine.life !== life) return;
+    this.stop(name);
+    machine.hasLeft = true;
+  }
+
   private order({ text, ifMatch }: Extract<Call, Readonly<{ kind: 'change' }>>): ChangeOrder {
     return { key: 'blueprint', form: 'whole', text, ifMatch, id: text };
   }
@@ -338,15 +383,17 @@
 
   private async boot(name: string, disk: ModelDisk, life = 0): Promise<void> {
     const isAlive = (): boolean => this.machines.get(name)?.life === life;
-    const replica = new ModelReplica(name, this.scope.founders, {
+    const { founders, isFirstStart = false, rewriteBytes = neverRewritten } = this.scope;
+    const replica = new ModelReplica(name, founders, {
+      setup: { isFirstStart: isFirstStart && !disk.isLost, rewriteBytes, life },
       transport: this.transport(name, isAlive),
       disk,
       leaderOf: (key) => this.leaderOf(name, key),
       highestPromise: (key) => this.highestPromise(name, key),
       timer: (act) => this.timers.push(() => (isAlive() ? act() : undefined)),
-      later: (act) => this.pending.push({ label: `${name} syncs`, act: () => (isAlive() ? act() : undefined) }),
+      later: (act, what) => this.pending.push({ label: `${name} ${what}`, act: () => (isAlive() ? act() : undefined) }),
     });
-    this.machines.set(name, { disk, replica, life, isUp: true });
+    this.machines.set(name, { disk, replica, life, isUp: true, hasLeft: false });
     await replica.open();
   }
 
