A member that stops for good waits for one that says nothing, within the same limit

Cause: where nobody stood by as far as the others that answered knew, it went at once, with the only copy when the silent one had lost its disk. Change: it goes at once only where all others answer.

--- a/source/core-keeper/standing/memberChanges.ts
+++ b/source/core-keeper/standing/memberChanges.ts
@@ -36,6 +36,8 @@
 }>;
 
 type Members = Readonly<Record<string, CoreMember>>;
+/** hasSuccessor: somebody waits for the place of a member that leaves. free: nobody does, and all others answered. */
+type LeaveAnswer = 'hasSuccessor' | 'free' | 'unsure';
 type ListChange = Readonly<{ gone: string; id: string }>;
 
 /** A replica that asked for a place so recently stands by; it asks two or three times a second. */
@@ -88,22 +90,31 @@
   }
 
   /**
-   * A planned stop while somebody stands by: this member votes on until its successor has caught up, since it may hold one of
-   * only two copies of what was accepted last. Ends at once where nobody waits for a place, and at the latest after the limit.
+   * A planned stop: this member votes on until its successor has caught up, since it may hold one of only two copies of what was
+   * accepted last. It ends at once where nobody waits for a place and all other members answer, and at the latest after the limit. Why
+   * it waits for a member that says nothing: that one may hold the other copy, and come back without its disk.
    */
   public async handOver(look: () => Promise<void>): Promise<void> {
-    if (!this.core.votes() || this.settings.joins !== 'asks') return;
-    this.leaving.set(this.core.name, this.clock.nowMicroseconds());
-    const message = { kind: 'memberLeaves', keeper: this.core.name, fleet: this.core.state.fleet };
-    const answers = await this.askOthers(message);
-    if (!this.hasStandby() && !answers.some((answer) => answer['hasStandby'] === true)) return;
+    if (this.settings.joins !== 'asks') return;
     const until = this.clock.nowMicroseconds() + this.settings.handOverMicroseconds;
+    let heard: LeaveAnswer = 'unsure';
     while (this.core.votes() && this.clock.nowMicroseconds() < until) {
+      if (heard !== 'hasSuccessor') heard = await this.sayLeaving();
+      if (heard === 'free') return;
       await Clocks.wait(this.clock, handOverLookMicroseconds);
       await look();
     }
   }
 
+  private async sayLeaving(): Promise<LeaveAnswer> {
+    this.leaving.set(this.core.name, this.clock.nowMicroseconds());
+    const message = { kind: 'memberLeaves', keeper: this.core.name, fleet: this.core.state.fleet };
+    const answers = await this.askOthers(message);
+    const heard = answers.filter(({ kind }) => kind === 'heard');
+    if (this.hasStandby() || heard.some((answer) => answer['hasStandby'] === true)) return 'hasSuccessor';
+    return heard.length === this.core.others().length ? 'free' : 'unsure';
+  }
+
   /** One step of a change that waits for its learner, taken by whoever leads the list of members. */
   public async step(): Promise<void> {
     const { state } = this.register.leadership();
