--- a/tests/model-checker.test.ts
+++ b/tests/model-checker.test.ts
@@ -8,8 +8,8 @@
 /** For long: `POSTDRUM_MODEL_STATES=200000 POSTDRUM_MODEL_UNUSUAL=3 node build/runTests.mjs dist/tests/model-checker.test.cjs`. */
 const only = process.env['POSTDRUM_MODEL_SCOPE'] ?? '';
 const mostStates = Number(process.env['POSTDRUM_MODEL_STATES'] ?? 2500);
-const unusualChoices = Number(process.env['POSTDRUM_MODEL_UNUSUAL'] ?? 2);
-const bounds = { unusualChoices, mostStates, mostSteps: 1500 };
+const mostUnusual = Number(process.env['POSTDRUM_MODEL_UNUSUAL'] ?? 2);
+const bounds = { unusualChoices: mostUnusual, mostStates, mostSteps: 1500 };
 
 describe('the usual history of each scope', () => {
   const usual = async (scope: Scope): Promise<RegisterModel> => {
@@ -61,7 +61,7 @@
     });
 });
 
-type Mutation = Readonly<{ what: string; scope: ScopeName; cuts: Cuts; sees: RegExp }>;
+type Mutation = Readonly<{ what: string; scope: ScopeName; cuts: Cuts; sees: RegExp; unusualChoices?: number }>;
 
 const mutations: readonly Mutation[] = [
   {
@@ -132,13 +132,69 @@
     ],
     sees: /a later read|two changes on one base/,
   },
+  {
+    what: 'a minority of the seeds founds',
+    scope: 'two seeds found a fleet without the third; one of them loses its disk and meets the third alone',
+    cuts: [['core-keeper/standing/standing.ts', 'names.size < Stamps.majority(founders) || ', '']],
+    sees: /two fleets/,
+  },
+  {
+    what: 'a seed that lost its disk founds a fleet again',
+    scope: 'two seeds found a fleet without the third; one of them loses its disk and meets the third alone',
+    cuts: [['core-keeper/standing/standing.ts', '!all.every(isOfFirstStart)', 'false']],
+    sees: /two fleets/,
+  },
+  {
+    what: 'a member that leaves does not wait for its successor',
+    scope: 'a member leaves that holds one of two copies, and the other copy is lost',
+    cuts: [['core-keeper/standing/memberChanges.ts', "if (heard === 'free') return;", 'return;']],
+    sees: /no majority|a later read/,
+  },
+  {
+    what: 'a member wiped while the list changes votes again with one snapshot',
+    scope: 'a member wiped while the list changes, apart from the last copy',
+    cuts: [
+      [
+        'core-keeper/standing/standing.ts',
+        'return there.length >= Math.min(others.length, Stamps.majority(set.length));',
+        'return there.length > 0;',
+      ],
+    ],
+    sees: /a later read|two changes on one base|no majority/,
+    unusualChoices: 1,
+  },
+  {
+    what: 'a changed list that cannot be accepted is not learned',
+    scope: 'the leader out of reach right after a replacement began, and a member that promised a higher epoch before',
+    cuts: [
+      [
+        'core-keeper/register/entryTransfer.ts',
+        "await this.core.ledger.write([{ kind: 'membersLearned', epoch: offer.epoch, entry: offer.entry }]);",
+        '',
+      ],
+    ],
+    sees: /does not end|no majority/,
+    unusualChoices: 1,
+  },
+  {
+    what: 'a log that is written on after its snapshot took its name',
+    scope: 'power lost at any step while the log is rewritten as a snapshot',
+    cuts: [
+      [
+        'core-keeper/ledger/ledger.ts',
+        '    this.file = await this.disk.open(fileName);\n    await old?.close();',
+        '    void old;',
+      ],
+    ],
+    sees: /a later read|no majority|two changes on one base/,
+  },
 ];
 
 describe('the checker sees each mechanism cut out', () => {
-  for (const { what, scope, cuts, sees } of mutations)
+  for (const { what, scope, cuts, sees, unusualChoices = bounds.unusualChoices } of mutations)
     test(what, async () => {
       const { module, cut, end } = await loadWithout<typeof ModelScopes>('tests/support/model/modelScopes.ts', cuts);
-      const { broken } = await module.exploreScope(scope, { ...bounds, mostStates: 20_000 });
+      const { broken } = await module.exploreScope(scope, { ...bounds, unusualChoices, mostStates: 60_000 });
       end();
       assert.equal(cut, cuts.length);
       assert.match(broken?.what ?? 'nothing', sees);
--- a/tests/support/model/modelReplica.ts
+++ b/tests/support/model/modelReplica.ts
@@ -51,6 +51,8 @@
 const askMicroseconds = 50_000;
 /** How long a member that leaves waits for its successor: so long that only a history without one sees the end of it. */
 const handOverMicroseconds = 3_000_000;
+/** A lost campaign is so far ahead of the epoch that leads, which does not learn of it at once. */
+const promiseAhead = 2;
 /** How often a read campaigns before it gives up. */
 const readAttempts = 4;
 const silent = (): void => undefined;
@@ -193,6 +195,18 @@
       void this.ledger.write([{ kind: 'firstStarted', seeds: this.founders.map(addressOf) }]);
   }
 
+  /** What a campaign leaves behind whose messages are all lost. */
+  public promiseItself(key: DocumentKey): Promise<unknown> {
+    const { promised } = KeeperStates.cell(this.ledger.pending, key);
+    return this.acceptor.prepare({
+      kind: 'prepare',
+      fleet: this.core.state.fleet,
+      membersRevision: this.core.members().revision,
+      key,
+      epoch: { number: promised.number + promiseAhead, keeper: this.name },
+    });
+  }
+
   /** A planned stop: the member goes once its successor votes. */
   public leave(): Promise<void> {
     return this.members.handOver(() => this.standingStep());
--- a/tests/support/model/registerModel.ts
+++ b/tests/support/model/registerModel.ts
@@ -15,6 +15,8 @@
   | Readonly<{ kind: 'change'; at: string; text: string; ifMatch: number }>
   | Readonly<{ kind: 'read'; at: string }>
   | Readonly<{ kind: 'replace'; at: string; gone: string; newcomer: string }>
+  /** A campaign for the list of members of which only the candidate itself heard. */
+  | Readonly<{ kind: 'lostCampaign'; at: string }>
   /** A planned stop for good. */
   | Readonly<{ kind: 'leave'; at: string }>
   /** From here on only replicas of one side reach each other. */
@@ -322,6 +324,7 @@
     else if (call.kind === 'heal') this.link([]);
     else if (call.kind === 'power') this.stop(call.at);
     else if (call.kind === 'wipe') this.wipe(call.at);
+    else if (call.kind === 'lostCampaign') void this.machine(call.at).replica.promiseItself('core-members');
   }
 
   /** Whoever found nothing to do may have something to do now. */
