--- a/tests/control-safety.test.ts
+++ b/tests/control-safety.test.ts
@@ -346,6 +346,28 @@
       assert.equal(new Set(fleet.machines.map(({ keeper }) => keeper?.core.state.fleet)).size, 1);
     });
 
+  test('a seed that two founders ask at one moment says yes to one of them, 20 seeds', async () => {
+    for (let seed = 421; seed <= 440; seed += 1) {
+      const fleet = new ControlFleet(seed, platformDialect);
+      const asked = fleet.add();
+      asked.start(true);
+      await fleet.world.runFor(100_000);
+      const answers: string[] = [];
+      const founder = new SimProcess(fleet.world, 'founder', '10.1.0.9');
+      for (const name of ['one', 'other'])
+        founder.enter(
+          () =>
+            void fleet.network
+              .transportOf(founder)
+              .ask(asked.member.address, { kind: 'form', fleet: name, members: {} }, 1_000_000)
+              .then((answer) => answers.push(answer.kind === 'answered' ? answer.message.kind : answer.kind)),
+        );
+      await fleet.world.runFor(1_000_000);
+      assert.equal(answers.length, 2);
+      assert.equal(answers.filter((answer) => answer === 'formingToo').length, 1, `seed ${seed}: ${answers.join()}`);
+    }
+  });
+
   test('one that lost its disk since the first start does not found again with one that was away', async () => {
     const fleet = new ControlFleet(411, platformDialect);
     for (let number = 1; number <= 3; number += 1) fleet.add();
