--- a/source/core-keeper/standing/standing.ts
+++ b/source/core-keeper/standing/standing.ts
@@ -138,10 +138,12 @@
 
   /** Said by the one who founds. Each founder says yes to one fleet only, on disk. */
   public async form(message: Message): Promise<Message> {
-    const { standing, fleet } = this.core.state;
+    // Why what is pending: a yes that is being written counts, or two founders that ask at one moment would both hear it.
+    const { standing, fleet } = this.core.ledger.pending;
     const wanted = String(message['fleet']);
-    if (standing === 'forming' && fleet === wanted) return { kind: 'formingToo' };
-    if (standing !== 'empty') return { kind: 'noVote' };
+    const isRepeated = standing === 'forming' && fleet === wanted;
+    if (standing !== 'empty' && !isRepeated) return { kind: 'noVote' };
+    if (isRepeated && this.core.state.standing === 'forming') return { kind: 'formingToo' };
     const written = await this.core.ledger.write([
       { kind: 'forming', fleet: wanted, members: message['members'] as Readonly<Record<string, CoreMember>> },
     ]);
