--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -5,27 +5,26 @@
 import type { Disk } from '../shared/effects/disk/disk';
 import type { Effects } from '../shared/effects/effects';
 import { FleetTransport } from '../shared/fleet/fleetTransport';
-import type { Listener, Message } from '../shared/effects/transport/transport';
-import { BodyPacker } from '../shared/freshness/bodies';
+import type { Listener } from '../shared/effects/transport/transport';
 import { LimitedLogs } from '../shared/log/limitedLog';
 import { Logs, type Log } from '../shared/log/log';
 import { Metrics } from '../shared/metrics/metrics';
-import { Rendezvous } from '../shared/rendezvous/rendezvous';
-import type { WordsAnswer } from '../shared/register/majorityRead';
-import { Epochs, type KeyWord } from '../shared/register/types';
+import type { KeyWord } from '../shared/register/types';
 import { DutyVoter } from './duties/dutyVoter';
 import { Ledger, type LedgerOpened } from './ledger/ledger';
 import { KeeperStates, type Standing } from './ledger/keeperState';
-import { Asks, type Ask } from './messages/asks';
+import type { KeeperSettings } from './controlSettings';
 import { AgentContacts } from './operators/agentContacts';
 import { Acceptor } from './register/acceptor';
 import { ChangeFetcher } from './register/changeFetcher';
 import { ChangeRouter } from './register/changeRouter';
-import { Digests } from './register/changes';
 import { EntryTransfer } from './register/entryTransfer';
 import { Heartbeats } from './register/heartbeats';
+import { ReplicaReport, type KeyLeader, type ReplicaStatus } from './register/replicaReport';
+import { Vacancies } from './register/vacancies';
+import { MessageHandler } from './messages/messageHandler';
 import { KeeperCore } from './register/keeperCore';
-import type { Accept, ChangeOrder, ChangeOutcome, Prepare } from './register/messages';
+import type { ChangeOrder, ChangeOutcome } from './register/messages';
 import { Ownership } from './register/ownership';
 import { QuorumReader, type ReadOutcome } from './register/quorumReader';
 import { QuorumWatch } from './register/quorumWatch';
@@ -37,83 +36,12 @@
 import { MemberWatch } from './standing/memberWatch';
 import { Replaced, StandingKeeper } from './standing/standing';
 
-export type KeeperSettings = Readonly<{
-  name: string;
-  member: CoreMember;
-  /** Where it listens, if others reach it by another address. */
-  listenAddress: string;
-  seeds: readonly string[];
-  replaces: string;
-  founders: number;
-  askMicroseconds: number;
-  changeMicroseconds: number;
-  heartbeatMicroseconds: number;
-  ownerSilentMicroseconds: number;
-  leaseMicroseconds: number;
-  rewriteBytes: number;
-  /** How long an owner that still lives may take for what another keeper passed on to it. */
-  passMicroseconds: number;
-  /** The whole system starts for the first time; only then may a fleet be founded. */
-  isFirstStart: boolean;
-  /** named: members change by name only. asks: a keeper without a place asks for one, and comes back after it lost it. */
-  joins: 'named' | 'asks';
-  /** How many members there should be; keepers beyond that stand by. */
-  membersWanted: number;
-  /** A member that a majority has not heard for so long may lose its place to one that stands by. */
-  memberSilentMicroseconds: number;
-  /** How long a changed list of members waits for its newcomer to catch up before it stands alone without it. */
-  learnerMicroseconds: number;
-  /** How long a member that stops goes on voting while its successor catches up. */
-  handOverMicroseconds: number;
-  /** No address here ever belongs to another fleet, so one seed that answers is enough to find the fleet. */
-  isOnlyFleet: boolean;
-  /** After so long a part of the seeds that is a majority founds the fleet without the others; only where `joins` is asks. */
-  foundingPatienceMicroseconds: number;
-}>;
-
-export const KeeperDefaults = {
-  listenAddress: '',
-  founders: 3,
-  askMicroseconds: 700_000,
-  changeMicroseconds: 4_000_000,
-  heartbeatMicroseconds: 200_000,
-  ownerSilentMicroseconds: 900_000,
-  leaseMicroseconds: 2_500_000,
-  rewriteBytes: 4 * 1024 * 1024,
-  passMicroseconds: 4_700_000,
-  isFirstStart: true,
-  joins: 'named',
-  membersWanted: 3,
-  memberSilentMicroseconds: 2_000_000,
-  learnerMicroseconds: 5_000_000,
-  handOverMicroseconds: 3_000_000,
-  foundingPatienceMicroseconds: 1_500_000,
-  isOnlyFleet: false,
-} as const;
-
 /** A leader steps down once no majority has answered it for so many times the silence after which others look for one. */
 const quorumSilences = 2;
 
 /** How often whoever leads the list of members looks whether a newcomer has caught up. */
 const memberStepMicroseconds = 150_000;
 
-/** What one replica holds of a key, and since when it leads it; null where it does not. */
-export type ReplicaKeyStatus = Readonly<{
-  epoch: string;
-  revision: number;
-  leadsForMicroseconds: number | null;
-  takeovers: number;
-}>;
-
-/** One replica as operators see it. */
-export type ReplicaStatus = Readonly<{
-  keys: Readonly<Record<string, ReplicaKeyStatus>>;
-  /** For how long each other member has not answered a heartbeat; null: never. */
-  silentMicroseconds: Readonly<Record<string, number | null>>;
-}>;
-
-const noVote: Message = { kind: 'noVote' };
-
 export class CoreKeeper {
   public readonly news = new Emittery<{ standing: Standing; broken: string }>();
   public readonly core: KeeperCore;
@@ -130,20 +58,20 @@
   private readonly reader: QuorumReader;
   private readonly ages: WeightsAges;
   private readonly watch: MemberWatch;
-  private readonly packer = new BodyPacker();
   private readonly quorum: QuorumWatch;
   private readonly members: MemberChanges;
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
   private readonly notice: Log;
-  private readonly refusals: Log;
   private listener: Listener | undefined;
   private readonly startedMicroseconds: number;
   private readonly agentContacts: AgentContacts;
   private readonly changeRouter: ChangeRouter;
   private readonly waitingChanges = new WaitingChanges();
   private readonly heartbeats: Heartbeats;
-  private readonly quietUntil = new Map<DocumentKey, number>();
+  private readonly vacancies: Vacancies;
+  private readonly report: ReplicaReport;
+  private readonly handler: MessageHandler;
 
   public constructor(
     given: Effects,
@@ -158,7 +86,6 @@
     this.effects = { ...given, transport };
     this.log = Logs.part(`keeper:${settings.name}`);
     this.notice = Logs.part(`keeper:${settings.name}:notice`);
-    this.refusals = LimitedLogs.of(this.notice, clock);
     this.ledger = new Ledger(disk, clock, this.notice, settings.rewriteBytes);
     this.core = new KeeperCore(settings.name, this.ledger, clock);
     this.acceptor = new Acceptor(this.core);
@@ -180,7 +107,7 @@
       this.watch,
       {
         leadership: () => this.ownership('core-members'),
-        words: () => this.words(),
+        words: () => this.report.words(),
         read: (key) => this.read(key),
         change: (order) => this.change(order),
       },
@@ -221,8 +148,8 @@
       {
         fleet: () => this.standing.fleet(),
         members: () => this.membersToAsk(),
-        ownAnswer: () => (this.core.votes() ? this.wordsAnswer() : undefined),
-        heldText: (key, digest) => this.heldText(key, digest),
+        ownAnswer: () => (this.core.votes() ? this.report.wordsAnswer() : undefined),
+        heldText: (key, digest) => this.report.heldText(key, digest),
       },
       transport,
       clock,
@@ -274,6 +201,45 @@
       transport,
       settings,
     );
+    this.report = new ReplicaReport({
+      core: this.core,
+      clock,
+      leadership: (key) => this.ownership(key),
+      leaders: this.leaders,
+      heartbeats: this.heartbeats,
+      quorum: this.quorum,
+      ages: this.ages,
+    });
+    this.vacancies = new Vacancies({
+      core: this.core,
+      clock,
+      random,
+      leadership: (key) => this.ownership(key),
+      leaders: this.leaders,
+      heartbeats: this.heartbeats,
+      ownerSilentMicroseconds: settings.ownerSilentMicroseconds,
+    });
+    this.handler = new MessageHandler(
+      {
+        core: this.core,
+        acceptor: this.acceptor,
+        agentContacts: this.agentContacts,
+        changeRouter: this.changeRouter,
+        duties: this.duties,
+        entries: this.entries,
+        heartbeats: this.heartbeats,
+        leaders: this.leaders,
+        leadership: (key) => this.ownership(key),
+        members: this.members,
+        report: this.report,
+        standing: this.standing,
+        waitingChanges: this.waitingChanges,
+        watch: this.watch,
+      },
+      this.startedMicroseconds,
+      this.metrics,
+      LimitedLogs.of(this.notice, clock),
+    );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     this.tickers = [
       new Ticker(
@@ -297,7 +263,7 @@
       new Ticker(
         clock,
         () => 100_000 + Math.floor(random.fraction() * 100_000),
-        () => this.fillVacancies(),
+        () => this.vacancies.fill(),
         failed,
       ),
     ];
@@ -322,7 +288,7 @@
     if (!opened.fresh) this.duties.waitOneLease(this.settings.leaseMicroseconds);
     this.listener = await this.effects.transport.listen(
       this.settings.listenAddress || this.settings.member.address,
-      async (message) => this.handle(message),
+      async (message) => this.handler.handle(message),
     );
     for (const ticker of this.tickers) ticker.start();
     return { kind: 'started', address: this.listener.address };
@@ -382,197 +348,16 @@
     return answer.kind === 'answered' && answer.message.kind === 'status' ? answer.message['status'] : undefined;
   }
 
-  public owners(): Readonly<Record<string, Readonly<{ owner: string; epoch: string; revision: number }>>> {
-    return Object.fromEntries(
-      DocumentKeys.map((key) => {
-        const own = this.ownership(key).word();
-        const leader = this.leaders.leader(key);
-        if (own !== undefined)
-          return [key, { owner: this.settings.name, epoch: Epochs.text(own.epoch), revision: own.revision }];
-        if (leader?.announced === undefined)
-          return [
-            key,
-            { owner: '', epoch: '', revision: KeeperStates.cell(this.core.state, key).accepted?.entry.revision ?? 0 },
-          ];
-        return [
-          key,
-          { owner: leader.leader, epoch: Epochs.text(leader.announced.epoch), revision: leader.announced.revision },
-        ];
-      }),
-    );
+  public owners(): Readonly<Record<string, KeyLeader>> {
+    return this.report.owners();
   }
 
   public replicaStatus(): ReplicaStatus {
-    const now = this.effects.clock.nowMicroseconds();
-    const keys = DocumentKeys.map((key): readonly [string, ReplicaKeyStatus] => {
-      const accepted = KeeperStates.cell(this.core.state, key).accepted;
-      const leadership = this.ownership(key);
-      const status = {
-        epoch: accepted === null ? '' : Epochs.text(accepted.epoch),
-        revision: accepted?.entry.revision ?? 0,
-        leadsForMicroseconds: leadership.state.kind === 'owning' ? now - leadership.ledSinceMicroseconds : null,
-        takeovers: leadership.takeovers,
-      };
-      return [key, status];
-    });
-    const silent = Object.entries(this.quorum.silenceMicroseconds());
-    return {
-      keys: Object.fromEntries(keys),
-      silentMicroseconds: Object.fromEntries(silent.map(([name, time]) => [name, time ?? null])),
-    };
+    return this.report.replicaStatus();
   }
 
   public words(): readonly KeyWord[] {
-    return DocumentKeys.map((key) => {
-      const accepted = KeeperStates.cell(this.core.state, key).accepted;
-      const decided = this.ownership(key).word() ?? this.heartbeats.decidedWord(key);
-      return {
-        key,
-        epoch: accepted?.epoch ?? Epochs.none,
-        revision: accepted?.entry.revision ?? 0,
-        digest: accepted?.entry.digest ?? '',
-        decidedRevision: decided?.revision ?? 0,
-        decidedDigest: decided?.digest ?? '',
-        owner: this.leaders.lastLeader(key),
-        ...(key === 'blueprint' ? { weights: this.ages.words() } : {}),
-      };
-    });
-  }
-
-  /** A message that does not fit its schema changes nothing, and leaves the connection to the others that it carries. */
-  private handle(message: Message): Promise<Message> | Message {
-    const read = Asks.read(message);
-    if (read.kind === 'good') return this.answer(read.ask);
-    this.metrics.count('postdrum_messages_refused_total', { message: read.of });
-    this.refusals(`A message was refused: ${read.of}, ${read.fault}.`);
-    return { kind: 'refused' };
-  }
-
-  private answer(ask: Ask): Promise<Message> | Message {
-    switch (ask.kind) {
-      case 'hello':
-        return this.standing.hello(ask.asker);
-      case 'form':
-        return this.standing.form(ask);
-      case 'frame':
-        return this.standing.frame(ask);
-      case 'prepare':
-        return this.prepare(ask);
-      case 'accept':
-        return this.accept(ask);
-      case 'confirm':
-        return this.acceptor.confirm(ask);
-      case 'owners':
-        return this.heartbeats.hear(ask);
-      case 'fetchChange':
-        return this.isOwnFleet(ask.fleet) ? this.waitingChanges.fetch(ask) : noVote;
-      case 'ownerLeaves':
-        this.leaders.forget(ask.owner);
-        return { kind: 'heard' };
-      case 'words':
-        return this.wordsFor(ask);
-      case 'body':
-        return this.body(ask);
-      case 'ballots':
-        return this.vote(ask);
-      case 'withdraw':
-        this.duties.withdraw(ask.ballots);
-        return { kind: 'heard' };
-      case 'change':
-        return this.changed(this.changeRouter.changeAsLeader(ask.order));
-      case 'relayChange':
-        return this.changed(this.changeRouter.changeFromMember(ask.order));
-      case 'passChange':
-        return this.core.votes() ? this.changed(this.change(ask.order)) : noVote;
-      case 'entry':
-        return this.entries.give(ask.key);
-      case 'replace':
-        return this.members.replace(ask.gone, ask.name, ask.member);
-      case 'takeIn':
-        return this.members.takeIn(ask.name, ask.member);
-      case 'memberLeaves':
-        return this.isOwnFleet(ask.fleet) ? this.members.hearLeaving(ask.keeper) : noVote;
-      case 'mayLead':
-        return this.mayLead(ask);
-      case 'silentMembers':
-        return this.core.votes()
-          ? { kind: 'silentMembers', silent: this.watch.silent(), fleet: this.core.state.fleet }
-          : noVote;
-      case 'news':
-        // Why answered at all: a keeper as a seed leads an agent to its first colleagues.
-        return this.agentContacts.seedNews(ask.own);
-      case 'newsMore':
-        return { kind: 'heard' };
-      case 'ping':
-        return { kind: 'pong' };
-    }
-  }
-
-  private isOwnFleet(fleet: string): boolean {
-    return fleet === this.core.state.fleet;
-  }
-
-  private async changed(change: Promise<ChangeOutcome | undefined>): Promise<Message> {
-    return { kind: 'changed', outcome: (await change) ?? null };
-  }
-
-  private async prepare(order: Prepare): Promise<Message> {
-    const answer = await this.acceptor.prepare(order);
-    if (answer.kind === 'promised') this.leaders.promised(order.key, order.epoch);
-    return answer;
-  }
-
-  private async accept(order: Accept): Promise<Message> {
-    const answer = await this.acceptor.accept(order);
-    if (answer.kind === 'accepted') this.leaders.accepted(order.key, order.epoch);
-    return answer;
-  }
-
-  private async vote({ ballots, membersRevision = 0 }: Ask<'ballots'>): Promise<Message> {
-    const answers = await this.duties.vote(ballots, membersRevision);
-    const view = this.core.members();
-    // The candidate need not wait for its next reading to learn the list that it lacked.
-    return membersRevision < view.revision ? { kind: 'ballots', answers, view } : { kind: 'ballots', answers };
-  }
-
-  /** A pre-vote: whether this member answers under the same fleet, and whether it hears a leader other than the one asking. */
-  private mayLead({ key, fleet, candidate }: Ask<'mayLead'>): Message {
-    if (!this.core.votes() || !this.isOwnFleet(fleet)) return noVote;
-    const wouldDepose = this.leaders.wouldDepose(key, candidate);
-    return {
-      kind: 'mayLead',
-      hearsLeader: wouldDepose || this.ownership(key).state.kind !== 'none',
-      membersRevision: this.core.members().revision,
-    };
-  }
-
-  private wordsFor({ own, fleet = '', known: asked }: Ask<'words'>): Message {
-    // Why here: agents read several times a second, so an operator who asks finds them all.
-    this.agentContacts.hear(own);
-    // Why silent without a voice: an answer of a keeper still catching up could hide what was taken.
-    if (!this.core.votes() || (fleet !== '' && !this.isOwnFleet(fleet)))
-      // Why name the members: who was led to a keeper that only stands by finds the others through it.
-      return { kind: 'noVote', led: this.standing.ledMembers().map(({ address }) => address) };
-    const answer = this.wordsAnswer();
-    // Why without the ages: they go on by themselves, and the asker counts them on.
-    // Why with the start: who asks then notices that this keeper began anew, and has forgotten whom it met.
-    const known = Digests.of(
-      JSON.stringify([this.startedMicroseconds, answer], (field, value: unknown) =>
-        field === 'ageMicroseconds' ? value === null : value,
-      ),
-    );
-    return asked === known ? { kind: 'wordsSame', known } : { ...answer, known };
-  }
-
-  /** What this replica holds, as agents and readers judge it. */
-  private wordsAnswer(): WordsAnswer {
-    const view = this.core.members();
-    return { kind: 'words', stamp: this.core.stamp(), membersRevision: view.revision, view, words: this.words() };
-  }
-
-  private heldText(key: DocumentKey, digest: string): string | undefined {
-    const entry = KeeperStates.cell(this.core.state, key).accepted?.entry;
-    return entry?.digest === digest ? entry.text : undefined;
+    return this.report.words();
   }
 
   private membersToAsk(): readonly CoreMember[] {
@@ -608,41 +393,4 @@
     this.heartbeats.send();
     return Promise.resolve();
   }
-
-  private async fillVacancies(): Promise<void> {
-    if (!this.core.votes() || this.ledger.stalledMicroseconds() > this.settings.ownerSilentMicroseconds) return;
-    const now = this.effects.clock.nowMicroseconds();
-    for (const key of DocumentKeys) {
-      const ownership = this.ownership(key);
-      if (ownership.state.kind !== 'none' || this.ownerAddress(key) !== undefined) {
-        this.quietUntil.delete(key);
-        continue;
-      }
-      const quiet = this.quietUntil.get(key);
-      if (quiet === undefined) {
-        // Why by rank: the keys spread over the keepers, and two rarely try at once.
-        const rank = Rendezvous.rank(`owner/${key}`, this.settings.name, Object.keys(this.core.members().members));
-        this.quietUntil.set(key, now + Math.max(0, rank) * 250_000);
-      } else if (now >= quiet) {
-        const won = await ownership.win('vacancy');
-        if (won) this.heartbeats.send();
-        this.quietUntil.set(key, now + 200_000 + Math.floor(this.effects.random.fraction() * 400_000));
-      }
-    }
-  }
-
-  private body({ key, digest }: Ask<'body'>): Message {
-    const accepted = KeeperStates.cell(this.core.state, key).accepted;
-    if (!this.core.votes() || accepted === null || accepted.entry.digest !== digest) return { kind: 'noBody' };
-    return {
-      kind: 'body',
-      ...this.packer.sent({
-        key,
-        revision: accepted.entry.revision,
-        digest: accepted.entry.digest,
-        text: accepted.entry.text,
-      }),
-      fleet: this.core.state.fleet,
-    };
-  }
 }
--- a/source/core-keeper/main.ts
+++ b/source/core-keeper/main.ts
@@ -6,7 +6,7 @@
 import { Logs } from '../shared/log/log';
 import { Programs } from '../shared/settings/program';
 import { SettingFormats, Settings, SharedSettings, type SettingSchema } from '../shared/settings/settings';
-import { KeeperDefaults } from './coreKeeper';
+import { KeeperDefaults } from './controlSettings';
 import { DoorDefaults } from './operators/operatorsDoor';
 import { ownOperatorsWords } from './operators/ownWords';
 import { startKeeper } from './program/keeperProgram';
--- a/source/core-keeper/program/keeperProgram.ts
+++ b/source/core-keeper/program/keeperProgram.ts
@@ -2,7 +2,8 @@
 import type { Disk } from '../../shared/effects/disk/disk';
 import type { Effects } from '../../shared/effects/effects';
 import type { HttpDoor } from '../../shared/http/httpDoor';
-import { CoreKeeper, type KeeperSettings } from '../coreKeeper';
+import type { KeeperSettings } from '../controlSettings';
+import { CoreKeeper } from '../coreKeeper';
 import { OperatorsDoor, type DoorSettings } from '../operators/operatorsDoor';
 import type { OperatorsWords } from '../operators/operatorsWords';
 
--- a/source/core-keeper/register/ownership.ts
+++ b/source/core-keeper/register/ownership.ts
@@ -4,16 +4,18 @@
 import type { Clock } from '../../shared/effects/clock/clock';
 import { Clocks } from '../../shared/effects/clock/clock';
 import type { Random } from '../../shared/effects/random/random';
-import type { Message, Transport } from '../../shared/effects/transport/transport';
+import type { Transport } from '../../shared/effects/transport/transport';
 import type { Log } from '../../shared/log/log';
-import { Epochs, Stamps, type Accepted, type Entry, type Epoch } from '../../shared/register/types';
+import { Epochs, type Entry, type Epoch } from '../../shared/register/types';
 import { KeeperStates } from '../ledger/keeperState';
-import { Answers } from '../messages/answers';
+import { AcceptRound } from './acceptRound';
 import type { Acceptor } from './acceptor';
 import { Changes, Digests, emptyEntry } from './changes';
-import { MemberViews, type KeeperCore, type MemberView } from './keeperCore';
+import type { KeeperCore } from './keeperCore';
 import { OutcomeHistories } from './outcomeHistory';
-import type { Accept, AcceptAnswer, ChangeOrder, ChangeOutcome, Confirm, OwnerWord, PrepareAnswer } from './messages';
+import { PrepareRound } from './prepareRound';
+import { PreVote, type PreVoteSettings } from './preVote';
+import type { ChangeOrder, ChangeOutcome, OwnerWord } from './messages';
 import type { CampaignReason, RegisterMetrics, RoundOutcome, RoundPurpose } from './registerMetrics';
 
 export type OwnershipState =
@@ -44,30 +46,21 @@
   }
 };
 
-export type OwnershipSettings = Readonly<{
-  askMicroseconds: number;
-  changeMicroseconds: number;
-  firstMembersText: () => string;
-  dialect: Dialect;
-  /** The member at this address knows a newer list of members than this replica, which takes it from there. */
-  learnMembers: (address: string) => Promise<void>;
-  metrics: RegisterMetrics;
-}>;
+export type OwnershipSettings = PreVoteSettings &
+  Readonly<{
+    changeMicroseconds: number;
+    firstMembersText: () => string;
+    dialect: Dialect;
+    metrics: RegisterMetrics;
+  }>;
 
 /** Starting values, ours: how long a replica that missed its majority waits before it campaigns again. */
 const leastBackOffMicroseconds = 30_000;
 const backOffSpreadMicroseconds = 120_000;
 
-/** Starting value, ours: how long after a conn broke an accept is asked for again. */
-const askAgainMicroseconds = 50_000;
-
-type Promised = Extract<PrepareAnswer, Readonly<{ kind: 'promised' }>>;
 /** What became of a change at the leader: its outcome, or that it leads no more and whether the entry may stand. */
 type LedChange =
   Readonly<{ kind: 'answer'; outcome: ChangeOutcome }> | Readonly<{ kind: 'deposed'; mayStand: boolean }>;
-type Gathered =
-  Readonly<{ kind: 'reached'; accepted: Accepted | null }> | Readonly<{ kind: 'missed'; outrankedBy: Epoch }>;
-
 /** One key, seen from one keeper: won under a rising epoch, kept until outranked. */
 export class Ownership {
   public readonly news = new Emittery<{ state: OwnershipState }>();
@@ -76,18 +69,25 @@
   private ledSince = -Infinity;
   private timesLed = 0;
   private serial: Promise<unknown> = Promise.resolve();
-  private hearers: readonly string[] = [];
+  private readonly preVote: PreVote;
+  private readonly prepareRound: PrepareRound;
+  private readonly acceptRound: AcceptRound;
 
   public constructor(
     private readonly key: DocumentKey,
     private readonly core: KeeperCore,
-    private readonly acceptor: Acceptor,
-    private readonly transport: Transport,
+    acceptor: Acceptor,
+    transport: Transport,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly settings: OwnershipSettings,
     private readonly log: Log,
-  ) {}
+  ) {
+    const { askMicroseconds } = settings;
+    this.preVote = new PreVote(key, core, transport, settings);
+    this.prepareRound = new PrepareRound(key, core, acceptor, transport, askMicroseconds);
+    this.acceptRound = new AcceptRound(key, core, acceptor, transport, clock, askMicroseconds);
+  }
 
   public get state(): OwnershipState {
     return this.present;
@@ -105,7 +105,7 @@
 
   /** Members that heard a leader when this replica last asked whether it may campaign; addresses. */
   public get leaderHearers(): readonly string[] {
-    return this.hearers;
+    return this.preVote.leaderHearers;
   }
 
   public word(): OwnerWord | undefined {
@@ -176,7 +176,7 @@
     if (this.present.kind === 'owning') return true;
     if (!this.core.votes()) return false;
     // A cut-off replica that promised itself ever higher epochs would depose the leader as soon as the link heals.
-    if (!(await this.mayCampaign(reason))) {
+    if (!(await this.preVote.isGranted(reason))) {
       this.settings.metrics.campaign(this.key, reason, 'refused');
       return false;
     }
@@ -191,7 +191,7 @@
     const epoch: Epoch = { number: Math.max(promised.number, this.highest.number) + 1, keeper: this.core.name };
     this.highest = epoch;
     this.step({ kind: 'began', epoch });
-    const gathered = await this.gather(epoch, this.core.members());
+    const gathered = await this.prepareRound.gather(epoch, this.core.members());
     if (gathered.kind === 'missed') {
       this.step({ kind: 'lost' });
       this.outranked(gathered.outrankedBy);
@@ -209,211 +209,24 @@
     return true;
   }
 
-  /**
-   * The pre-vote, before any promise is asked for, whatever the campaign is for: a majority must answer, and none of it may hear
-   * a leader or have promised to another candidate a moment ago. Else each call that fails at one member would depose a leader
-   * that serves the others.
-   */
-  private async mayCampaign(reason: CampaignReason): Promise<boolean> {
-    const view = this.core.members();
-    const message = { kind: 'mayLead', key: this.key, fleet: this.core.state.fleet, candidate: this.core.name, reason };
-    const newer: string[] = [];
-    const hearers: string[] = [];
-    const isReached = (answers: readonly (string | undefined)[]): boolean =>
-      Stamps.reached(
-        view.sets,
-        answers.filter((name) => name !== undefined),
-      );
-    const answers = await this.askAll(
-      Object.entries(view.members).map(async ([name, member]) => {
-        if (name === this.core.name) return name;
-        const asked = await this.transport.ask(member.address, message, this.settings.askMicroseconds);
-        const answer = Answers.read(asked, 'mayLead');
-        if (answer === undefined) return undefined;
-        if (answer.membersRevision > view.revision) newer.push(member.address);
-        if (!answer.hearsLeader) return name;
-        hearers.push(member.address);
-        return undefined;
-      }),
-      isReached,
-    );
-    this.hearers = hearers;
-    const [address] = newer;
-    // Members refuse whoever goes by an older list, and the leader that would repair this replica may be out of its reach.
-    if (address !== undefined) await this.settings.learnMembers(address);
-    return isReached(answers);
-  }
-
   private firstEntry(): Entry {
     if (this.key !== 'core-members') return emptyEntry;
     const text = this.settings.firstMembersText();
     return { revision: 1, digest: Digests.of(text), text, outcomes: OutcomeHistories.none };
   }
 
-  private async gather(epoch: Epoch, first: MemberView): Promise<Gathered> {
-    let view = first;
-    const given = new Map<string, PrepareAnswer>();
-    for (;;) {
-      const asked = Object.entries(view.members);
-      const order = {
-        kind: 'prepare',
-        fleet: this.core.state.fleet,
-        membersRevision: first.revision,
-        key: this.key,
-        epoch,
-      } as const;
-      const answers = await this.askAll(
-        asked.map(async ([name, member]): Promise<PrepareAnswer> => {
-          // Why not ask twice: a promise once given stands, and a second ask under one epoch is refused.
-          const answer =
-            given.get(name) ??
-            (name === this.core.name
-              ? await this.acceptor.prepare(order)
-              : await this.askToPromise(member.address, order));
-          if (answer.kind === 'promised') given.set(name, answer);
-          return answer;
-        }),
-        (come) => this.isPromised(view, come, first.revision),
-      );
-      const promised = this.soundPromises(answers, first.revision);
-      const outranked = answers.filter((answer) => answer.kind === 'outranked').map((answer) => answer.epoch);
-      const outrankedBy = outranked.reduce((high, item) => (Epochs.compare(item, high) > 0 ? item : high), Epochs.none);
-      if (!this.isPromised(view, answers, first.revision)) return { kind: 'missed', outrankedBy };
-      const accepted = promised.reduce<Accepted | null>(
-        (best, answer) =>
-          answer.accepted !== null && KeeperStates.outranks(answer.accepted, best) ? answer.accepted : best,
-        null,
-      );
-      if (this.key !== 'core-members' || accepted === null || accepted.entry.revision <= view.revision)
-        return { kind: 'reached', accepted };
-      // Why again: a newer list was found, and its own majority may know a newer one still.
-      view = MemberViews.of(accepted.entry);
-    }
-  }
-
-  private soundPromises(answers: readonly PrepareAnswer[], membersRevision: number): readonly Promised[] {
-    return Stamps.sound(answers.filter((answer) => answer.kind === 'promised')).filter(
-      (answer) => this.key === 'core-members' || answer.membersRevision <= membersRevision,
-    );
-  }
-
-  private isPromised(view: MemberView, answers: readonly PrepareAnswer[], membersRevision: number): boolean {
-    return Stamps.reached(
-      view.sets,
-      this.soundPromises(answers, membersRevision).map(({ stamp }) => stamp.keeper),
-    );
-  }
-
-  /** Answers until they are enough, or all have come. Why not all: one that is silent must not hold up a takeover. */
-  private askAll<Result>(
-    asks: readonly Promise<Result>[],
-    enough: (answers: readonly Result[]) => boolean,
-  ): Promise<readonly Result[]> {
-    return new Promise((resolve) => {
-      const answers: Result[] = [];
-      if (asks.length === 0) resolve(answers);
-      for (const ask of asks)
-        void ask.then((answer) => {
-          answers.push(answer);
-          if (answers.length === asks.length || enough(answers)) resolve([...answers]);
-        });
-    });
-  }
-
-  private async askToPromise(address: string, order: Message): Promise<PrepareAnswer> {
-    const answer = await this.transport.ask(address, order, this.settings.askMicroseconds);
-    return Answers.read(answer, 'promised', 'outranked') ?? { kind: 'noVote' };
-  }
-
-  /**
-   * Asks again over a new conn where one breaks. Why: while another keeper is silent this answer alone may make up the
-   * majority, and until it is there nobody knows which revision stands. To accept twice is to accept once.
-   */
-  private async askToAccept(address: string, order: Accept, isOpen: () => boolean): Promise<AcceptAnswer> {
-    const until = this.clock.nowMicroseconds() + this.settings.askMicroseconds;
-    for (let asks = 1; ; asks += 1) {
-      const answer = await this.transport.ask(address, order, until - this.clock.nowMicroseconds());
-      if (answer.kind === 'answered') {
-        const given = Answers.read(answer, 'accepted', 'outranked', 'full') ?? { kind: 'noVote' };
-        // Why not believed later: what was asked before may have found the space, and its answer was lost.
-        return given.kind === 'full' && asks > 1 ? { kind: 'noVote' } : given;
-      }
-      if (!isOpen() || this.clock.nowMicroseconds() + askAgainMicroseconds >= until) return { kind: 'noVote' };
-      await Clocks.wait(this.clock, askAgainMicroseconds);
-      if (!isOpen()) return { kind: 'noVote' };
-    }
-  }
-
-  /** Most replicas hold the leader's entry already, so only those that do not are sent it. */
-  private async askToConfirm(address: string, order: Accept, isOpen: () => boolean): Promise<AcceptAnswer> {
-    const { fleet, membersRevision, key, epoch, entry } = order;
-    const confirm: Confirm = { kind: 'confirm', fleet, membersRevision, key, epoch, revision: entry.revision };
-    const answer = await this.transport.ask(address, confirm, this.settings.askMicroseconds);
-    const given = Answers.read(answer, 'accepted', 'outranked', 'noVote', 'behind');
-    if (given !== undefined && given.kind !== 'behind') return given;
-    return isOpen() ? this.askToAccept(address, order, isOpen) : { kind: 'noVote' };
-  }
-
   /** Brings one entry onto a majority under the present epoch. Anything but 'reached' leaves its fate open. */
   private async acceptNow(entry: Entry, purpose: RoundPurpose): Promise<RoundOutcome> {
-    const outcome = await this.acceptRound(entry, purpose);
+    const outcome = await this.acceptUnder(entry, purpose);
     this.settings.metrics.round(this.key, purpose, outcome, purpose === 'confirm' ? 0 : entry.text.length);
     return outcome;
   }
 
-  private async acceptRound(entry: Entry, purpose: RoundPurpose): Promise<RoundOutcome> {
+  private async acceptUnder(entry: Entry, purpose: RoundPurpose): Promise<RoundOutcome> {
     if (this.present.kind !== 'owning' && this.present.kind !== 'settling') return 'missed';
-    const epoch = this.present.epoch;
-    const view = this.key === 'core-members' ? MemberViews.of(entry) : this.core.members();
-    const order = {
-      kind: 'accept',
-      fleet: this.core.state.fleet,
-      membersRevision: this.core.members().revision,
-      key: this.key,
-      epoch,
-      entry,
-    } as const;
-    const answers: AcceptAnswer[] = [];
-    const enough = (): boolean => {
-      const sound = Stamps.sound(answers.filter((answer) => answer.kind === 'accepted')).filter(
-        (answer) => this.key === 'core-members' || answer.membersRevision <= order.membersRevision,
-      );
-      return Stamps.reached(
-        view.sets,
-        sound.map(({ stamp }) => stamp.keeper),
-      );
-    };
-    let isOpen = true;
-    const result = await new Promise<'reached' | 'missed'>((settle) => {
-      const resolve = (outcome: 'reached' | 'missed'): void => {
-        isOpen = false;
-        settle(outcome);
-      };
-      let open = Object.keys(view.members).length;
-      if (open === 0) resolve('missed');
-      for (const [name, member] of Object.entries(view.members)) {
-        const asked =
-          name === this.core.name
-            ? this.acceptor.accept(order)
-            : purpose === 'confirm'
-              ? this.askToConfirm(member.address, order, () => isOpen)
-              : this.askToAccept(member.address, order, () => isOpen);
-        void asked.then((answer) => {
-          answers.push(answer);
-          open -= 1;
-          if (answer.kind === 'outranked') this.outranked(answer.epoch);
-          // Why not wait for all: a stalled disk on one keeper must not hold up a majority.
-          if (enough()) resolve('reached');
-          else if (open === 0) resolve('missed');
-        });
-      }
-      this.clock.after(this.settings.askMicroseconds, () => resolve('missed'));
-    });
-    if (result === 'reached' && this.holds(epoch)) return 'reached';
-    // Why a verdict of its own: no keeper holds the entry when each answer was a plain refusal for space.
-    return answers.length === Object.keys(view.members).length && answers.every((answer) => answer.kind === 'full')
-      ? 'full'
-      : 'missed';
+    const { epoch } = this.present;
+    const outcome = await this.acceptRound.offer(epoch, entry, purpose, (higher) => this.outranked(higher));
+    return outcome === 'reached' && !this.holds(epoch) ? 'missed' : outcome;
   }
 
   private holds(epoch: Epoch): boolean {
--- /dev/null
+++ b/source/core-keeper/register/replicaReport.ts
@@ -0,0 +1,119 @@
+/** What a replica says of what it holds and leads: to members and agents that read, and to operators. */
+import { DocumentKeys, type DocumentKey } from '../../shared/blueprint/types';
+import type { Clock } from '../../shared/effects/clock/clock';
+import type { WordsAnswer } from '../../shared/register/majorityRead';
+import { Epochs, type KeyWord } from '../../shared/register/types';
+import { KeeperStates } from '../ledger/keeperState';
+import type { LeaderWatch } from '../standing/leaderWatch';
+import type { Heartbeats } from './heartbeats';
+import type { KeeperCore } from './keeperCore';
+import type { Ownership } from './ownership';
+import type { QuorumWatch } from './quorumWatch';
+import type { WeightsAges } from './weightsAges';
+
+/** What one replica holds of a key, and since when it leads it; null where it does not. */
+export type ReplicaKeyStatus = Readonly<{
+  epoch: string;
+  revision: number;
+  leadsForMicroseconds: number | null;
+  takeovers: number;
+}>;
+
+/** One replica as operators see it. */
+export type ReplicaStatus = Readonly<{
+  keys: Readonly<Record<string, ReplicaKeyStatus>>;
+  /** For how long each other member has not answered a heartbeat; null: never. */
+  silentMicroseconds: Readonly<Record<string, number | null>>;
+}>;
+
+export type KeyLeader = Readonly<{ owner: string; epoch: string; revision: number }>;
+
+/** The parts of a control node that the report reads. */
+export type ReportParts = Readonly<{
+  core: KeeperCore;
+  clock: Clock;
+  leadership: (key: DocumentKey) => Ownership;
+  leaders: LeaderWatch;
+  heartbeats: Heartbeats;
+  quorum: QuorumWatch;
+  ages: WeightsAges;
+}>;
+
+export class ReplicaReport {
+  public constructor(private readonly parts: ReportParts) {}
+
+  /** Who leads each key, as far as this node knows; an empty name: nobody that it hears. */
+  public owners(): Readonly<Record<string, KeyLeader>> {
+    const { core, leadership, leaders } = this.parts;
+    return Object.fromEntries(
+      DocumentKeys.map((key) => {
+        const own = leadership(key).word();
+        const leader = leaders.leader(key);
+        if (own !== undefined)
+          return [key, { owner: core.name, epoch: Epochs.text(own.epoch), revision: own.revision }];
+        if (leader?.announced === undefined)
+          return [
+            key,
+            { owner: '', epoch: '', revision: KeeperStates.cell(core.state, key).accepted?.entry.revision ?? 0 },
+          ];
+        return [
+          key,
+          { owner: leader.leader, epoch: Epochs.text(leader.announced.epoch), revision: leader.announced.revision },
+        ];
+      }),
+    );
+  }
+
+  public replicaStatus(): ReplicaStatus {
+    const { core, clock, leadership, quorum } = this.parts;
+    const now = clock.nowMicroseconds();
+    const keys = DocumentKeys.map((key): readonly [string, ReplicaKeyStatus] => {
+      const accepted = KeeperStates.cell(core.state, key).accepted;
+      const led = leadership(key);
+      const status = {
+        epoch: accepted === null ? '' : Epochs.text(accepted.epoch),
+        revision: accepted?.entry.revision ?? 0,
+        leadsForMicroseconds: led.state.kind === 'owning' ? now - led.ledSinceMicroseconds : null,
+        takeovers: led.takeovers,
+      };
+      return [key, status];
+    });
+    const silent = Object.entries(quorum.silenceMicroseconds());
+    return {
+      keys: Object.fromEntries(keys),
+      silentMicroseconds: Object.fromEntries(silent.map(([name, time]) => [name, time ?? null])),
+    };
+  }
+
+  public words(): readonly KeyWord[] {
+    const { core, leadership, heartbeats, leaders, ages } = this.parts;
+    return DocumentKeys.map((key) => {
+      const accepted = KeeperStates.cell(core.state, key).accepted;
+      const decided = leadership(key).word() ?? heartbeats.decidedWord(key);
+      return {
+        key,
+        epoch: accepted?.epoch ?? Epochs.none,
+        revision: accepted?.entry.revision ?? 0,
+        digest: accepted?.entry.digest ?? '',
+        decidedRevision: decided?.revision ?? 0,
+        decidedDigest: decided?.digest ?? '',
+        owner: leaders.lastLeader(key),
+        ...(key === 'blueprint' ? { weights: ages.words() } : {}),
+      };
+    });
+  }
+
+  /** What this replica holds, as agents and readers judge it. */
+  public wordsAnswer(): WordsAnswer {
+    const { core } = this.parts;
+    const view = core.members();
+    return { kind: 'words', stamp: core.stamp(), membersRevision: view.revision, view, words: this.words() };
+  }
+
+  /** The text of a key that has this digest, where this replica holds it. */
+  public heldText(key: DocumentKey, digest: string): string | undefined {
+    const { core } = this.parts;
+    const entry = KeeperStates.cell(core.state, key).accepted?.entry;
+    return entry?.digest === digest ? entry.text : undefined;
+  }
+}
--- a/source/core-keeper/standing/standing.ts
+++ b/source/core-keeper/standing/standing.ts
@@ -8,6 +8,7 @@
 import type { Ask } from '../messages/asks';
 import { KeeperStates } from '../ledger/keeperState';
 import { Stamps } from '../../shared/register/types';
+import { Founding, type FoundingSettings } from './founding';
 import type { KeeperCore, MemberView } from '../register/keeperCore';
 
 /**
@@ -16,38 +17,31 @@
  */
 export type Hello = AnswerOf<'hello'>;
 
-export type StandingSettings = Readonly<{
-  seeds: readonly string[];
-  member: CoreMember;
-  replaces: string;
-  askMicroseconds: number;
-  founders: number;
-  isFirstStart: boolean;
-  /** After so long a majority of the seeds founds without the others; only where `joins` is asks, which brings them in. */
-  foundingPatienceMicroseconds: number;
-  /** named: it takes a place only if its settings name whom it replaces. asks: it asks the members to take it in. */
-  joins: 'named' | 'asks';
-  /** No address here ever belongs to another fleet. */
-  isOnlyFleet: boolean;
-}>;
+export type StandingSettings = FoundingSettings &
+  Readonly<{
+    replaces: string;
+    isFirstStart: boolean;
+    /** No address here ever belongs to another fleet. */
+    isOnlyFleet: boolean;
+  }>;
 
 /** How a keeper without a voice gets one: by founding a fleet with all seeds, or by reading frames of a majority. */
 export class StandingKeeper {
   /** The voting keeper that was followed last, while this one has no voice. */
   private led: Hello | undefined;
   private seeds: readonly string[];
-  /** Since when a majority of the seeds, but not all of them, could found the fleet. */
-  private majoritySince: number | undefined;
+  private readonly founding: Founding;
 
   public constructor(
     private readonly core: KeeperCore,
     private readonly transport: Transport,
-    private readonly random: Random,
+    random: Random,
     private readonly settings: StandingSettings,
     private readonly log: Log,
     private readonly joined: () => void,
   ) {
     this.seeds = settings.seeds;
+    this.founding = new Founding(core, transport, random, settings, log, () => this.hello(core.name));
   }
 
   /** Other first contacts than those that were told at the start. */
@@ -92,7 +86,7 @@
       this.led = voting;
       return this.followVoting(voting);
     }
-    if (standing === 'empty' || standing === 'forming') await this.found(hellos);
+    if (standing === 'empty' || standing === 'forming') await this.founding.found(hellos);
   }
 
   /** Seeds, and whoever was a member as far as this keeper knows: a seed address may be gone for good. */
@@ -129,15 +123,9 @@
     if (isOut) await this.core.ledger.write([{ kind: 'replaced' }]);
   }
 
-  /** Said by the one who founds. Each founder says yes to one fleet only, on disk. */
-  public async form({ fleet: wanted, members }: Ask<'form'>): Promise<Message> {
-    // Why what is pending: a yes that is being written counts, or two founders that ask at one moment would both hear it.
-    const { standing, fleet } = this.core.ledger.pending;
-    const isRepeated = standing === 'forming' && fleet === wanted;
-    if (standing !== 'empty' && !isRepeated) return { kind: 'noVote' };
-    if (isRepeated && this.core.state.standing === 'forming') return { kind: 'formingToo' };
-    const written = await this.core.ledger.write([{ kind: 'forming', fleet: wanted, members }]);
-    return written === 'synced' ? { kind: 'formingToo' } : { kind: 'noVote' };
+  /** Said by the one who founds. */
+  public form(ask: Ask<'form'>): Promise<Message> {
+    return this.founding.form(ask);
   }
 
   /** Hands out a frame, once the asker's new incarnation is on this disk: its earlier words no longer count. */
@@ -173,7 +161,7 @@
     if (standing !== 'forming') return fleet;
     // What it once said yes to can no longer be founded, since a majority of the seeds votes in another fleet.
     const seeds = voting.filter(
-      (hello) => hello.fleet !== fleet && this.foundingSeeds().includes(hello.member.address),
+      (hello) => hello.fleet !== fleet && this.founding.foundingSeeds().includes(hello.member.address),
     );
     const [other] = seeds;
     const isFounded = other !== undefined && seeds.every((hello) => hello.fleet === other.fleet);
@@ -204,60 +192,6 @@
     return answers.flatMap((answer) => Answers.read(answer, 'hello') ?? []);
   }
 
-  /** Founding a fleet: all seeds together, or after some patience a majority of them that were there from the first start. */
-  private async found(hellos: readonly Hello[]): Promise<void> {
-    // A replica that was added later must not make up the number of the founders.
-    const seeds = this.foundingSeeds();
-    if (!seeds.includes(this.settings.member.address)) return;
-    const founders = hellos.filter(({ member }) => seeds.includes(member.address));
-    const all = [this.hello(this.core.name), ...founders];
-    if (!this.mayFound(all)) return;
-    const begun = all.filter(({ standing }) => standing === 'forming');
-    const fleets = new Set(begun.map(({ fleet }) => fleet));
-    if (fleets.size > 1) {
-      this.log('The founders said yes to different fleets. An operator must empty their folders.');
-      return;
-    }
-    const leader = [...all.map(({ keeper }) => keeper)].sort()[0];
-    if (leader !== this.core.name) return;
-    const fleet = begun[0]?.fleet ?? this.random.name();
-    const members = begun[0]?.firstMembers ?? Object.fromEntries(all.map(({ keeper, member }) => [keeper, member]));
-    const own = await this.form({ kind: 'form', fleet, members });
-    if (own.kind !== 'formingToo') return;
-    const answers = await Promise.all(
-      founders.map(({ member }) =>
-        this.transport.ask(member.address, { kind: 'form', fleet, members }, this.settings.askMicroseconds),
-      ),
-    );
-    if (!answers.every((answer) => answer.kind === 'answered' && answer.message.kind === 'formingToo')) return;
-    // Only now: all these founders have it on disk, so no other majority of the seeds can found another fleet.
-    if ((await this.core.ledger.write([{ kind: 'formed' }])) === 'synced') this.log(`A new fleet ${fleet} is founded.`);
-  }
-
-  /** The seeds of the first start. Those told later may all be replicas that stand by for a fleet that is out of reach. */
-  private foundingSeeds(): readonly string[] {
-    const { firstSeeds } = this.core.state;
-    return firstSeeds.length > 0 ? firstSeeds : this.settings.seeds;
-  }
-
-  /**
-   * Each seed says yes to one fleet, on its disk. Any two majorities of the seeds share one, so two fleets cannot both be
-   * founded, as long as a disk that was lost says yes no more: a disk without the mark of the first start does not count.
-   */
-  private mayFound(all: readonly Hello[]): boolean {
-    const { founders, joins, foundingPatienceMicroseconds } = this.settings;
-    const names = new Set(all.map(({ keeper }) => keeper));
-    if (names.size !== all.length) return false;
-    if (!all.every(({ standing }) => standing === 'empty' || standing === 'forming')) return false;
-    const isOfFirstStart = ({ standing, isFirstStart }: Hello): boolean => standing === 'forming' || isFirstStart;
-    // Empty disks that nobody told of a first start belong to a fleet that stands elsewhere.
-    if (names.size === founders) return all.some(isOfFirstStart);
-    if (joins !== 'asks' || names.size < Stamps.majority(founders) || !all.every(isOfFirstStart)) return false;
-    const now = this.core.clock.nowMicroseconds();
-    this.majoritySince ??= now;
-    return now - this.majoritySince >= foundingPatienceMicroseconds;
-  }
-
   private async followVoting(voting: Hello): Promise<void> {
     const { standing } = this.core.state;
     if (standing === 'forming' && voting.fleet === this.core.state.fleet) {
--- a/source/fleet-simulator/machines/simFleet.ts
+++ b/source/fleet-simulator/machines/simFleet.ts
@@ -1,4 +1,5 @@
-import { CoreKeeper, KeeperDefaults } from '../../core-keeper/coreKeeper';
+import { KeeperDefaults } from '../../core-keeper/controlSettings';
+import { CoreKeeper } from '../../core-keeper/coreKeeper';
 import type { ChangeOrder, ChangeOutcome } from '../../core-keeper/register/messages';
 import { AgentDefaults, EdgeAgent } from '../../edge-agent/edgeAgent';
 import { EdgeProxy, ProxyDefaults, type ProxySettings } from '../../edge-proxy/edgeProxy';
--- a/source/measure/hollow/hollowCore.ts
+++ b/source/measure/hollow/hollowCore.ts
@@ -1,4 +1,5 @@
-import { CoreKeeper, KeeperDefaults } from '../../core-keeper/coreKeeper';
+import { KeeperDefaults } from '../../core-keeper/controlSettings';
+import { CoreKeeper } from '../../core-keeper/coreKeeper';
 import type { ChangeOrder } from '../../core-keeper/register/messages';
 import { SimDisk } from '../../fleet-simulator/world/simDisk';
 import { SimNetwork } from '../../fleet-simulator/world/simNetwork';
--- a/tests/command-line-platform.test.ts
+++ b/tests/command-line-platform.test.ts
@@ -8,7 +8,7 @@
 import { platformDialect } from '../platform/operators/dialect';
 import { platformManner } from '../platform/operators/manner';
 import { platformOperatorsWords } from '../platform/operators/words';
-import { KeeperDefaults } from '../source/core-keeper/coreKeeper';
+import { KeeperDefaults } from '../source/core-keeper/controlSettings';
 import type { OperatorsWords } from '../source/core-keeper/operators/operatorsWords';
 import { ownOperatorsWords } from '../source/core-keeper/operators/ownWords';
 import { startKeeper, type KeeperProgram } from '../source/core-keeper/program/keeperProgram';
--- a/tests/incident-leader-duel.test.ts
+++ b/tests/incident-leader-duel.test.ts
@@ -25,7 +25,7 @@
 
   test('with the pre-vote cut out of campaigns for requests, leaders depose each other', async () => {
     const { module, cut, end } = await loadWithout<typeof LeaderDuel>('tests/support/leaderDuel.ts', [
-      ['core-keeper/register/ownership.ts', 'if (!answer.hearsLeader) return name;', 'return name;'],
+      ['core-keeper/register/preVote.ts', 'if (!answer.hearsLeader) return name;', 'return name;'],
     ]);
     const wrong = await wrongIn(module.playedTrouble, 'cut', 'changes');
     end();
--- a/tests/model-checker.test.ts
+++ b/tests/model-checker.test.ts
@@ -110,13 +110,9 @@
         'if (Epochs.compare(order.epoch, promised) <= 0)',
       ],
       ['core-keeper/register/acceptor.ts', 'if (oldList || outranked)', 'if (outranked)'],
-      ['core-keeper/register/ownership.ts', '|| answer.membersRevision <= membersRevision', '|| true'],
-      ['core-keeper/register/ownership.ts', '|| answer.membersRevision <= order.membersRevision', '|| true'],
-      [
-        'core-keeper/register/ownership.ts',
-        'if (address !== undefined) await this.settings.learnMembers(address);',
-        '',
-      ],
+      ['core-keeper/register/prepareRound.ts', '|| answer.membersRevision <= membersRevision', '|| true'],
+      ['core-keeper/register/acceptRound.ts', '|| answer.membersRevision <= order.membersRevision', '|| true'],
+      ['core-keeper/register/preVote.ts', 'if (address !== undefined) await this.settings.learnMembers(address);', ''],
     ],
     sees: /two changes on one base/,
   },
@@ -135,13 +131,13 @@
   {
     what: 'a minority of the seeds founds',
     scope: 'two seeds found a fleet without the third; one of them loses its disk and meets the third alone',
-    cuts: [['core-keeper/standing/standing.ts', 'names.size < Stamps.majority(founders) || ', '']],
+    cuts: [['core-keeper/standing/founding.ts', 'names.size < Stamps.majority(founders) || ', '']],
     sees: /two fleets/,
   },
   {
     what: 'a seed that lost its disk founds a fleet again',
     scope: 'two seeds found a fleet without the third; one of them loses its disk and meets the third alone',
-    cuts: [['core-keeper/standing/standing.ts', '!all.every(isOfFirstStart)', 'false']],
+    cuts: [['core-keeper/standing/founding.ts', '!all.every(isOfFirstStart)', 'false']],
     sees: /two fleets/,
   },
   {
--- a/tests/operators-door.test.ts
+++ b/tests/operators-door.test.ts
@@ -6,7 +6,7 @@
 import { describe, test } from 'node:test';
 import { platformDialect } from '../platform/operators/dialect';
 import { platformOperatorsWords } from '../platform/operators/words';
-import { KeeperDefaults } from '../source/core-keeper/coreKeeper';
+import { KeeperDefaults } from '../source/core-keeper/controlSettings';
 import type { OperatorsWords } from '../source/core-keeper/operators/operatorsWords';
 import { ownOperatorsWords } from '../source/core-keeper/operators/ownWords';
 import { startKeeper, type KeeperProgram } from '../source/core-keeper/program/keeperProgram';
--- a/tests/support/controlFleet.ts
+++ b/tests/support/controlFleet.ts
@@ -1,4 +1,5 @@
-import { CoreKeeper, KeeperDefaults, type KeeperSettings } from '../../source/core-keeper/coreKeeper';
+import { KeeperDefaults, type KeeperSettings } from '../../source/core-keeper/controlSettings';
+import { CoreKeeper } from '../../source/core-keeper/coreKeeper';
 import type { ChangeOrder, ChangeOutcome } from '../../source/core-keeper/register/messages';
 import type { ReadOutcome } from '../../source/core-keeper/register/quorumReader';
 import { SimDisk } from '../../source/fleet-simulator/world/simDisk';
--- a/tests/support/httpControlNodes.ts
+++ b/tests/support/httpControlNodes.ts
@@ -6,7 +6,7 @@
 import { platformDialect } from '../../platform/operators/dialect';
 import { platformOperatorsWords } from '../../platform/operators/words';
 import { Ports } from '../../source/fleet-runner/machines/child';
-import { KeeperDefaults } from '../../source/core-keeper/coreKeeper';
+import { KeeperDefaults } from '../../source/core-keeper/controlSettings';
 import { startKeeper, type KeeperProgram } from '../../source/core-keeper/program/keeperProgram';
 import { realClock } from '../../source/shared/effects/clock/realClock';
 import { nodeDisk } from '../../source/shared/effects/disk/nodeDisk';
