--- /dev/null
+++ b/tests/control-figures.test.ts
@@ -0,0 +1,127 @@
+/** Figures of the control side on virtual time, each with a bound that it must keep. Printed as diagnostics. */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { platformDialect } from '../platform/operators/dialect';
+import type { ChangeOrder } from '../source/core-keeper/register/messages';
+import { ControlFleet, type ControlMachine } from './support/controlFleet';
+import { platformDocument } from './support/platformDocument';
+
+const seeds = [1001, 1002, 1003, 1004, 1005, 1006, 1007, 1008];
+
+const put = (version: number): ChangeOrder => {
+  const text = platformDocument(version);
+  return { key: 'blueprint', form: 'whole', text, ifMatch: version - 1, id: `put ${version}` };
+};
+
+const begun = async (seed: number, count: number): Promise<ControlFleet> => {
+  const fleet = new ControlFleet(seed, platformDialect, { membersWanted: count });
+  assert.ok(await fleet.begin(count));
+  await fleet.world.runFor(3_000_000);
+  assert.equal((await fleet.change(fleet.machine(1), put(1)))?.kind, 'taken');
+  return fleet;
+};
+
+const leaderOf = (fleet: ControlFleet): ControlMachine => {
+  const found = fleet.machines.find(({ keeper, name }) => keeper?.owners()['blueprint']?.owner === name);
+  assert.ok(found !== undefined, 'somebody leads');
+  return found;
+};
+
+const sorted = (values: readonly number[]): readonly number[] => [...values].sort((left, right) => left - right);
+const quantile = (values: readonly number[], share: number): number =>
+  sorted(values)[Math.min(values.length - 1, Math.floor(values.length * share))] ?? 0;
+const milliseconds = (microseconds: number): string => `${(microseconds / 1000).toFixed(1)} ms`;
+const said = (values: readonly number[]): string =>
+  `median ${milliseconds(quantile(values, 0.5))}, p99 ${milliseconds(quantile(values, 0.99))}`;
+
+type Trouble = (fleet: ControlFleet, leader: ControlMachine) => void;
+
+const troubles: Readonly<Record<string, Trouble>> = {
+  lost: (_, leader) => leader.kill(true),
+  'cut off': (fleet, leader) => {
+    for (const other of fleet.machines.filter((machine) => machine !== leader)) {
+      fleet.network.cut(leader.machine, other.machine);
+      fleet.network.cut(other.machine, leader.machine);
+    }
+  },
+  'slowed by 300 ms each way': (fleet, leader) => {
+    for (const other of fleet.machines.filter((machine) => machine !== leader)) {
+      fleet.network.slowDown(leader.machine, other.machine, 300_000);
+      fleet.network.slowDown(other.machine, leader.machine, 300_000);
+    }
+  },
+};
+
+describe('figures of the control side', () => {
+  for (const [how, trouble] of Object.entries(troubles))
+    for (const count of [3, 5])
+      test(`the leader of ${count} is ${how}: until the next change is confirmed elsewhere`, async (context) => {
+        const times: number[] = [];
+        for (const seed of seeds) {
+          const fleet = await begun(seed, count);
+          const leader = leaderOf(fleet);
+          trouble(fleet, leader);
+          const began = fleet.world.nowMicroseconds;
+          const others = fleet.machines.filter((machine) => machine !== leader);
+          assert.equal((await fleet.persistAt(others, put(2), 6_000_000))?.kind, 'taken');
+          times.push(fleet.world.nowMicroseconds - began);
+        }
+        context.diagnostic(said(times));
+        assert.ok(Math.max(...times) <= 4_000_000);
+      });
+
+  test('a wiped member catches up after 300 changes', async (context) => {
+    const times: number[] = [];
+    const bytes: number[] = [];
+    for (const seed of seeds) {
+      const fleet = await begun(seed, 3);
+      for (let version = 2; version <= 301; version += 1)
+        assert.equal((await fleet.change(leaderOf(fleet), put(version)))?.kind, 'taken');
+      const wiped = fleet.machines.find((machine) => machine !== leaderOf(fleet));
+      assert.ok(wiped !== undefined);
+      wiped.kill(true);
+      wiped.disk.wipe();
+      const [began, before] = [fleet.world.nowMicroseconds, fleet.network.bytes];
+      wiped.start();
+      assert.ok(await fleet.world.runUntil(() => wiped.votes, 6_000_000));
+      times.push(fleet.world.nowMicroseconds - began);
+      bytes.push(fleet.network.bytes - before);
+    }
+    context.diagnostic(`${said(times)}; ${quantile(bytes, 0.5)} bytes on all links meanwhile`);
+    assert.ok(Math.max(...times) <= 4_000_000);
+    assert.ok(Math.max(...bytes) <= 400_000);
+  });
+
+  for (const [count, away] of [
+    [3, 1],
+    [5, 2],
+  ] as const)
+    test(`a change is confirmed while ${away} of ${count} are away`, async (context) => {
+      const times: number[] = [];
+      for (const seed of seeds) {
+        const fleet = await begun(seed, count);
+        const leader = leaderOf(fleet);
+        for (const gone of fleet.machines.filter((machine) => machine !== leader).slice(0, away)) gone.kill();
+        await fleet.world.runFor(3_000_000);
+        for (let version = 2; version <= 41; version += 1) {
+          const began = fleet.world.nowMicroseconds;
+          const asked = fleet.machines.find((machine) => machine.process.alive && machine !== leader) ?? leader;
+          assert.equal((await fleet.change(asked, put(version)))?.kind, 'taken');
+          times.push(fleet.world.nowMicroseconds - began);
+        }
+      }
+      context.diagnostic(said(times));
+      assert.ok(quantile(times, 0.99) <= 300_000);
+    });
+
+  test('at rest: messages and bytes between three control nodes', async (context) => {
+    const fleet = await begun(1001, 3);
+    const [messages, bytes] = [fleet.network.messages, fleet.network.bytes];
+    await fleet.world.runFor(60_000_000);
+    const perSecond = (fleet.network.bytes - bytes) / 60;
+    context.diagnostic(
+      `${((fleet.network.messages - messages) / 60).toFixed(1)} messages, ${perSecond.toFixed(0)} bytes a second`,
+    );
+    assert.ok(perSecond <= 60_000);
+  });
+});
