--- a/source/fleet-simulator/faults/faults.ts
+++ b/source/fleet-simulator/faults/faults.ts
@@ -6,8 +6,10 @@
 import { EdgeFaults } from './edgeFaults';
 import { PlannedFaults } from './plannedFaults';
 import type { Fault } from './trouble';
+import { WorstCoreFaults } from './worstCoreFaults';
 
-export const Faults = {
+/** Those that days are drawn from at random, as they have been: more of them would change every day that was ever named by its seed. */
+const drawnFaults = {
   ...CoreFaults,
   ...EdgeFaults,
   ...BackEndFaults,
@@ -16,8 +18,11 @@
   ...PlannedFaults,
 } as const;
 
+export const Faults = { ...drawnFaults, ...WorstCoreFaults } as const;
+
 export type FaultName = keyof typeof Faults;
-export const faultNames = Object.keys(Faults) as readonly FaultName[];
+export const faultNames = Object.keys(drawnFaults) as readonly FaultName[];
+export const worstCoreFaultNames = Object.keys(WorstCoreFaults) as readonly FaultName[];
 export const isFaultName = (name: string): name is FaultName => Object.hasOwn(Faults, name);
 export const faultNamed = (name: FaultName): Fault => Faults[name];
 export const plannedFaultNames = Object.keys(PlannedFaults) as readonly FaultName[];
--- a/source/fleet-simulator/main.ts
+++ b/source/fleet-simulator/main.ts
@@ -1,7 +1,7 @@
 import { Randoms, seededRandom } from '../shared/effects/random/random';
 import { Programs } from '../shared/settings/program';
 import { SettingFormats, Settings, type SettingSchema } from '../shared/settings/settings';
-import { faultNames, isFaultName, plannedFaultNames, type FaultName } from './faults/faults';
+import { faultNames, isFaultName, plannedFaultNames, worstCoreFaultNames, type FaultName } from './faults/faults';
 import { endings, runScenario, type Ending } from './faults/scenario';
 import { crowdedShape, usualShape } from './machines/simFleet';
 
@@ -9,7 +9,7 @@
   seed: { doc: 'first seed', format: SettingFormats.whole, default: 1, kind: 'whole' },
   seeds: { doc: 'how many seeds, one after the other', format: SettingFormats.whole, default: 20, kind: 'whole' },
   faults: {
-    doc: 'names of faults, or none, or random, or planned: random ones of those that nobody may notice',
+    doc: 'names of faults, or none, or random, planned: random ones of those that nobody may notice, worst: of the worst of the core, any: of all',
     format: SettingFormats.text,
     default: 'random',
     kind: 'text',
@@ -48,7 +48,12 @@
       process.argv.slice(2),
     );
     const text = String(settings['faults']);
-    const pools: Readonly<Record<string, readonly FaultName[]>> = { random: faultNames, planned: plannedFaultNames };
+    const pools: Readonly<Record<string, readonly FaultName[]>> = {
+      random: faultNames,
+      planned: plannedFaultNames,
+      worst: worstCoreFaultNames,
+      any: [...faultNames, ...worstCoreFaultNames],
+    };
     const drawn = pools[text];
     const named = drawn === undefined && text !== 'none' ? text.split(',') : [];
     const unknown = named.filter((name) => !isFaultName(name));
