--- a/source/fleet-simulator/world/simNetwork.ts
+++ b/source/fleet-simulator/world/simNetwork.ts
@@ -16,6 +16,8 @@
   private readonly busyUntil = new Map<string, number>();
   public messages = 0;
   public bytes = 0;
+  /** Bytes that have left each machine for another one. */
+  private readonly bytesOut = new Map<string, number>();
   /** What the link out of each machine carries; Infinity: messages of any length arrive alike. */
   public linkBytesPerSecond = Infinity;
 
@@ -70,10 +72,16 @@
   /** Carries one thing from machine to machine; a cut loses it. */
   public carry(from: string, to: string, arrive: () => void, lost: () => void = () => undefined, bytes = 0): void {
     if (!this.open(from, to)) return lost();
+    if (from !== to) this.bytesOut.set(from, this.bytesFrom(from) + bytes);
     const delay = this.latency(from, to) + this.transmissionMicroseconds(from, to, bytes);
     this.world.plan(delay, () => (this.open(from, to) ? arrive() : lost()));
   }
 
+  /** Bytes that have left a machine for other ones, since the start. */
+  public bytesFrom(machine: string): number {
+    return this.bytesOut.get(machine) ?? 0;
+  }
+
   /** How long the link takes until the last byte has left, what was given to it before included. */
   private transmissionMicroseconds(from: string, to: string, bytes: number): number {
     if (from === to || this.linkBytesPerSecond === Infinity) return 0;
--- /dev/null
+++ b/tests/feed-volume.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { makeBusy, type Elsewhere } from './support/busyFleet';
+import { blueprintOf, proxiesOn, startedFleet, type FedFleet } from './support/largeConfiguration';
+
+/** 7 Mbit/s: what an edge machine's link carries. */
+const linkBytesPerSecond = 875_000;
+/** One zone of a fleet of 195 proxies, fed by three agents. */
+const zone = { edges: 39, agents: 3 } as const;
+const elsewhere: Elsewhere = { proxies: 156, engines: 41, loadsPerSecond: 145, partsPerSecond: 215 };
+const settleMicroseconds = 3_000_000;
+/** Until an agent that is gone is known to be, and its proxies are fed by others. */
+const movedMicroseconds = 4_000_000;
+/** Within this time of its confirmation a change is in force on each machine in touch. */
+const applyMicroseconds = 2_500_000;
+const routes = 350;
+const changePauseMicroseconds = 200_000;
+
+const busyZone = async (seed: number): Promise<FedFleet> => {
+  const fed = await startedFleet(seed, zone, linkBytesPerSecond);
+  makeBusy(fed, elsewhere);
+  await fed.world.runFor(settleMicroseconds);
+  return fed;
+};
+
+const agentBytes = ({ fleet }: FedFleet): readonly number[] =>
+  fleet.edges.filter((edge) => fleet.hasAgent(edge)).map(({ machine }) => fleet.network.bytesFrom(machine));
+
+describe('what agents tell the proxies of a large fleet fits their links', () => {
+  test('under steady load an agent uses less than half of its link', async () => {
+    const fed = await busyZone(3);
+    const before = agentBytes(fed);
+    await fed.world.runFor(settleMicroseconds);
+    const perSecond = agentBytes(fed).map(
+      (bytes, index) => (bytes - (before[index] ?? 0)) / (settleMicroseconds / 1e6),
+    );
+    assert.ok(Math.max(...perSecond) < linkBytesPerSecond / 2, perSecond.map(Math.round).join(', '));
+  });
+
+  for (const seed of [4, 5])
+    test(`two of three agents are lost: changes in quick succession are in force in time, seed ${seed}`, async () => {
+      const fed = await busyZone(seed);
+      for (const index of [0, 1]) fed.fleet.edge(index).agentProcess.kill();
+      await fed.world.runFor(movedMicroseconds);
+      for (const weights of ['w2', 'w3', 'w4']) {
+        assert.ok((await fed.fleet.take('blueprint', blueprintOf(routes, weights))) !== undefined);
+        await fed.world.runFor(changePauseMicroseconds);
+      }
+      await fed.world.runFor(applyMicroseconds - changePauseMicroseconds);
+      assert.equal(proxiesOn(fed, 'w4'), zone.edges);
+    });
+});
