Entries of the index travel without their salts and repeated names

A part's key follows from its name, and few salts stand before many names, yet each entry carried its full name twice and its identifier once more: 140 bytes. Now each salt is written once for its identifiers and sizes; other entries travel as before. A part takes less than a third of its bytes (tests/shard-change-codec).

--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -7,7 +7,7 @@
 import type { Pulses } from './pulses';
 import { DocumentKeys, type DocumentKey } from '../blueprint/types';
 import type { ShardBook, ShardMarkBook } from '../directory/shardBook';
-import type { ShardChange } from '../directory/shardNews';
+import { ShardChangeCodec, type PackedShardChange } from '../directory/shardChangeCodec';
 import { AnswerPaces } from '../pace/answerPace';
 
 import type { FleetName } from '../fleet/fleetName';
@@ -140,7 +140,7 @@
       revisions: this.revisions(),
       takesParts: true,
       bodies: this.bodiesFor(message),
-      shards: shards.since(theirs, entriesFor(message)),
+      shards: shards.since(theirs, entriesFor(message)).map(ShardChangeCodec.pack),
     };
   }
 
@@ -197,7 +197,7 @@
   private lacking(
     message: Message,
     most: number,
-  ): Readonly<{ facts: readonly Fact[]; bodies: readonly SentBody[]; shards: readonly ShardChange[] }> | undefined {
+  ): Readonly<{ facts: readonly Fact[]; bodies: readonly SentBody[]; shards: readonly PackedShardChange[] }> | undefined {
     const { facts, shards } = this.parts;
     const newer = Facts.isDigest(message['digest'])
       ? facts.newerThan(message['digest'], Object.keys(message['digest']))
@@ -206,7 +206,7 @@
     const changes = shards.sinceOf((message['marks'] ?? {}) as ShardMarkBook, most);
     return newer.length === 0 && bodies.length === 0 && changes.length === 0
       ? undefined
-      : { facts: newer, bodies, shards: changes };
+      : { facts: newer, bodies, shards: changes.map(ShardChangeCodec.pack) };
   }
 
   private take(message: Message, askedMicroseconds: number): void {
@@ -219,7 +219,8 @@
       for (const body of bodies as readonly unknown[]) if (Statements.isBody(body)) freshness.give(body);
     this.takeFacts(message);
     const changes = message['shards'];
-    if (Array.isArray(changes)) for (const change of changes as readonly ShardChange[]) shards.apply(change);
+    if (Array.isArray(changes))
+      for (const change of changes as readonly PackedShardChange[]) shards.apply(ShardChangeCodec.unpack(change));
   }
 
   private takeFacts(message: Message): void {
