Proxies are told the sums of all loads, not the load of each other proxy

What callers saw: in large fleets configurations late and long requests read again, with agents' links full. Now agents add the loads up by engine, class and service and tell what changed in the sums; a proxy takes its own part out by the version that was counted. Kinds of facts that an asker omits are left out.

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -25,6 +25,7 @@
 import { WorkDesk } from './desk/workDesk';
 import { AgentPages } from './pages/agentPages';
 import { FedProxies } from './proxies/fedProxies';
+import { LoadTotals } from './proxies/loadTotals';
 import { DutyHolder } from './stewards/dutyHolder';
 import { EventReaderDefaults } from './stewards/eventReader';
 import { HeldStewardDefaults } from './stewards/heldSteward';
@@ -162,6 +163,7 @@
   private readonly duties: DutyHolder;
   private readonly desk: WorkDesk;
   private readonly proxies: FedProxies;
+  private readonly loadTotals: LoadTotals;
   private readonly engineList: EngineListKeeper | undefined;
   private readonly notice = Logs.part('agent:notice');
   private readonly tickers: readonly Ticker[];
@@ -211,6 +213,7 @@
     };
     this.desk = new WorkDesk(clock);
     this.membership = new Membership(self, this.facts, clock, settings, this.log);
+    this.loadTotals = new LoadTotals(this.facts, clock, random);
     this.proxies = new FedProxies(this.facts, clock, settings, (agent) => this.membership.alive(agent));
     this.exchange = new NewsExchange(
       {
@@ -433,8 +436,7 @@
   private async handle(message: Message): Promise<Message> {
     switch (message.kind) {
       case 'news':
-        if (typeof message['proxy'] === 'string') this.proxies.hear(message['proxy'], message['facts']);
-        return this.exchange.answer(message);
+        return this.answerNews(message);
       case 'newsMore':
         return this.exchange.more(message);
       case 'bodyPart':
@@ -480,6 +482,14 @@
     }
   }
 
+  private answerNews(message: Message): Message {
+    const { proxy, facts, loads } = message;
+    if (typeof proxy !== 'string') return this.exchange.answer(message);
+    this.proxies.hear(proxy, facts);
+    const answer = this.exchange.answer(message);
+    return loads === undefined ? answer : { ...answer, loads: this.loadTotals.update(proxy, loads) };
+  }
+
   private async grant(message: Message): Promise<GrantAnswer> {
     const engine = String(message['engine']);
     const steward = this.stewardship.steward(engine);
--- /dev/null
+++ b/source/edge-agent/proxies/loadTotals.ts
@@ -0,0 +1,127 @@
+/** The loads of all proxies of the fleet, added up, and what has changed in the sums since each proxy that follows them last asked. */
+import type { Clock } from '../../shared/effects/clock/clock';
+import type { Random } from '../../shared/effects/random/random';
+import { LoadSums, loadTables, type LoadTable, type LoadVector } from '../../shared/loads/loadSums';
+import { LoadUpdates, type LoadUpdate } from '../../shared/loads/loadUpdates';
+import type { Fact, FactBook, FactVersion } from '../../shared/news/facts';
+import { FactKeys, MemberStates, type LoadFact, type MemberFact } from '../../shared/news/factTypes';
+
+type Row = Readonly<{ vector: LoadVector; change: number }>;
+
+/** For each load in them the sums stand so much longer, so that adding up costs the same part of the processor in any fleet. */
+const standsMicrosecondsPerLoad = 500;
+/** Rows that are kept, those that are gone included, until all followers begin anew. */
+const mostRows = 20_000;
+
+const isSame = (left: LoadVector, right: LoadVector): boolean =>
+  left.length === right.length && left.every((value, place) => value === right[place]);
+
+const isSameNames = (left: readonly string[], right: readonly string[]): boolean =>
+  left.length === right.length && left.every((name, place) => name === right[place]);
+
+export class LoadTotals {
+  private book: string;
+  private readonly rows = new Map<LoadTable, Map<string, Row>>();
+  private rowCount = 0;
+  private change = 0;
+  private proxies: readonly string[] = [];
+  private counted: ReadonlyMap<string, FactVersion> = new Map();
+  private proxiesChange = 0;
+  private mark = '';
+  private countedAt = -Infinity;
+
+  public constructor(
+    private readonly facts: FactBook,
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {
+    this.book = random.name();
+  }
+
+  /** What a proxy lacks that has everything up to `position`; all of it for one that has nothing, or something else. */
+  public update(proxy: string, position: unknown): LoadUpdate {
+    this.count();
+    const isKnown = LoadUpdates.isPosition(position) && position.book === this.book && position.change <= this.change;
+    const from = isKnown ? position.change : null;
+    return {
+      book: this.book,
+      from,
+      change: this.change,
+      rows: this.rowsSince(from),
+      ...(from === null || this.proxiesChange > from ? { proxies: this.proxies } : {}),
+      everSeen: this.facts.countOf('load'),
+      counted: this.counted.get(proxy) ?? null,
+    };
+  }
+
+  private count(): void {
+    const mark = `${this.facts.changesOf('load')}/${this.facts.changesOf('member')}`;
+    const now = this.clock.nowMicroseconds();
+    if (mark === this.mark || now - this.countedAt < this.counted.size * standsMicrosecondsPerLoad) return;
+    this.mark = mark;
+    this.countedAt = now;
+    const present = this.presentLoads();
+    this.counted = new Map(present.map(({ key, version }) => [key.slice(FactKeys.load('').length), version]));
+    this.setRows(LoadSums.of(present.map(({ value }) => value as LoadFact)));
+    const proxies = [...this.counted.keys()].sort();
+    if (isSameNames(proxies, this.proxies)) return;
+    this.change += 1;
+    this.proxies = proxies;
+    this.proxiesChange = this.change;
+  }
+
+  /** Loads of proxies that are there, as far as known: those whose agents are. */
+  private presentLoads(): readonly Fact[] {
+    const agents = new Set(
+      this.facts
+        .withPrefix('member/')
+        .map(({ value }) => value as MemberFact)
+        .filter(MemberStates.isPresent)
+        .map(({ name }) => name),
+    );
+    return this.facts.withPrefix('load/').filter(({ value }) => {
+      const { agent, isSilent } = value as LoadFact;
+      return isSilent !== true && agents.has(agent);
+    });
+  }
+
+  private setRows(sums: ReturnType<typeof LoadSums.of>): void {
+    const change = this.change + 1;
+    for (const table of loadTables) {
+      const known = this.rows.get(table) ?? new Map<string, Row>();
+      this.rows.set(table, known);
+      for (const [name, vector] of sums[table]) this.setRow(known, name, vector, change);
+      for (const name of known.keys()) if (!sums[table].has(name)) this.setRow(known, name, [], change);
+    }
+    if (this.rowCount > mostRows) this.beginAnew();
+  }
+
+  private setRow(rows: Map<string, Row>, name: string, vector: LoadVector, change: number): void {
+    const before = rows.get(name);
+    if (before !== undefined && isSame(before.vector, vector)) return;
+    if (before === undefined) this.rowCount += 1;
+    rows.set(name, { vector, change });
+    this.change = change;
+  }
+
+  /** Names that are gone would stay for ever otherwise. */
+  private beginAnew(): void {
+    this.book = this.random.name();
+    this.rowCount = 0;
+    for (const [table, rows] of this.rows) {
+      const present = [...rows].filter(([, { vector }]) => vector.length > 0);
+      this.rows.set(table, new Map(present));
+      this.rowCount += present.length;
+    }
+  }
+
+  private rowsSince(from: number | null): LoadUpdate['rows'] {
+    const changed: Partial<Record<LoadTable, Readonly<Record<string, LoadVector>>>> = {};
+    for (const [table, rows] of this.rows) {
+      const lacking = [...rows].filter(([, { vector, change }]) => (from === null ? vector.length > 0 : change > from));
+      if (lacking.length === 0) continue;
+      changed[table] = Object.fromEntries(lacking.map(([name, { vector }]) => [name, vector] as const));
+    }
+    return changed;
+  }
+}
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -25,6 +25,7 @@
 import { Feeders } from './feeding/feeders';
 import { NotePost } from './feeding/notePost';
 import { ProxyFacts } from './feeding/proxyFacts';
+import { ReceivedLoads } from './feeding/receivedLoads';
 import { SeedContacts } from './feeding/seedContacts';
 import { Fence } from './fence/fence';
 import { FencePolicies, Identifier } from './fence/identify';
@@ -106,6 +107,9 @@
 /** Starting value, ours: when what the feeding agent knows of the core is older than this, another is asked beside it. */
 const staleMicroseconds = 1_200_000;
 
+/** Kinds of facts that a proxy has no use for: of other proxies' loads it is told the sums. */
+const omittedKinds = ['load', 'steward'] as const;
+
 /** Starting value, ours: how much longer it may take until a proxy of a large fleet is fed again. */
 const mostFeedPause = 3;
 
@@ -185,6 +189,7 @@
   private readonly feedWatch: FeedWatch;
   private readonly seedContacts: SeedContacts;
   private readonly own: ProxyFacts;
+  private readonly receivedLoads: ReceivedLoads;
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
@@ -204,6 +209,7 @@
     this.pulses = new Pulses(clock);
     this.fence = new Fence(this.freshness, clock, settings.freshMicroseconds, settings.weightsCutMicroseconds);
     this.identifier = new Identifier(this.fence, settings.retryAfterSeconds);
+    this.receivedLoads = new ReceivedLoads(settings.name);
     this.view = new EngineView(
       settings.name,
       this.freshness,
@@ -213,6 +219,7 @@
       new EngineWork(clock, settings),
       settings.roomPerMille,
       new OutlierDetector(settings.name, clock, settings.outliers, Logs.part(`proxy:${settings.name}:outliers`)),
+      () => this.receivedLoads.others,
     );
     this.demand = new DemandView(this.facts, clock, settings.demand);
     const readSpeeds = new ReadSpeeds();
@@ -438,7 +445,7 @@
       ...this.view.outliers.telling(),
     });
     this.own.sayDemand(this.demand.telling().demand);
-    const said = { proxy: this.settings.name, facts: this.own.own() };
+    const said = { proxy: this.settings.name, facts: this.own.own(), omits: omittedKinds };
     const isStale = this.freshness.ageMicroseconds() > staleMicroseconds;
     const seed = this.feeders.isLost ? this.seedContacts.next() : undefined;
     await Promise.all([
@@ -471,12 +478,16 @@
   private async feedFrom(address: string, extra: Readonly<Record<string, unknown>>): Promise<void> {
     // Why from the own agent only: it stands on this machine, whatever became of other addresses.
     const learn = (message: Message): void => {
-      if (address === this.settings.agentAddress) this.fleet.learn(String(message['fleet'] ?? ''));
+      const fleet = String(message['fleet'] ?? '');
+      if (address === this.settings.agentAddress) this.fleet.learn(fleet);
+      if (fleet !== '' && fleet === this.fleet.name)
+        this.receivedLoads.take(address, message['loads'], (version) => this.own.loadSaidAs(version));
     };
     const { feedAskMicroseconds } = this.settings;
+    const said = { ...extra, loads: this.receivedLoads.position(address) };
     const asked = this.effects.clock.nowMicroseconds();
     // Why following: a proxy has no news of its own but its load, and asks many times a second.
-    const heard = await this.exchange.ask(address, feedAskMicroseconds, extra, learn, 'following');
+    const heard = await this.exchange.ask(address, feedAskMicroseconds, said, learn, 'following');
     this.feedWatch.asked(address, heard, this.effects.clock.nowMicroseconds() - asked);
     if (heard) this.feeders.heard(address);
     else this.feeders.unheard(address);
--- a/source/edge-proxy/feeding/proxyFacts.ts
+++ b/source/edge-proxy/feeding/proxyFacts.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { DemandFact } from '../../shared/demand/prefixDemand';
-import type { Fact, FactBook } from '../../shared/news/facts';
+import { FactVersions, type Fact, type FactBook, type FactVersion } from '../../shared/news/facts';
 import { FactKeys, type LoadFact } from '../../shared/news/factTypes';
 import { DemandTeller } from '../demand/demandTeller';
 
@@ -10,6 +10,11 @@
 const promptProxies = 16;
 const pauseMicroseconds = 120_000;
 
+/** Loads said of late that are kept, since agents may count the one before the last. */
+const mostKeptLoads = 6;
+
+type SaidLoad = Readonly<{ version: FactVersion; load: LoadFact }>;
+
 /**
  * What a proxy says of itself to the fleet, through whichever agent feeds it. The proxy is the only author of these facts but
  * for agents that call it silent: a higher incarnation refutes them, and what an earlier life of it said.
@@ -19,6 +24,7 @@
   private sequence = 0;
   private saidMicroseconds = -Infinity;
   private said = '';
+  private keptLoads: readonly SaidLoad[] = [];
   private readonly demand: DemandTeller;
 
   public constructor(
@@ -43,7 +49,14 @@
     this.saidMicroseconds = now;
     this.said = text;
     this.sequence += 1;
-    this.facts.put({ key: FactKeys.load(this.name), version: [this.incarnation, this.sequence], value: load });
+    const version: FactVersion = [this.incarnation, this.sequence];
+    this.facts.put({ key: FactKeys.load(this.name), version, value: load });
+    this.keptLoads = [...this.keptLoads, { version, load }].slice(-mostKeptLoads);
+  }
+
+  /** The load that was said under a version; undefined: none, or too long ago. */
+  public loadSaidAs(version: FactVersion): LoadFact | undefined {
+    return this.keptLoads.find((said) => FactVersions.compare(said.version, version) === 0)?.load;
   }
 
   /** Says what is asked for most here, if it is time to. */
--- a/source/edge-proxy/outliers/outlierDetector.ts
+++ b/source/edge-proxy/outliers/outlierDetector.ts
@@ -231,9 +231,9 @@
     for (const { failing, answering } of others) {
       for (const name of answering ?? []) vouched.add(name);
       if (failing === undefined) continue;
-      for (const [name, [failed, good]] of Object.entries(failing)) {
+      for (const [name, [failed, good, tellers = 1]] of Object.entries(failing)) {
         const known = engines.get(name) ?? untold;
-        engines.set(name, { failed: known.failed + failed, good: known.good + good, tellers: known.tellers + 1 });
+        engines.set(name, { failed: known.failed + failed, good: known.good + good, tellers: known.tellers + tellers });
       }
     }
     this.told = { of: others, engines, answering: vouched };
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -5,6 +5,7 @@
 import { FactKeys, type EngineFact, type LoadFact } from '../../shared/news/factTypes';
 import { WeightsRounds } from '../../shared/weights/weightsRounds';
 import type { Fence } from '../fence/fence';
+import type { OthersTogether } from '../feeding/receivedLoads';
 import { OutlierDetector, type Standing } from '../outliers/outlierDetector';
 import { OutlierSettings } from '../outliers/outlierSettings';
 import { EngineRefusals } from './engineRefusals';
@@ -83,8 +84,9 @@
     public readonly work: EngineWork,
     private readonly roomPerMille = 1000,
     public readonly outliers = new OutlierDetector(self, clock, OutlierSettings.usual),
+    received: () => OthersTogether | undefined = () => undefined,
   ) {
-    this.others = new OtherProxies(self, facts);
+    this.others = new OtherProxies(self, facts, received);
     this.own = new OwnSends(clock);
     this.refusals = new EngineRefusals(
       clock,
--- a/source/edge-proxy/placement/otherProxies.ts
+++ b/source/edge-proxy/placement/otherProxies.ts
@@ -1,4 +1,5 @@
 import type { FactBook } from '../../shared/news/facts';
+import type { OthersTogether } from '../feeding/receivedLoads';
 import {
   FactKeys,
   MemberStates,
@@ -51,6 +52,14 @@
   return mixes;
 };
 
+const othersOf = (mark: string, names: readonly string[], loads: readonly LoadFact[]): OtherLoads => ({
+  mark,
+  names,
+  loads,
+  engines: engineSums(loads),
+  mixes: mixSums(loads),
+});
+
 /** Who else belongs to the fleet, and what the other proxies say that they run. All of it is hints, some hundred ms old. */
 export class OtherProxies {
   private members: Agents | undefined;
@@ -59,16 +68,18 @@
   public constructor(
     private readonly self: string,
     private readonly facts: FactBook,
+    /** What agents have told of all other proxies together; undefined: nothing, and each one's own load counts. */
+    private readonly received: () => OthersTogether | undefined = () => undefined,
   ) {}
 
   /** Proxies that seem to be there, this one included. */
   public count(): number {
-    return this.now().loads.length + 1;
+    return this.now().names.length + 1;
   }
 
   /** All proxies that are known to have belonged to the fleet lately: doubt about one must not shrink it. */
   public everSeen(): number {
-    return Math.max(1, this.facts.countOf('load'));
+    return Math.max(1, this.received()?.everSeen ?? 0, this.facts.countOf('load'));
   }
 
   /** What all other proxies run at an engine. */
@@ -100,6 +111,17 @@
 
   /** The same object as long as no news of a load or an agent came in. */
   public now(): OtherLoads {
+    const received = this.received();
+    return received === undefined ? this.eachAlone() : this.together(received);
+  }
+
+  private together({ changes, names, sum }: OthersTogether): OtherLoads {
+    const mark = `together/${changes}`;
+    if (this.others?.mark !== mark) this.others = othersOf(mark, names, [sum]);
+    return this.others;
+  }
+
+  private eachAlone(): OtherLoads {
     const mark = `${this.facts.changesOf('load')}/${this.facts.changesOf('member')}`;
     // Why not for a time: sums that are older than the news sent an order to an engine known to be full.
     if (this.others?.mark === mark) return this.others;
@@ -111,7 +133,7 @@
     });
     const loads = present.map(({ value }) => value as LoadFact);
     const names = present.map(({ key }) => key.slice(FactKeys.load('').length));
-    this.others = { mark, names, loads, engines: engineSums(loads), mixes: mixSums(loads) };
+    this.others = othersOf(mark, names, loads);
     return this.others;
   }
 }
--- /dev/null
+++ b/source/shared/loads/loadSums.ts
@@ -0,0 +1,98 @@
+/**
+ * Loads of many proxies added up by engine, class and service. What a proxy needs to know of the others is these sums, and their size goes
+ * by the number of engines, whatever the number of proxies.
+ */
+import type { LoadFact } from '../news/factTypes';
+
+/** What is added up, each by its own names. */
+export const loadTables = ['engines', 'failing', 'answering', 'classes', 'waiting', 'mixes'] as const;
+export type LoadTable = (typeof loadTables)[number];
+
+/** Numbers that are added up place by place; what each place counts is told by the functions of `LoadSums`. */
+export type LoadVector = readonly number[];
+export type LoadRow = Readonly<{ table: LoadTable; name: string; vector: LoadVector }>;
+
+/** Sums by table and name; a name that is missing counts as zero. */
+export type LoadSumTables = Readonly<Record<LoadTable, ReadonlyMap<string, LoadVector>>>;
+
+type GrowingTables = Readonly<Record<LoadTable, Map<string, LoadVector>>>;
+
+const noTables = (): GrowingTables => ({
+  engines: new Map(),
+  failing: new Map(),
+  answering: new Map(),
+  classes: new Map(),
+  waiting: new Map(),
+  mixes: new Map(),
+});
+
+const rowsOf = (load: LoadFact): readonly LoadRow[] => {
+  const { engines, work = {}, failing = {}, answering = [], classes, waiting, mix = {} } = load;
+  return [
+    ...Object.entries(engines).map(([name, sends]): LoadRow => {
+      const [reading, tokens] = work[name] ?? [0, 0];
+      return { table: 'engines', name, vector: [sends, reading, tokens] };
+    }),
+    ...Object.entries(failing).map(([name, [failed, good, tellers = 1]]): LoadRow => ({
+      table: 'failing',
+      name,
+      vector: [failed, good, tellers],
+    })),
+    ...answering.map((name): LoadRow => ({ table: 'answering', name, vector: [1] })),
+    ...Object.entries(classes).map(([name, running]): LoadRow => ({ table: 'classes', name, vector: [running] })),
+    ...Object.entries(waiting).map(([name, held]): LoadRow => ({ table: 'waiting', name, vector: [held] })),
+    ...Object.entries(mix).map(([name, [short, long]]): LoadRow => ({
+      table: 'mixes',
+      name,
+      vector: [short, long],
+    })),
+  ];
+};
+
+const added = (left: LoadVector | undefined, right: LoadVector, sign: 1 | -1): LoadVector =>
+  right.map((value, place) => (left?.[place] ?? 0) + sign * value);
+
+const recordOf = <Value>(
+  table: ReadonlyMap<string, LoadVector>,
+  valueOf: (vector: LoadVector) => Value,
+): Readonly<Record<string, Value>> =>
+  Object.fromEntries([...table].map(([name, vector]) => [name, valueOf(vector)] as const));
+
+export const LoadSums = {
+  none: (): LoadSumTables => noTables(),
+
+  of: (loads: readonly LoadFact[]): LoadSumTables => {
+    const sums = noTables();
+    for (const load of loads)
+      for (const { table, name, vector } of rowsOf(load))
+        sums[table].set(name, added(sums[table].get(name), vector, 1));
+    return sums;
+  },
+
+  /** Sums without one load that is part of them. Never below zero: the load may have changed since it was counted. */
+  without: (sums: LoadSumTables, load: LoadFact): LoadSumTables => {
+    const left = noTables();
+    for (const table of loadTables) for (const [name, vector] of sums[table]) left[table].set(name, vector);
+    for (const { table, name, vector } of rowsOf(load)) {
+      const known = left[table].get(name);
+      if (known === undefined) continue;
+      const rest = added(known, vector, -1).map((value) => Math.max(0, value));
+      if (rest.some((value) => value > 0)) left[table].set(name, rest);
+      else left[table].delete(name);
+    }
+    return left;
+  },
+
+  /** The sums in the form of one load. `agent`: who told them. */
+  asLoad: (sums: LoadSumTables, agent: string): LoadFact => ({
+    agent,
+    engines: recordOf(sums.engines, ([sends = 0]) => sends),
+    work: recordOf(sums.engines, ([, reading = 0, tokens = 0]) => [reading, tokens] as const),
+    classes: recordOf(sums.classes, ([running = 0]) => running),
+    waiting: recordOf(sums.waiting, ([held = 0]) => held),
+    tenants: {},
+    mix: recordOf(sums.mixes, ([short = 0, long = 0]) => [short, long] as const),
+    failing: recordOf(sums.failing, ([failed = 0, good = 0, tellers = 0]) => [failed, good, tellers] as const),
+    answering: [...sums.answering.keys()],
+  }),
+} as const;
--- a/source/shared/news/factTypes.ts
+++ b/source/shared/news/factTypes.ts
@@ -49,8 +49,11 @@
   work?: Readonly<Record<string, readonly [reading: number, tokens: number]>>;
   /** By pool, faded with time; missing: none was placed lately. */
   mix?: Readonly<Record<string, WorkMix>>;
-  /** Answers that failed lately and good ones, only of engines where some failed; missing: none did anywhere. */
-  failing?: Readonly<Record<string, readonly [failed: number, good: number]>>;
+  /**
+   * Answers that failed lately and good ones, only of engines where some failed; missing: none did anywhere. `tellers`: how many
+   * proxies these are counts of, where several are added up.
+   */
+  failing?: Readonly<Record<string, readonly [failed: number, good: number, tellers?: number]>>;
   /** Engines whose stewards hear nothing of them, and that answered an order here all the same; missing: none. */
   answering?: readonly string[];
 }>;
--- a/source/shared/news/facts.ts
+++ b/source/shared/news/facts.ts
@@ -15,6 +15,10 @@
 
 /** What a fact tells of: the first word of its key. */
 const kindOf = (key: string): string => key.slice(0, Math.max(0, key.indexOf('/')));
+
+export const FactKinds = { of: kindOf } as const;
+
+const allKinds = (): boolean => true;
 /** The rest of the key; all of it where it names no kind. */
 const nameOf = (key: string, kind: string): string => (kind === '' ? key : key.slice(kind.length + 1));
 const keyOf = (kind: string, name: string): string => (kind === '' ? name : `${kind}/${name}`);
@@ -101,14 +105,16 @@
       .slice(0, 16);
   }
 
-  /** The versions of those kinds whose sums differ. */
-  public digest(theirs: FactSums = {}): FactDigest {
-    const differing = [...this.kinds].filter(([kind, facts]) => this.sumOf(kind, facts) !== theirs[kind]);
+  /** The versions of those kinds whose sums differ, as far as they are wanted. */
+  public digest(theirs: FactSums = {}, isWanted: (kind: string) => boolean = allKinds): FactDigest {
+    const differing = [...this.kinds].filter(
+      ([kind, facts]) => isWanted(kind) && this.sumOf(kind, facts) !== theirs[kind],
+    );
     return Object.fromEntries(
       // Why those without facts too: the other side has some, and must be told that they are unknown here.
       [
         ...Object.keys(theirs)
-          .filter((kind) => !this.kinds.has(kind))
+          .filter((kind) => !this.kinds.has(kind) && isWanted(kind))
           .map((kind) => [kind, {}] as const),
       ].concat(
         differing.map(([kind, facts]) => [
@@ -135,11 +141,12 @@
   public changedSince(
     change: number,
     most: number = FactLimits.perMessage,
+    isWanted: (kind: string) => boolean = allKinds,
   ): Readonly<{ facts: readonly Fact[]; change: number }> {
     const found: Fact[] = [];
     let upTo = change;
     for (const [key, at] of this.changedAt) {
-      if (at <= change) continue;
+      if (at <= change || !isWanted(kindOf(key))) continue;
       if (found.length >= most) return { facts: found, change: upTo };
       const fact = this.facts.get(key);
       if (fact !== undefined) found.push(fact);
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -1,6 +1,6 @@
 import type { Effects } from '../effects/effects';
 import type { Message } from '../effects/transport/transport';
-import { FactLimits, Facts, type Fact, type FactBook } from './facts';
+import { FactKinds, FactLimits, Facts, FactVersions, type Fact, type FactBook } from './facts';
 import { Bodies } from '../freshness/bodies';
 import { BodyParts, BodyTransfers } from '../freshness/bodyParts';
 import { Statements, type Freshness, type SentBody } from '../freshness/freshness';
@@ -32,6 +32,12 @@
 const entriesFor = ({ mostEntries: wanted }: Message): number =>
   typeof wanted === 'number' && wanted >= 1 ? Math.min(mostEntries, wanted) : mostEntries;
 
+/** Which kinds of facts an asker wants: all but those that it names. */
+const wantedBy = ({ omits }: Message): ((kind: string) => boolean) => {
+  const omitted = new Set(Array.isArray(omits) ? (omits as readonly unknown[]) : []);
+  return (kind) => !omitted.has(kind);
+};
+
 /**
  * `mutual`: each gives the other what it lacks. `following`: the asker takes what came since it last asked, in one answer;
  * it is for those who have little news of their own.
@@ -147,16 +153,33 @@
   private factsFor(message: Message): Readonly<Record<string, unknown>> {
     const { facts } = this.parts;
     const { follows, sums } = message;
+    const wanted = wantedBy(message);
     if (isFollows(follows) && follows.book === this.book && follows.change <= facts.changes) {
       const { facts: changed, change } = facts.changedSince(
         follows.change,
         Math.min(FactLimits.perMessage, entriesFor(message)),
+        wanted,
       );
-      return { digest: null, facts: changed, follow: { book: this.book, change } };
+      return {
+        digest: null,
+        facts: [...changed, ...this.refuted(message, wanted)],
+        follow: { book: this.book, change },
+      };
     }
     const follow = follows === undefined ? {} : { follow: { book: this.book, change: facts.changes } };
     // Why nothing to one that follows another book: it told no sums, and begins anew with its next ask.
-    return Facts.isSums(sums) ? { digest: facts.digest(sums), ...follow } : { digest: null };
+    if (!Facts.isSums(sums)) return { digest: null };
+    return { digest: facts.digest(sums, wanted), facts: this.refuted(message, wanted), ...follow };
+  }
+
+  /** Facts that the asker is the author of and does not want in general, where a later version than the one it says is known. */
+  private refuted({ facts: said }: Message, wanted: (kind: string) => boolean): readonly Fact[] {
+    if (!Facts.isList(said)) return [];
+    return said.flatMap(({ key, version }) => {
+      const known = this.parts.facts.get(key);
+      const isLater = known !== undefined && FactVersions.compare(known.version, version) > 0;
+      return isLater && !wanted(FactKinds.of(key)) ? [known] : [];
+    });
   }
 
   /** News pushed on after an exchange. It brings bodies and facts, but no statements: those must be asked for. */
@@ -197,7 +220,9 @@
   private lacking(
     message: Message,
     most: number,
-  ): Readonly<{ facts: readonly Fact[]; bodies: readonly SentBody[]; shards: readonly PackedShardChange[] }> | undefined {
+  ):
+    | Readonly<{ facts: readonly Fact[]; bodies: readonly SentBody[]; shards: readonly PackedShardChange[] }>
+    | undefined {
     const { facts, shards } = this.parts;
     const newer = Facts.isDigest(message['digest'])
       ? facts.newerThan(message['digest'], Object.keys(message['digest']))
