Short requests of many proxies compare a few random engines, not all of them

What callers saw: short requests of the grown tills late by seconds while most engines were idle. Among more than nine proxies each short request now compares a random few engines of each group (power of two choices).

--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -85,6 +85,33 @@
 /** Starting value, ours: among so many proxies what is known of the others' sends is nearly right. */
 const promptProxies = 9;
 
+/** Offers that a short request compares in each group where what is known of other proxies' load is long over. */
+const leastCompared = 2;
+
+/** So many members, drawn without one twice. */
+const sampleOf = <Member>(members: readonly Member[], count: number, random: Random): readonly Member[] => {
+  if (members.length <= count) return members;
+  const left = [...members];
+  const drawn: Member[] = [];
+  while (drawn.length < count)
+    drawn.push(...left.splice(Math.floor(random.fraction() * left.length), 1));
+  return drawn;
+};
+
+/**
+ * The offers that one short request compares: all of them among few proxies, a random few among many (power of two choices). A short
+ * request ends before other proxies hear of it, so in a large fleet the engine that seems to have the least load would get the requests of
+ * all proxies until the next news of it. Engines kept for short requests and the others are drawn from apart, so that both are compared.
+ */
+const comparedBy = (offers: readonly Offer[], proxies: number, random: Random): readonly Offer[] => {
+  if (proxies <= promptProxies) return offers;
+  const part = (promptProxies / proxies) ** 2;
+  return [true, false].flatMap((lane) => {
+    const group = offers.filter((offer) => offer.lane === lane);
+    return sampleOf(group, Math.max(leastCompared, Math.round(group.length * part)), random);
+  });
+};
+
 /** Which engine an order of named parts goes to: the one whose answer begins soonest, all costs counted as time. */
 export const ByWork = {
   cost: (offer: Offer, demand: Demand, home: string | undefined, settings: WorkPlacementSettings): number => {
@@ -162,7 +189,7 @@
     // orders by what was so half a second ago, and the engine that had least to do then would get them all.
     const spread = settings.chanceMicroseconds * Math.max(1, proxies / promptProxies);
     let best: Readonly<{ offer: Offer; cost: number }> | undefined;
-    for (const offer of offers) {
+    for (const offer of demand.isShort ? comparedBy(offers, proxies, random) : offers) {
       const cost = ByWork.cost(offer, demand, home, settings) + random.fraction() * spread;
       if (best === undefined || cost < best.cost) best = { offer, cost };
     }
--- a/tests/named-parts.test.ts
+++ b/tests/named-parts.test.ts
@@ -274,6 +274,32 @@
   assert.equal(chosen(73, 12), 0, 'and none goes where there is much more to do');
 });
 
+test('among many proxies no engine gets the short requests of all of them for seeming to have the least load', () => {
+  const short = { tokens: 200, parts: [], zone: 'z', isShort: true };
+  const random = seededRandom(5);
+  const offers = Array.from({ length: 12 }, (_, index) =>
+    offer(`e${index}`, { lane: true, inFlight: index === 0 ? 0 : 14 }),
+  );
+  const share = (proxies: number): number =>
+    Array.from({ length: 1200 }, () =>
+      ByWork.choose(offers, short, random, WorkPlacementSettings.usual, proxies),
+    ).filter((found) => found?.name === 'e0').length / 1200;
+  assert.equal(share(9), 1, 'few proxies hear of each other in time');
+  for (const proxies of [63, 195]) assert.ok(share(proxies) < 0.25, `${proxies} proxies: ${share(proxies)}`);
+});
+
+test('among many proxies an engine that has far more to do than the others gets few short requests', () => {
+  const short = { tokens: 200, parts: [], zone: 'z', isShort: true };
+  const random = seededRandom(6);
+  const offers = Array.from({ length: 12 }, (_, index) =>
+    offer(`e${index}`, { lane: true, inFlight: index === 0 ? 60 : 3 }),
+  );
+  const chosen = Array.from({ length: 1200 }, () =>
+    ByWork.choose(offers, short, random, WorkPlacementSettings.usual, 195),
+  );
+  assert.equal(chosen.filter((found) => found?.name === 'e0').length, 0);
+});
+
 test('a mix fades until nothing of it is told', () => {
   const clock = handClock();
   const lanes = new Lanes(clock, LaneSettings.usual);
