--- a/source/fleet-simulator/world/simProcess.ts
+++ b/source/fleet-simulator/world/simProcess.ts
@@ -1,5 +1,6 @@
 import type { Cancel, Clock } from '../../shared/effects/clock/clock';
 import { ElapsedTime } from '../../shared/effects/clock/elapsedTime';
+import type { SimProcessor } from './simProcessor';
 import type { World } from './world';
 
 /** The boot clock of Linux is shown in steps of so much. */
@@ -11,6 +12,8 @@
 /** One simulated process: what reaches it while it is frozen or suspended waits, what reaches it dead is lost. */
 export class SimProcess {
   public alive = true;
+  /** What its acts take time on, shared by the processes of a machine; undefined: they take none. */
+  public processor: SimProcessor | undefined;
   public readonly clockFaults: ClockFaultState = { bootLeapMicroseconds: 0, bootUnreadable: false };
   private frozen = false;
   private suspendedAt: number | undefined;
@@ -42,9 +45,8 @@
   };
 
   public enter(act: () => void): void {
-    if (!this.alive) return;
-    if (this.frozen || this.suspendedAt !== undefined) this.waiting.push(act);
-    else act();
+    if (this.processor === undefined) this.perform(act);
+    else if (this.alive) this.processor.run(() => this.perform(act));
   }
 
   public whenDead(act: () => void): void {
@@ -80,6 +82,12 @@
     this.goOn();
   }
 
+  private perform(act: () => void): void {
+    if (!this.alive) return;
+    if (this.frozen || this.suspendedAt !== undefined) this.waiting.push(act);
+    else act();
+  }
+
   private monotonic(): number {
     const asleep = this.suspendedAt === undefined ? 0 : this.world.nowMicroseconds - this.suspendedAt;
     return Math.floor((this.world.nowMicroseconds - this.slept - asleep) * (1 + this.drift / 1_000_000));
