--- a/tests/body-parts.test.ts
+++ b/tests/body-parts.test.ts
@@ -183,6 +183,35 @@
     assert.equal(asks.length, 0);
   });
 
+  test('one whose text the sender skipped is sent what changed since an earlier text that both had, in one part', async () => {
+    const [first, second, third] = [textOf('w1'), textOf('w2'), textOf('w3')];
+    const sender = holderOf(3, first);
+    sender.sent('blueprint');
+    const { receiver, transfers, answerNext, asks } = setUp(3, first);
+    assert.ok(receiver.give({ key: 'blueprint', revision: 3, digest: digestOf(first), text: first }));
+    hear(receiver, 4, second);
+    assert.ok(receiver.give({ key: 'blueprint', revision: 4, digest: digestOf(second), text: second }));
+    for (const freshness of [sender, receiver]) hear(freshness, 5, third);
+    assert.ok(sender.give({ key: 'blueprint', revision: 5, digest: digestOf(third), text: third }));
+    transfers.answered('a:1', { blueprint: 5 });
+    await answerNext(sender);
+    assert.equal(receiver.applied('blueprint')?.text, third);
+    assert.equal(asks.length, 0);
+  });
+
+  test('one that has a text which the sender applied and sent to nobody is sent what changed, in one part', async () => {
+    const [first, second] = [textOf('w1'), textOf('w2')];
+    const sender = holderOf(3, first);
+    const { receiver, transfers, answerNext, asks } = setUp(3, first);
+    assert.ok(receiver.give({ key: 'blueprint', revision: 3, digest: digestOf(first), text: first }));
+    for (const freshness of [sender, receiver]) hear(freshness, 4, second);
+    assert.ok(sender.give({ key: 'blueprint', revision: 4, digest: digestOf(second), text: second }));
+    transfers.answered('a:1', { blueprint: 4 });
+    await answerNext(sender);
+    assert.equal(receiver.applied('blueprint')?.text, second);
+    assert.equal(asks.length, 0);
+  });
+
   test('a delta that makes no sense: the whole document is asked for', async () => {
     const [first, second] = [textOf('w1'), textOf('w2')];
     const { receiver, transfers, answerNext, asks } = setUp(3, first);
--- /dev/null
+++ b/tests/incident-busy-agents.test.ts
@@ -0,0 +1,52 @@
+/** What users saw: a confirmed change was not in force in time, in a fleet that had no word from its control nodes for 5 s while it was overloaded. */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { SimProcessor } from '../source/fleet-simulator/world/simProcessor';
+import { blueprintOf, proxiesOn, startedFleet, type FedFleet } from './support/largeConfiguration';
+
+/** 7 Mbit/s: what an edge machine's link carries. */
+const linkBytesPerSecond = 875_000;
+const proxyCount = 39;
+const routes = 350;
+/** Within this time of its confirmation a change is in force on each machine in touch. */
+const applyMicroseconds = 2_500_000;
+const settledMicroseconds = 4_000_000;
+const outageMicroseconds = 5_000_000;
+
+/** From now on each message and timer takes the machines with an agent so long. */
+const slowAgents = ({ world, fleet }: FedFleet, actMicroseconds: number): void => {
+  for (const edge of fleet.edges.filter((one) => fleet.hasAgent(one))) {
+    const processor = new SimProcessor(world, actMicroseconds);
+    edge.agentProcess.processor = processor;
+    edge.proxyProcess.processor = processor;
+  }
+};
+
+const controlNodesStop = async ({ world, fleet }: FedFleet, microseconds: number): Promise<void> => {
+  for (const { process } of fleet.keepers) process.freeze();
+  await world.runFor(microseconds);
+  for (const { process } of fleet.keepers) process.thaw();
+};
+
+const confirmed = async ({ fleet }: FedFleet, weights: string): Promise<void> =>
+  assert.ok((await fleet.take('blueprint', blueprintOf(routes, weights))) !== undefined);
+
+describe('incident: agents that are busy feeding proxies while the control nodes are away', () => {
+  for (const seed of [3, 4])
+    for (const [label, outage] of [
+      ['no outage', 0],
+      ['an outage of 5 s', outageMicroseconds],
+    ] as const)
+      for (const actMicroseconds of [6_000, 10_000, 12_000])
+        test(`${actMicroseconds / 1000} ms an act, ${label}: changes confirmed in quick succession reach all proxies in time, seed ${seed}`, async () => {
+          const fed = await startedFleet(seed, { edges: proxyCount, agents: 3 }, linkBytesPerSecond);
+          await confirmed(fed, 'w2');
+          await fed.world.runFor(settledMicroseconds);
+          slowAgents(fed, actMicroseconds);
+          await fed.world.runFor(settledMicroseconds);
+          await controlNodesStop(fed, outage);
+          for (const weights of ['w3', 'w4', 'w5']) await confirmed(fed, weights);
+          await fed.world.runFor(applyMicroseconds);
+          assert.equal(proxiesOn(fed, 'w5'), proxyCount);
+        });
+});
--- a/tests/support/largeConfiguration.ts
+++ b/tests/support/largeConfiguration.ts
@@ -51,3 +51,20 @@
     const pool = proxy.freshness.blueprint?.services['pool'];
     return pool?.kind === 'pool' && pool.weights === weights;
   }).length;
+
+/** News of a busy fleet: so many facts of so many bytes each, of which each is said anew after the period. */
+export type Talk = Readonly<{ facts: number; periodMicroseconds: number; bytes: number }>;
+
+/** From now on agents hear facts that change all the time, as loads and words on engines do; they go to all proxies. */
+export const keepTalking = ({ world, fleet }: FedFleet, { facts, periodMicroseconds, bytes }: Talk): void => {
+  const filler = 'x'.repeat(bytes);
+  let said = 0;
+  const say = (): void => {
+    world.plan(periodMicroseconds / facts, say);
+    said += 1;
+    const agents = fleet.edges.filter((edge) => fleet.hasAgent(edge) && edge.agentProcess.alive);
+    const key = `talk/${periodMicroseconds}-${said % facts}`;
+    agents[said % Math.max(1, agents.length)]?.agent.facts.put({ key, version: [1, said], value: { filler } });
+  };
+  say();
+};
