Sight: a configuration that is known and does not come, how it came, and processes that stand still

Now a proxy says that a newer configuration is known for over 1 s and has not come, and in how many parts and bytes, whole or as a delta, it came; proxies and agents say that they stood still for over 0.5 s. No decision depends on it. tests/feed-watch.test.ts, standstill-watch.test.ts.

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -12,6 +12,7 @@
 import type { Listener, Message } from '../shared/effects/transport/transport';
 import { Freshness } from '../shared/freshness/freshness';
 import { Logs, type Log } from '../shared/log/log';
+import { StandstillWatch } from '../shared/log/standstillWatch';
 import { FactBook } from '../shared/news/facts';
 import { FactKeys } from '../shared/news/factTypes';
 import { NewsExchange } from '../shared/news/newsExchange';
@@ -164,6 +165,7 @@
   private readonly proxies: FedProxies;
   private readonly engineList: EngineListKeeper | undefined;
   private readonly notice = Logs.part('agent:notice');
+  private readonly standstills: StandstillWatch;
   private readonly tickers: readonly Ticker[];
   private readonly log: Log;
   private readonly effects: Effects;
@@ -185,6 +187,7 @@
     const effects = { ...given, transport: new FleetTransport(given.transport, () => this.fleet.name) };
     this.effects = effects;
     this.log = Logs.part(`agent:${settings.name}`);
+    this.standstills = new StandstillWatch(clock, this.notice);
     this.freshness = new Freshness(clock, dialect, settings.engineList);
     this.pulses = new Pulses(clock);
     this.link = new CoreLink(
@@ -272,7 +275,7 @@
     const { engineList } = this;
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     const tickers: readonly (readonly [() => number, () => Promise<void>])[] = [
-      [() => settings.readMicroseconds, () => this.link.read()],
+      [() => this.standstills.planned(settings.readMicroseconds), () => this.read()],
       [() => this.newsPause(), () => this.news()],
       [() => settings.watchMicroseconds * this.pace(mostWatchPause), () => this.watch()],
       [() => settings.ballotMicroseconds * this.pace(mostBallotPause), () => this.stewardship.ballot()],
@@ -351,6 +354,11 @@
     };
   }
 
+  private read(): Promise<void> {
+    this.standstills.began();
+    return this.link.read();
+  }
+
   private async news(): Promise<void> {
     this.membership.defend();
     this.membership.tick();
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -12,6 +12,7 @@
 import { FleetTransport } from '../shared/fleet/fleetTransport';
 import { Freshness } from '../shared/freshness/freshness';
 import { Logs, type Log } from '../shared/log/log';
+import { StandstillWatch } from '../shared/log/standstillWatch';
 import { Metrics } from '../shared/metrics/metrics';
 import { SettingsChanges } from '../shared/settings/settingsChange';
 import { FactBook } from '../shared/news/facts';
@@ -183,6 +184,7 @@
   private readonly readSpeeds: ReadSpeeds;
   private readonly feeders: Feeders;
   private readonly feedWatch: FeedWatch;
+  private readonly standstills: StandstillWatch;
   private readonly seedContacts: SeedContacts;
   private readonly own: ProxyFacts;
   private readonly budgets = new Map<string, RetryBudget>();
@@ -227,6 +229,8 @@
       settings.deskMicroseconds,
     );
     this.speeds = new LinkSpeeds(settings.importMicrosecondsPerBlock, 4096);
+    this.feedWatch = new FeedWatch(clock, this.metrics, this.notice);
+    this.standstills = new StandstillWatch(clock, this.notice);
     this.exchange = new NewsExchange(
       {
         fleet: this.fleet,
@@ -236,9 +240,9 @@
         pulses: this.pulses,
       },
       this.effects,
+      (document) => this.feedWatch.received(document),
     );
     this.feeders = new Feeders(settings, clock, () => this.view.others.agents());
-    this.feedWatch = new FeedWatch(clock, this.metrics, this.notice);
     this.seedContacts = new SeedContacts(clock, this.fleet, settings);
     this.own = new ProxyFacts(
       settings.name,
@@ -328,7 +332,7 @@
     this.tickers = [
       new Ticker(
         clock,
-        () => this.feedPause(),
+        () => this.standstills.planned(this.feedPause()),
         () => this.feed(),
         failed,
       ),
@@ -430,6 +434,7 @@
    * the same rule: what it says has an age, and the fence is no wider. So the order of stops on a machine does not matter.
    */
   private async feed(): Promise<void> {
+    this.standstills.began();
     this.own.sayLoad({
       engines: this.view.loads(),
       ...this.desk.loads(),
@@ -445,7 +450,9 @@
       ...this.feeders.targets(isStale).map((address) => this.feedFrom(address, said)),
       ...(seed === undefined ? [] : [this.meet(seed)]),
     ]);
-    this.feedWatch.looked(this.freshness.ageMicroseconds(), this.freshness.revision('blueprint'));
+    const applied = this.freshness.revision('blueprint');
+    this.feedWatch.looked(this.freshness.ageMicroseconds(), applied);
+    this.feedWatch.applies(applied, this.freshness.wanted().find(({ key }) => key === 'blueprint')?.revision);
     const listed = this.freshness.engines?.engines;
     if (listed !== undefined) {
       const holders = [...Object.keys(listed), ...Object.keys(this.freshness.blueprint?.stores ?? {})];
--- a/source/shared/freshness/bodyParts.ts
+++ b/source/shared/freshness/bodyParts.ts
@@ -65,8 +65,21 @@
 } as const;
 
 type Lacking = Readonly<{ key: DocumentKey; revision: number; digest: string }>;
+/** A long document that has come: in how many parts and bytes, from its first ask on, and whether it was sent whole, not as a delta. */
+export type ReceivedDocument = Readonly<{
+  key: DocumentKey;
+  revision: number;
+  parts: number;
+  bytes: number;
+  isWhole: boolean;
+  tookMicroseconds: number;
+  /** The sender of the last part. */
+  address: string;
+}>;
+
 type Transfer = Readonly<{
   of: Lacking;
+  begunMicroseconds: number;
   /** The text that the sender may build on: what was applied here when the transfer began. */
   before: Readonly<{ digest: string; text: string }>;
   parts: BodyPart[];
@@ -92,6 +105,7 @@
     private readonly freshness: Freshness,
     private readonly transport: Transport,
     private readonly clock: Clock,
+    private readonly received: (document: ReceivedDocument) => void = () => undefined,
   ) {}
 
   /** A daemon answered, and has these revisions: what is lacking here is asked for, unless another one is being asked. */
@@ -127,7 +141,8 @@
   }
 
   private transferOf(of: Lacking): Transfer {
-    this.open ??= { of, before: this.freshness.applied(of.key) ?? noText, parts: [] };
+    const begunMicroseconds = this.clock.nowMicroseconds();
+    this.open ??= { of, begunMicroseconds, before: this.freshness.applied(of.key) ?? noText, parts: [] };
     return this.open;
   }
 
@@ -162,7 +177,21 @@
     parts.push(part);
     if (from + part.bytes.length < part.total) return true;
     this.open = undefined;
-    return this.give(transfer, part.base);
+    const isGiven = this.give(transfer, part.base);
+    if (isGiven) this.tell(transfer, address);
+    return isGiven;
+  }
+
+  private tell({ of: { key, revision }, begunMicroseconds, parts }: Transfer, address: string): void {
+    this.received({
+      key,
+      revision,
+      parts: parts.length,
+      bytes: lengthOf(parts),
+      isWhole: parts[0]?.base === '',
+      tookMicroseconds: this.clock.nowMicroseconds() - begunMicroseconds,
+      address,
+    });
   }
 
   private give({ of, before, parts }: Transfer, base: string): boolean {
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -2,7 +2,7 @@
 import type { Message } from '../effects/transport/transport';
 import { FactLimits, Facts, type Fact, type FactBook } from './facts';
 import { Bodies } from '../freshness/bodies';
-import { BodyParts, BodyTransfers } from '../freshness/bodyParts';
+import { BodyParts, BodyTransfers, type ReceivedDocument } from '../freshness/bodyParts';
 import { Statements, type Freshness, type SentBody } from '../freshness/freshness';
 import type { Pulses } from './pulses';
 import { DocumentKeys, type DocumentKey } from '../blueprint/types';
@@ -59,9 +59,11 @@
   public constructor(
     private readonly parts: NewsParts,
     private readonly effects: Effects,
+    /** Hears of each long document that has come. */
+    received?: (document: ReceivedDocument) => void,
   ) {
     this.book = effects.random.name();
-    this.transfers = new BodyTransfers(parts.freshness, effects.transport, effects.clock);
+    this.transfers = new BodyTransfers(parts.freshness, effects.transport, effects.clock, received);
   }
 
   /** Asks one colleague. False when it stayed silent. `extra` and `onAnswer` carry what only one pair says. */
--- a/tests/feed-watch.test.ts
+++ b/tests/feed-watch.test.ts
@@ -9,7 +9,7 @@
   const metrics = new Metrics();
   const said: string[] = [];
   const watch = new FeedWatch(clock, metrics, (sentence) => void said.push(sentence));
-  return { metrics, said, watch };
+  return { clock, metrics, said, watch };
 };
 
 describe('what a proxy tells of how it is fed', () => {
@@ -36,4 +36,42 @@
       'Configuration 5 is confirmed, after 3200 ms without.',
     ]);
   });
+
+  test('a newer configuration that is known and does not come for long, and that one is applied', () => {
+    const { clock, said, watch } = setUp();
+    watch.applies(4, undefined);
+    watch.applies(4, 5);
+    clock.now += 900_000;
+    watch.applies(4, 6);
+    clock.now += 400_000;
+    watch.applies(4, 6);
+    clock.now += 400_000;
+    watch.applies(4, 6);
+    watch.applies(6, 7);
+    clock.now += 500_000;
+    watch.applies(7, undefined);
+    assert.deepEqual(said, [
+      'Configuration 6 is known and has not come for 1300 ms; 4 goes on.',
+      'Configuration 6 is applied, 1700 ms late.',
+    ]);
+  });
+
+  test('a long document that took long is told of with its form; each one is counted', () => {
+    const { metrics, said, watch } = setUp();
+    const document = {
+      key: 'blueprint',
+      revision: 6,
+      parts: 10,
+      bytes: 39_100,
+      isWhole: true,
+      address: 'a:1',
+    } as const;
+    watch.received({ ...document, tookMicroseconds: 2_300_000 });
+    watch.received({ ...document, parts: 1, bytes: 189, isWhole: false, tookMicroseconds: 20_000 });
+    assert.deepEqual(said, ['Document blueprint 6 came from a:1 in 2300 ms: 10 parts, 39100 bytes, whole.']);
+    const delta = { key: 'blueprint', form: 'delta' };
+    assert.equal(metrics.value('postdrum_documents_received_total', delta), 1);
+    assert.equal(metrics.value('postdrum_document_bytes_received_total', delta), 189);
+    assert.equal(metrics.value('postdrum_documents_received_total', { key: 'blueprint', form: 'whole' }), 1);
+  });
 });
