--- a/tests/core-link.test.ts
+++ b/tests/core-link.test.ts
@@ -8,10 +8,13 @@
 import { Ticker } from '../source/shared/effects/clock/ticker';
 import { FleetName } from '../source/shared/fleet/fleetName';
 import { FleetTransport } from '../source/shared/fleet/fleetTransport';
+import type { Transport } from '../source/shared/effects/transport/transport';
 import { Freshness } from '../source/shared/freshness/freshness';
 import { ControlFleet } from './support/controlFleet';
 
 const { readMicroseconds, readAskMicroseconds, sharedReadMicroseconds, ownReadMicroseconds } = AgentDefaults;
+/** A way to the keepers that takes most of the patience with a reading. */
+const slowLinkMicroseconds = 200_000;
 const edgeMachine = '10.2.0.1';
 const self = { key: 'member/edge-1', version: [1, 1], value: { name: 'edge-1', address: `${edgeMachine}:1` } };
 
@@ -20,6 +23,8 @@
   public readonly fleet = new ControlFleet(11, ownDialect);
   public readonly freshness: Freshness;
   public readonly link: CoreLink;
+  /** Digests of documents that were asked for although they were not wanted then. */
+  public readonly askedInVain: string[] = [];
   private readonly ticker: Ticker;
 
   private constructor() {
@@ -27,11 +32,19 @@
     const process = new SimProcess(world, 'edge-1', edgeMachine);
     const name = new FleetName('');
     this.freshness = new Freshness(process.clock);
+    const transport = network.transportOf(process);
+    const watched: Transport = {
+      ...transport,
+      ask: (address, message, limitMicroseconds) => {
+        if (message.kind === 'body') this.noteAsk(String(message['digest']));
+        return transport.ask(address, message, limitMicroseconds);
+      },
+    };
     this.link = new CoreLink(
       {
         clock: process.clock,
         random: world.random,
-        transport: new FleetTransport(network.transportOf(process), () => name.name),
+        transport: new FleetTransport(watched, () => name.name),
       },
       name,
       this.freshness,
@@ -66,6 +79,18 @@
     return linked;
   }
 
+  /** The next revision, taken by any keeper. */
+  public async change(revision: number): Promise<void> {
+    const text = JSON.stringify(SimBlueprints.first(`w${revision}`));
+    const order = { key: 'blueprint', form: 'whole', text, ifMatch: revision - 1, id: `change-${revision}` } as const;
+    const taken = await this.fleet.persist(order, 5_000_000);
+    assert.equal(taken?.kind, 'taken');
+  }
+
+  private noteAsk(digest: string): void {
+    if (!this.freshness.wanted().some((wanted) => wanted.digest === digest)) this.askedInVain.push(digest);
+  }
+
   public machineOf(number: number): string {
     return this.fleet.machine(number).machine;
   }
@@ -131,4 +156,20 @@
       assert.ok(await world.runUntil(() => numbers.every(meets), readMicroseconds * 3), `turn ${turn}`);
     }
   });
+
+  test('a document that a newer one has overtaken is asked for no more', async () => {
+    const linked = await LinkedFleet.begin();
+    for (const number of [1, 2, 3])
+      linked.fleet.network.slowDown(edgeMachine, linked.machineOf(number), slowLinkMicroseconds);
+    let revision = 1;
+    for (let turn = 0; turn < 10; turn += 1) {
+      for (const pause of [150_000, 150_000, 2_000_000]) {
+        revision += 1;
+        await linked.change(revision);
+        await linked.fleet.world.runFor(pause);
+      }
+      assert.equal(linked.freshness.revision('blueprint'), revision);
+    }
+    assert.deepEqual(linked.askedInVain, []);
+  });
 });
