--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -37,6 +37,7 @@
 import { OutlierDetector } from './outliers/outlierDetector';
 import { OutlierSettings } from './outliers/outlierSettings';
 import type { AnswerSink, Order } from './path/order';
+import { OrderTrace } from './path/orderTrace';
 import { Pipeline } from './path/pipeline';
 import { WorkPlacementSettings } from './placement/byWork';
 import { EngineView } from './placement/engineView';
@@ -225,6 +226,8 @@
       clock,
       () => this.view.others.listHolder()?.address,
       settings.deskMicroseconds,
+      this.metrics,
+      Logs.part('desk'),
     );
     this.speeds = new LinkSpeeds(settings.importMicrosecondsPerBlock, 4096);
     this.exchange = new NewsExchange(
@@ -292,6 +295,7 @@
       stillGood: (fetch) => planner.stillGood(fetch),
       seenAgeMicroseconds: (engine) => this.pulses.ageMicroseconds(engine),
     });
+    const traceLog = Logs.isOn('requests') ? Logs.part('requests') : undefined;
     this.pipeline = new Pipeline(
       [
         FencePolicies.identifyTenant(this.identifier),
@@ -323,6 +327,7 @@
       ],
       { resolve: 'resolveMapping', take: 'take', choose: 'place' },
       this.log,
+      (start) => (traceLog === undefined ? undefined : new OrderTrace(clock, traceLog, start)),
     );
     const failed = (error: unknown): void => this.log(`A step failed: ${Logs.text(error)}.`);
     this.tickers = [
--- /dev/null
+++ b/source/edge-proxy/path/orderTrace.ts
@@ -0,0 +1,47 @@
+import type { Clock } from '../../shared/effects/clock/clock';
+import type { Log } from '../../shared/log/log';
+import type { Refusal } from '../../shared/verdict/verdict';
+import type { Context, Step } from './order';
+
+type Stage = Readonly<{ policy: string; microseconds: number; step: Step['kind'] }>;
+
+const milliseconds = (microseconds: number): number => Math.round(microseconds / 1000);
+
+/** Where the time of one request went: each policy it passed, for how long, and what that policy decided. */
+export class OrderTrace {
+  private readonly stages: Stage[] = [];
+  private sinceMicroseconds: number;
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly log: Log,
+    { order }: Context,
+  ) {
+    this.sinceMicroseconds = order.arrivedMicroseconds;
+  }
+
+  public passed(policy: string, step: Step['kind']): void {
+    const now = this.clock.nowMicroseconds();
+    this.stages.push({ policy, microseconds: now - this.sinceMicroseconds, step });
+    this.sinceMicroseconds = now;
+  }
+
+  public ended({ order, resolved, placed }: Context, refusal: Refusal | undefined): void {
+    const took = milliseconds(this.clock.nowMicroseconds() - order.arrivedMicroseconds);
+    const how = refusal === undefined ? 'answered' : `refused ${refusal.status} ${refusal.code}`;
+    this.log(
+      `Request ${order.id} (${resolved?.mapping.class ?? 'unresolved'}, ${order.promptTokens ?? 0} tokens) at ${placed?.engine ?? 'no engine'} ${how} after ${took} ms: ${this.sentence()}.`,
+    );
+  }
+
+  /** Stages that took no time and only led on are left out. */
+  private sentence(): string {
+    return this.stages
+      .filter(({ microseconds, step }) => step !== 'onward' || microseconds >= 1000)
+      .map(
+        ({ policy, microseconds, step }) =>
+          `${policy} ${milliseconds(microseconds)}${step === 'onward' ? '' : ` ${step}`}`,
+      )
+      .join(', ');
+  }
+}
--- a/source/edge-proxy/path/pipeline.ts
+++ b/source/edge-proxy/path/pipeline.ts
@@ -2,6 +2,7 @@
 import { Logs } from '../../shared/log/log';
 import { Refusals, type Refusal } from '../../shared/verdict/verdict';
 import type { Context, Policy, Step } from './order';
+import type { OrderTrace } from './orderTrace';
 
 /** How often one order may be resolved anew or go back to holding. */
 const mostRounds = 64;
@@ -14,16 +15,28 @@
     private readonly policies: readonly Policy[],
     private readonly returns: Returns,
     private readonly log: Log,
+    /** Begins the trace of a request; undefined where nobody reads it. */
+    private readonly traceOf: (start: Context) => OrderTrace | undefined = () => undefined,
   ) {}
 
   public async run(start: Context): Promise<Refusal | undefined> {
-    let context = start;
+    const trace = this.traceOf(start);
+    const passed = { context: start };
+    const refusal = await this.lead(passed, trace);
+    trace?.ended(passed.context, refusal);
+    return refusal;
+  }
+
+  /** `passed` holds the context of the last step when it returns. */
+  private async lead(passed: { context: Context }, trace: OrderTrace | undefined): Promise<Refusal | undefined> {
+    let { context } = passed;
     let index = 0;
     try {
       for (;;) {
         const policy = this.policies[index];
         if (policy === undefined) return undefined;
         const step: Step = await policy.apply(context);
+        trace?.passed(policy.name, step.kind);
         if (step.kind === 'done') return undefined;
         if (step.kind === 'refuse') return this.refuse(context, step.refusal);
         if (step.kind === 'onward' || step.kind === 'again') {
@@ -45,6 +58,7 @@
       );
     } finally {
       context.release?.();
+      passed.context = context;
     }
   }
 
