Failing test: in a large fleet the work queue's word comes too late

What callers saw: long requests of a large fleet are late from its first seconds on, and refused or failed once new weights empty the engines.

--- a/tests/support/rush.ts
+++ b/tests/support/rush.ts
@@ -1,12 +1,13 @@
 import { EdgeProxy, ProxyDefaults } from '../../source/edge-proxy/edgeProxy';
 import { DemandSettings } from '../../source/edge-proxy/demand/demandView';
-import type { AnswerSink } from '../../source/edge-proxy/path/order';
+import type { AnswerSink, Order } from '../../source/edge-proxy/path/order';
 import { SimProcess } from '../../source/fleet-simulator/world/simProcess';
 import { World } from '../../source/fleet-simulator/world/world';
 import type { BackEndSender, SendSink } from '../../source/shared/back-end/protocol';
 import type { BackEndWords } from '../../source/shared/back-end/words';
 import { ownDialect, type Dialect } from '../../source/shared/blueprint/dialect';
 import type { Blueprint } from '../../source/shared/blueprint/types';
+import type { PromptPart } from '../../source/shared/directory/promptParts';
 import type { HeldEngine } from './heldEngines';
 import { HeldFleet } from './heldFleet';
 
@@ -35,6 +36,14 @@
   hotPerMille: number;
   seconds: number;
   troubles: boolean;
+  engines: number;
+  /** Agents, each beside a proxy, and proxies on machines without one. */
+  agents: number;
+  proxiesAlone: number;
+  /** What the link out of each machine carries. */
+  linkBytesPerSecond: number;
+  /** Short requests, which share nothing, beside the orders. */
+  shortPerSecond: number;
 }>;
 export const RushOptions = {
   usual: {
@@ -47,6 +56,11 @@
     hotPerMille: 600,
     seconds: 36,
     troubles: true,
+    engines: 8,
+    agents: 6,
+    proxiesAlone: 0,
+    linkBytesPerSecond: Infinity,
+    shortPerSecond: 0,
   } satisfies RushOptions,
 } as const;
 
@@ -65,11 +79,17 @@
   answeredTwice: number;
   unasked: number;
   refused: number;
+  lateP50Microseconds: number;
   lateP90Microseconds: number;
+  /** Long orders by what became of their ask at the work queue. */
+  deskWords: Readonly<Record<string, number>>;
+  /** Bytes that daemons said to each other. */
+  bytesPerSecond: number;
 }>;
 
 const sharedTokens = 13_000;
 const ownTokens = 2_000;
+const shortTokens = 400;
 const tokensPerMillisecond = 61;
 const moveMicroseconds = 16_000;
 const capacity = 24;
@@ -230,11 +250,20 @@
     const begin = Math.max(this.world.nowMicroseconds, this.freeAt.get(engine.name) ?? 0);
     // Why reckoned at its turn: what is kept by then decides.
     this.freeAt.set(engine.name, begin);
-    const [shared = '', own = ''] = parts.split(',').map((part) => `${salt}/${part.split(':', 1)[0] ?? ''}`);
+    const [shared = '', own] = parts.split(',').map((part) => `${salt}/${part.split(':', 1)[0] ?? ''}`);
     const turn = (): void => {
       if (gone) return;
       const free = this.freeAt.get(engine.name) ?? 0;
       if (free > this.world.nowMicroseconds) return void this.world.plan(free - this.world.nowMicroseconds, turn);
+      if (own === undefined)
+        return this.runShort(
+          engine,
+          id,
+          sink,
+          back,
+          () => gone,
+          () => running.delete(end),
+        );
       const from = this.findPart(engine, shared, source);
       const read = (ownTokens + (from === 'read' ? sharedTokens : 0)) / tokensPerMillisecond;
       const takes = Math.round(read * 1000) + (from === 'moved' ? moveMicroseconds : 0);
@@ -267,6 +296,30 @@
     turn();
   }
 
+  /** It shares nothing, and what it leaves behind nobody is told of. */
+  private runShort(
+    engine: HeldEngine,
+    id: string,
+    sink: SendSink,
+    back: (act: () => void) => void,
+    gone: () => boolean,
+    done: () => void,
+  ): void {
+    const takes = Math.round((shortTokens / tokensPerMillisecond) * 1000);
+    this.freeAt.set(engine.name, this.world.nowMicroseconds + takes);
+    this.world.plan(takes, () => {
+      if (gone()) return;
+      back(() =>
+        sink.head({
+          status: 200,
+          headers: { order: id, boot: engine.bootEpoch, weights: engine.weights },
+          framed: true,
+        }),
+      );
+      this.stream(id, sink, back, gone, done);
+    });
+  }
+
   private stream(
     id: string,
     sink: SendSink,
@@ -319,15 +372,35 @@
   return true;
 };
 
+const orderOf = (id: string, { process }: Proxy, parts: readonly PromptPart[]): Order => ({
+  id,
+  method: 'POST',
+  path: '/v1/chat/completions',
+  key: 'key-open1-a',
+  contentType: '',
+  body: '',
+  arrivedMicroseconds: process.clock.nowMicroseconds(),
+  model: 'long',
+  passed: { parts: parts.map(({ name, size }) => `${name}:${size}`).join(',') },
+  parts,
+  promptTokens: parts.reduce((sum, { size }) => sum + size, 0),
+  mostTokens: events,
+  limitMicroseconds: 6_000_000,
+});
+
 /** A rush on few prefixes among many, over new weights, a lost engine and a store that returns empty. */
 export const runRush = async (seed: number, options: RushOptions = RushOptions.usual): Promise<RushOutcome> => {
   const world = new World(seed);
   const dialect = dialectWith(options);
-  const fleet = new HeldFleet(world, 6, { zone: '' }, dialect);
-  const engineNames = fleet.addEngines(8);
+  const fleet = new HeldFleet(world, options.agents, { zone: '' }, dialect);
+  const engineNames = fleet.addEngines(options.engines);
   fleet.engines.add(storeName, storeMachine, '', '');
   const engines = new RushEngines(world, fleet, options);
-  const proxies = fleet.agents.map(({ name, machine }): Proxy => {
+  const alone = Array.from({ length: options.proxiesAlone }, (_, index) => ({
+    name: `alone-${index + 1}`,
+    machine: `10.5.0.${index + 1}`,
+  }));
+  const proxies = [...fleet.agents, ...alone].map(({ name, machine }): Proxy => {
     const process = new SimProcess(world, `${name}-proxy`, machine);
     const effects = {
       clock: process.clock,
@@ -341,6 +414,8 @@
         ...ProxyDefaults,
         name,
         agentAddress: `${machine}:1`,
+        // Why only there: a proxy beside an agent finds it without them.
+        ...(alone.some((one) => one.name === name) ? { seeds: fleet.keepers.seeds } : {}),
         engineList: 'listed',
         cutsOldWeights: false,
         unsentIsFree: true,
@@ -355,9 +430,28 @@
   for (const { proxy } of proxies) proxy.start();
   await world.runUntil(() => fleet.settled(engineNames) && proxies.every(({ proxy }) => proxy.ready()), 20_000_000);
   await world.runFor(2_000_000);
+  fleet.keepers.network.linkBytesPerSecond = options.linkBytesPerSecond;
+  const bytesBefore = fleet.keepers.network.bytes;
   const answers = new Map<string, RushAnswer>();
   const waits: number[] = [];
   const hotIds = new Set<string>();
+  const short = (number: number): void => {
+    const handle = proxies[Math.floor(world.random.fraction() * proxies.length)];
+    const id = `s${seed}-${number}`;
+    const ignored: AnswerSink = {
+      begun: () => false,
+      gone: () => false,
+      whenGone: () => undefined,
+      head: () => undefined,
+      part: () => undefined,
+      end: () => undefined,
+      cut: () => undefined,
+      refuse: () => undefined,
+    };
+    handle?.process.enter(
+      () => void handle.proxy.handle(orderOf(id, handle, [{ name: `own-${id}`, size: shortTokens }]), ignored),
+    );
+  };
   const one = (number: number): void => {
     const { random } = world;
     const isHot = random.fraction() * 1000 < options.hotPerMille;
@@ -390,31 +484,17 @@
         answer.status = status;
       },
     };
-    handle.process.enter(
-      () =>
-        void handle.proxy.handle(
-          {
-            id,
-            method: 'POST',
-            path: '/v1/chat/completions',
-            key: 'key-open1-a',
-            contentType: '',
-            body: '',
-            arrivedMicroseconds: handle.process.clock.nowMicroseconds(),
-            model: 'long',
-            passed: { parts: `${prefix}:${sharedTokens},own${number}:${ownTokens}` },
-            parts: [
-              { name: prefix, size: sharedTokens },
-              { name: `own${number}`, size: ownTokens },
-            ],
-            promptTokens: sharedTokens + ownTokens,
-            mostTokens: events,
-            limitMicroseconds: 6_000_000,
-          },
-          sink,
-        ),
-    );
+    const parts = [
+      { name: prefix, size: sharedTokens },
+      { name: `own${number}`, size: ownTokens },
+    ];
+    handle.process.enter(() => void handle.proxy.handle(orderOf(id, handle, parts), sink));
   };
+  const shorts = options.seconds * options.shortPerSecond;
+  for (let number = 0; number < shorts; number += 1)
+    world.plan(Math.floor(((number + world.random.fraction()) * 1_000_000) / options.shortPerSecond), () =>
+      short(number),
+    );
   const pause = 1_000_000 / options.ordersPerSecond;
   const orders = options.seconds * options.ordersPerSecond;
   for (let number = 0; number < orders; number += 1)
@@ -435,7 +515,15 @@
     options.seconds * 1_000_000 + 10_000_000,
   );
   await world.runFor(2_000_000);
-  return outcomeOf(engines.runs, answers, hotIds, waits);
+  const results = ['placed', 'silent', 'declined', 'resting', 'unknown'];
+  const deskWords = Object.fromEntries(
+    results.map((result) => [
+      result,
+      proxies.reduce((sum, { proxy }) => sum + proxy.metrics.value('postdrum_desk_words_total', { result }), 0),
+    ]),
+  );
+  const bytesPerSecond = Math.round((fleet.keepers.network.bytes - bytesBefore) / options.seconds);
+  return { ...outcomeOf(engines.runs, answers, hotIds, waits), deskWords, bytesPerSecond };
 };
 
 const outcomeOf = (
@@ -443,7 +531,7 @@
   answers: ReadonlyMap<string, RushAnswer>,
   hotIds: ReadonlySet<string>,
   waits: readonly number[],
-): RushOutcome => {
+): Omit<RushOutcome, 'deskWords' | 'bytesPerSecond'> => {
   const all = [...answers.values()];
   const rebuilt = runs.filter(({ again }) => again);
   const hotRebuilt = rebuilt.filter(({ id }) => hotIds.has(id));
@@ -462,6 +550,7 @@
     answeredTwice: all.filter(({ ends }) => ends > 1).length,
     unasked: runs.filter(({ id }) => !answers.has(id)).length,
     refused: all.filter(({ whole }) => !whole).length,
+    lateP50Microseconds: sorted[Math.floor(sorted.length / 2)] ?? 0,
     lateP90Microseconds: sorted[Math.floor(sorted.length * 0.9)] ?? 0,
   };
 };
