Changes of a document are sent since any text of late that both sides have had

What callers saw: after changes in quick succession single proxies went on with an old configuration, or answered 401 for an added key, for over 2.5 s. Cause: an agent could send what changed only since texts that it had sent itself. One that skipped a revision sent the whole document, in parts as small as 4 kB on a busy link, to each proxy that had applied just that one. Now every applied text is kept, and a receiver names the last ones that it had.

--- a/source/shared/freshness/bodies.ts
+++ b/source/shared/freshness/bodies.ts
@@ -31,11 +31,19 @@
   }
 };
 
-type Kept = Readonly<{ key: DocumentKey; digest: string; text: string; packed: Uint8Array }>;
+type Kept = { readonly key: DocumentKey; readonly digest: string; readonly text: string; packed?: Uint8Array };
+const packedOf = (kept: Kept): Uint8Array => (kept.packed ??= pack(kept.text));
+
+const shorter = (text: Kept, before: Kept): Shipment => {
+  const delta = pack(JSON.stringify(TextDeltas.between(before.text, text.text)));
+  const packed = packedOf(text);
+  return delta.length < packed.length ? { base: before.digest, packed: delta } : { base: '', packed };
+};
+
 /** `before`: the text that the receiver has; what is shipped may build on none all the same. */
 type KeptShipment = Readonly<{ digest: string; before: string; shipment: Shipment }>;
 
-/** Packs each text once, however many ask for it. */
+/** Keeps the texts of late, so that others can be sent what changed since, and packs each once, however many ask for it. */
 export class BodyPacker {
   private kept: readonly Kept[] = [];
   private shipments: readonly KeptShipment[] = [];
@@ -43,41 +51,51 @@
   public sent(body: Body): SentBody {
     if (body.text.length < leastPackedLength) return body;
     const { key, revision, digest } = body;
-    return { key, revision, digest, packed: this.packed(body) };
+    return { key, revision, digest, packed: packedOf(this.keep(body)) };
   }
 
-  /** A text that was sent lately, to one that has the text of digest `base`; undefined: it is not kept any more. */
-  public shipment(digest: string, base: string): Shipment | undefined {
+  /** Keeps a text that is applied, among the last ones of its key. Short ones travel whole. */
+  public keep({ key, digest, text }: Pick<Body, 'key' | 'digest' | 'text'>): Kept {
+    const found = this.find(digest);
+    if (found !== undefined) return found;
+    const kept: Kept = { key, digest, text };
+    if (text.length < leastPackedLength) return kept;
+    // Why apart by key: the list of engines changes far more often, and would drive the configuration's texts out.
+    const same = this.kept.filter((item) => item.key === key).slice(0, mostKept - 1);
+    this.kept = [kept, ...same, ...this.kept.filter((item) => item.key !== key)];
+    return kept;
+  }
+
+  /**
+   * A text of late, to one that has the texts of the digests `bases`, the preferred one first; undefined: it is not kept any more.
+   */
+  public shipment(digest: string, bases: readonly string[]): Shipment | undefined {
     const text = this.find(digest);
     if (text === undefined) return undefined;
-    const before = this.find(base);
-    if (before === undefined || base === digest) return { base: '', packed: text.packed };
-    const known = this.shipments.find((item) => item.digest === digest && item.before === base);
+    const before = bases.includes(digest) ? undefined : this.firstOf(bases);
+    if (before === undefined) return { base: '', packed: packedOf(text) };
+    const known = this.shipments.find((item) => item.digest === digest && item.before === before.digest);
     if (known !== undefined) return known.shipment;
-    const shipment = this.shorter(text, before);
-    this.shipments = [{ digest, before: base, shipment }, ...this.shipments].slice(0, mostKeptShipments);
+    const shipment = shorter(text, before);
+    this.shipments = [{ digest, before: before.digest, shipment }, ...this.shipments].slice(0, mostKeptShipments);
     return shipment;
   }
 
-  private shorter(text: Kept, before: Kept): Shipment {
-    const delta = pack(JSON.stringify(TextDeltas.between(before.text, text.text)));
-    return delta.length < text.packed.length
-      ? { base: before.digest, packed: delta }
-      : { base: '', packed: text.packed };
+  /** Texts of one key that are kept, the latest first. */
+  public texts(key: DocumentKey): readonly Readonly<{ digest: string; text: string }>[] {
+    return this.kept.filter((item) => item.key === key);
   }
 
-  private find(digest: string): Kept | undefined {
-    return this.kept.find((item) => item.digest === digest);
+  private firstOf(digests: readonly string[]): Kept | undefined {
+    for (const digest of digests) {
+      const found = this.find(digest);
+      if (found !== undefined) return found;
+    }
+    return undefined;
   }
 
-  private packed({ key, digest, text }: Body): Uint8Array {
-    const found = this.find(digest);
-    if (found !== undefined) return found.packed;
-    const packed = pack(text);
-    // Why apart by key: the list of engines changes far more often, and would drive the configuration's texts out.
-    const same = this.kept.filter((item) => item.key === key).slice(0, mostKept - 1);
-    this.kept = [{ key, digest, text, packed }, ...same, ...this.kept.filter((item) => item.key !== key)];
-    return packed;
+  private find(digest: string): Kept | undefined {
+    return this.kept.find((item) => item.digest === digest);
   }
 }
 
--- a/source/shared/freshness/bodyParts.ts
+++ b/source/shared/freshness/bodyParts.ts
@@ -3,7 +3,7 @@
  * each receiver at a time, whatever a document's length, and parts get smaller where they are slow: short news get through beside
  * it, no part takes longer than the patience with it, and what has come is kept when the sender changes.
  */
-import { isDocumentKey, type DocumentKey } from '../blueprint/types';
+import type { DocumentKey } from '../blueprint/types';
 import type { Clock } from '../effects/clock/clock';
 import type { Message, Transport } from '../effects/transport/transport';
 import { AnswerPace, type PaceBounds } from '../pace/answerPace';
@@ -32,6 +32,9 @@
   bytes: Uint8Array;
 }>;
 
+/** Texts that a receiver names for the sender to build on. */
+const mostBases = 8;
+
 const isPart = (message: Message): boolean => {
   const { kind, digest, base, from, total, bytes } = message as Partial<BodyPart>;
   return (
@@ -51,12 +54,18 @@
 const partSizeFor = ({ mostBytes }: Message): number =>
   typeof mostBytes === 'number' && mostBytes >= 1 ? Math.min(partPace.most, mostBytes) : partBytes;
 
+/** Digests of the texts that a receiver has: what it applies, and what it applied before. */
+const basesIn = ({ base, earlier }: Message): readonly string[] =>
+  [base, ...(Array.isArray(earlier) ? (earlier as readonly unknown[]).slice(0, mostBases) : [])].filter(
+    (digest) => typeof digest === 'string' && digest !== '',
+  ) as readonly string[];
+
 export const BodyParts = {
   /** The part of a document that was asked for; `noBody` where this daemon does not have that text any more. */
   answer: (freshness: Freshness, message: Message): Message => {
-    const { key, digest, base, from } = message;
-    if (!isDocumentKey(key) || typeof digest !== 'string' || !isPlace(from)) return { kind: 'noBody' };
-    const shipment = freshness.shipment(key, digest, typeof base === 'string' ? base : '');
+    const { digest, from } = message;
+    if (typeof digest !== 'string' || !isPlace(from)) return { kind: 'noBody' };
+    const shipment = freshness.shipment(digest, basesIn(message));
     if (shipment === undefined) return { kind: 'noBody' };
     const { packed } = shipment;
     const bytes = packed.subarray(from, from + partSizeFor(message));
@@ -80,13 +89,11 @@
 type Transfer = Readonly<{
   of: Lacking;
   begunMicroseconds: number;
-  /** The text that the sender may build on: what was applied here when the transfer began. */
-  before: Readonly<{ digest: string; text: string }>;
+  /** The texts that the sender may build on: what was applied here when the transfer began, and before that. */
+  before: readonly Readonly<{ digest: string; text: string }>[];
   parts: BodyPart[];
 }>;
 
-const noText = { digest: '', text: '' };
-
 const lengthOf = (parts: readonly BodyPart[]): number => parts.reduce((sum, { bytes }) => sum + bytes.length, 0);
 
 type Revisions = Readonly<Partial<Record<DocumentKey, number>>>;
@@ -142,7 +149,7 @@
 
   private transferOf(of: Lacking): Transfer {
     const begunMicroseconds = this.clock.nowMicroseconds();
-    this.open ??= { of, begunMicroseconds, before: this.freshness.applied(of.key) ?? noText, parts: [] };
+    this.open ??= { of, begunMicroseconds, before: this.freshness.lateTexts(of.key), parts: [] };
     return this.open;
   }
 
@@ -151,8 +158,8 @@
     const { of, before, parts } = transfer;
     const from = lengthOf(parts);
     // Why whole after a delta that made no sense: its base may be another text than the one here.
-    const base = this.wholeOnly === of.digest ? '' : before.digest;
-    const ask = { kind: 'bodyPart', key: of.key, digest: of.digest, base, from, mostBytes: this.pace.amount };
+    const [base = '', ...earlier] = this.wholeOnly === of.digest ? [] : before.map(({ digest }) => digest);
+    const ask = { kind: 'bodyPart', key: of.key, digest: of.digest, base, earlier, from, mostBytes: this.pace.amount };
     const asked = this.clock.nowMicroseconds();
     const answer = await this.transport.ask(address, ask, partLimitMicroseconds);
     if (answer.kind !== 'answered') {
@@ -195,7 +202,8 @@
   }
 
   private give({ of, before, parts }: Transfer, base: string): boolean {
-    const text = Bodies.shippedText({ base, packed: Buffer.concat(parts.map(({ bytes }) => bytes)) }, before.text);
+    const packed = Buffer.concat(parts.map(({ bytes }) => bytes));
+    const text = Bodies.shippedText({ base, packed }, before.find(({ digest }) => digest === base)?.text ?? '');
     const isGiven = text !== undefined && this.freshness.give({ ...of, text });
     this.wholeOnly = isGiven ? '' : of.digest;
     return isGiven;
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -165,12 +165,16 @@
   }
 
   /**
-   * What to send of a document that is applied, or was lately, to one that has the text of digest `base`; undefined: it is not
+   * What to send of a document that is applied, or was lately, to one that has the texts of these digests; undefined: it is not
    * here, or too short to be packed.
    */
-  public shipment(key: DocumentKey, digest: string, base: string): Shipment | undefined {
-    if (this.keys[key].applied?.digest === digest) this.sent(key);
-    return this.packer.shipment(digest, base);
+  public shipment(digest: string, bases: readonly string[]): Shipment | undefined {
+    return this.packer.shipment(digest, bases);
+  }
+
+  /** Long texts of a key that are or were applied here of late, the latest first. */
+  public lateTexts(key: DocumentKey): readonly Readonly<{ digest: string; text: string }>[] {
+    return this.packer.texts(key);
   }
 
   /** Whether a body of this revision would be applied. */
@@ -230,7 +234,10 @@
   }
 
   public give(body: SentBody): boolean {
-    return this.keys[body.key].give(body);
+    const isGiven = this.keys[body.key].give(body);
+    const applied = isGiven ? this.applied(body.key) : undefined;
+    if (applied !== undefined) this.packer.keep(applied);
+    return isGiven;
   }
 
   public statements(): readonly Statement[] {
