Engines kept for short requests are as many as their work needs where proxies choose by old news

What callers saw: short requests late while new weights were loaded. Cause: engines are kept for short requests by their part of all work, and when long requests have all to be read again that part shrinks while short ones are as many as before. Among many proxies these engines now work at most 45% of their time.

--- a/source/edge-proxy/placement/byWork.ts
+++ b/source/edge-proxy/placement/byWork.ts
@@ -93,8 +93,7 @@
   if (members.length <= count) return members;
   const left = [...members];
   const drawn: Member[] = [];
-  while (drawn.length < count)
-    drawn.push(...left.splice(Math.floor(random.fraction() * left.length), 1));
+  while (drawn.length < count) drawn.push(...left.splice(Math.floor(random.fraction() * left.length), 1));
   return drawn;
 };
 
@@ -104,7 +103,7 @@
  * all proxies until the next news of it. Engines kept for short requests and the others are drawn from apart, so that both are compared.
  */
 const comparedBy = (offers: readonly Offer[], proxies: number, random: Random): readonly Offer[] => {
-  if (proxies <= promptProxies) return offers;
+  if (!ByWork.isByOldNews(proxies)) return offers;
   const part = (promptProxies / proxies) ** 2;
   return [true, false].flatMap((lane) => {
     const group = offers.filter((offer) => offer.lane === lane);
@@ -114,6 +113,9 @@
 
 /** Which engine an order of named parts goes to: the one whose answer begins soonest, all costs counted as time. */
 export const ByWork = {
+  /** Whether so many proxies know each other's load too late for short orders. */
+  isByOldNews: (proxies: number): boolean => proxies > promptProxies,
+
   cost: (offer: Offer, demand: Demand, home: string | undefined, settings: WorkPlacementSettings): number => {
     const { work, toRead, tokensPerMillisecond } = offer;
     const reading = ((work.reading + toRead) * 1000) / tokensPerMillisecond;
--- a/source/edge-proxy/placement/lanes.ts
+++ b/source/edge-proxy/placement/lanes.ts
@@ -11,6 +11,13 @@
   headroomPerMille: number;
   /** Work of one token that is put out, where an engine runs one order alone. */
   outputMicroseconds: number;
+  /**
+   * The part of their time, in per mille, that engines kept for short orders work at the most, where proxies choose by old news of each
+   * other; 0: not bounded.
+   */
+  busyPerMille: number;
+  /** Of all engines so many are kept for short orders at the most, in per mille, to keep that bound. */
+  mostPerMille: number;
 }>;
 
 export const LaneSettings = {
@@ -19,6 +26,8 @@
     lookBackMicroseconds: 6_000_000,
     headroomPerMille: 700,
     outputMicroseconds: 4_000,
+    busyPerMille: 450,
+    mostPerMille: 500,
   } satisfies LaneSettings,
 } as const;
 
@@ -74,18 +83,35 @@
     );
   }
 
-  /** The engines kept for short orders; none while there is nothing to keep apart. `others`: the mix of all other proxies. */
-  public of(service: string, engines: readonly string[], others: WorkMix = noMix): ReadonlySet<string> {
+  /**
+   * The engines kept for short orders; none while there is nothing to keep apart. `others`: the mix of all other proxies. `isByOldNews`:
+   * proxies choose among these engines by old news of each other, so that more room is needed.
+   */
+  public of(
+    service: string,
+    engines: readonly string[],
+    others: WorkMix = noMix,
+    isByOldNews = false,
+  ): ReadonlySet<string> {
     const own = this.faded(service);
     const short = own.short + others[0] * toldMicroseconds;
     const long = own.long + others[1] * toldMicroseconds;
     const isOff = this.settings.headroomPerMille === 0;
     if (isOff || engines.length < 2 || short === 0 || long === 0) return new Set();
     const part = (short / (short + long)) * (this.settings.headroomPerMille / 1000);
-    const count = Math.min(engines.length - 1, Math.max(1, Math.round(engines.length * part)));
+    const least = isByOldNews ? this.leastFor(short, engines.length) : 1;
+    const count = Math.min(engines.length - 1, Math.max(least, Math.round(engines.length * part)));
     return new Set(this.ordered(service, engines).slice(0, count));
   }
 
+  /** Engines that short orders need, by the work of them that is looked back at. */
+  private leastFor(shortMicroseconds: number, engines: number): number {
+    const { busyPerMille, mostPerMille, lookBackMicroseconds } = this.settings;
+    if (busyPerMille === 0) return 1;
+    const needed = Math.ceil((shortMicroseconds * 1000) / (lookBackMicroseconds * busyPerMille));
+    return Math.max(1, Math.min(needed, Math.floor((engines * mostPerMille) / 1000)));
+  }
+
   private ordered(service: string, engines: readonly string[]): readonly string[] {
     const of = engines.join(' ');
     const known = this.orders.get(service);
--- a/source/edge-proxy/placement/workPlacer.ts
+++ b/source/edge-proxy/placement/workPlacer.ts
@@ -45,6 +45,7 @@
       mapping.service,
       candidates.map(({ name }) => name),
       this.view.others.mix(mapping.service),
+      ByWork.isByOldNews(this.view.proxies()),
     );
     const prompt = order.promptTokens ?? (order.parts ?? []).reduce((sum, { size }) => sum + size, 0);
     const books = new Map<string, Kept>();
