Long answers between daemons are deflated, so that news fits the links of agents

What callers saw: long requests of a large fleet late from its first seconds on, and refused once new weights are named; proxies acting by configurations that are seconds old. Cause: three agents a zone feed all its proxies, 13 each among 195. What is said amounts to some 73 kB/s a proxy, loads and index entries above all, together more than the 875 kB/s that an agent's link carries. The word of the work queue, a few bytes, waits behind it for longer than the 60 ms that a proxy waits, so most long requests are placed by proxies that do not know of each other's, and wait at engines that others chose too; news that an engine is about to change its weights is late as well. Why it works: five sixths of the bytes are answers to asks for news, and their text repeats; deflated they are a fifth, for some 50 us each. An ask says that its asker takes answers so; one of an earlier build does not, and gets them as before. Answers under 1 kB stay as they are, and what inflates beyond the bound of a message is refused.

--- a/source/fleet-simulator/world/simNetwork.ts
+++ b/source/fleet-simulator/world/simNetwork.ts
@@ -1,6 +1,5 @@
-import { pack, unpack } from 'msgpackr';
 import type { Answer, Handler, Listener, Message, Transport } from '../../shared/effects/transport/transport';
-import { Messages } from '../../shared/effects/transport/transport';
+import { Payloads } from '../../shared/effects/transport/payloads';
 import { SimProcess } from './simProcess';
 import type { World } from './world';
 
@@ -130,7 +129,7 @@
         resolve(answer);
       };
       const cancel = asker.clock.after(limitMicroseconds, () => settle({ kind: 'silent', reason: 'limit passed' }));
-      const packed = pack(message);
+      const packed = Payloads.ofAsk(message);
       this.messages += 1;
       this.bytes += packed.length;
       const machine = this.machineOf(address);
@@ -142,20 +141,15 @@
         if (found === undefined) return silent('conn refused');
         found.process.whenDead(() => silent('conn closed'));
         found.process.enter(() => {
-          const heard = unpack(packed) as Message;
+          const heard = Payloads.read(packed);
           found.handler(heard).then(
             (answer) => {
               if (!found.process.alive) return;
-              const packedAnswer = pack(answer);
+              const packedAnswer = Payloads.ofAnswer(answer, heard);
               this.bytes += packedAnswer.length;
               const arrive = (): void =>
                 asker.enter(() => {
-                  const value: unknown = unpack(packedAnswer);
-                  settle(
-                    Messages.is(value)
-                      ? { kind: 'answered', message: value }
-                      : { kind: 'silent', reason: 'not a message' },
-                  );
+                  settle({ kind: 'answered', message: Payloads.read(packedAnswer) });
                 });
               this.carry(found.process.machine, asker.machine, arrive, undefined, packedAnswer.length);
             },
--- a/source/shared/effects/transport/tcpTransport.ts
+++ b/source/shared/effects/transport/tcpTransport.ts
@@ -1,16 +1,8 @@
 import net from 'node:net';
-import { pack, unpack } from 'msgpackr';
 import type { Clock, Cancel } from '../clock/clock';
 import { FrameReader, Framing } from './framing';
-import {
-  Messages,
-  TransportLimits,
-  type Answer,
-  type Handler,
-  type Listener,
-  type Message,
-  type Transport,
-} from './transport';
+import { Payloads } from './payloads';
+import { TransportLimits, type Answer, type Handler, type Listener, type Message, type Transport } from './transport';
 
 type Open = Readonly<{ settle: (answer: Answer) => void; cancel: Cancel }>;
 
@@ -63,7 +55,7 @@
         if (this.heardMicroseconds < askedMicroseconds) this.closeIfDead();
       });
       this.open.set(number, { settle, cancel });
-      for (const part of Framing.split('ask', number, pack(message))) this.socket.write(part);
+      for (const part of Framing.split('ask', number, Payloads.ofAsk(message))) this.socket.write(part);
     });
   }
 
@@ -85,9 +77,7 @@
   }
 
   private answered(number: number, bytes: Buffer): void {
-    const message: unknown = unpack(bytes);
-    if (!Messages.is(message)) throw new Error('not a message');
-    this.open.get(number)?.settle({ kind: 'answered', message });
+    this.open.get(number)?.settle({ kind: 'answered', message: Payloads.read(bytes) });
   }
 }
 
@@ -168,11 +158,10 @@
     try {
       // Why a bound: one asker must not pile up work here.
       if (open > TransportLimits.openAsks) throw new Error('too many open asks');
-      const message: unknown = unpack(bytes);
-      if (!Messages.is(message)) throw new Error('not a message');
+      const message = Payloads.read(bytes);
       const answer = await handler(message);
       // Why wait between parts: a short answer must get through while a long one fills a thin link.
-      for (const part of Framing.split('answer', number, pack(answer)))
+      for (const part of Framing.split('answer', number, Payloads.ofAnswer(answer, message)))
         if (!socket.destroyed && !socket.write(part)) await drained(socket);
     } catch {
       socket.destroy();
