A proxy refuses no key or path by a configuration older than the bound on changes

What callers saw: 401 for keys and 404 for paths that a confirmed configuration had added, for as long as the proxy that they met had not taken it in. Cause: where no out-of-touch bound is promised a proxy acts on a configuration of any age, and refused by it as well. Change: beyond the time within which a confirmed change must be in force a proxy answers 503 with a time to come back instead; what its configuration allows goes on. The bound is exact: a configuration younger than it was confirmed after every change that a request sent by now may count on.

--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -61,6 +61,8 @@
   /** `listed`: something outside the fleet keeps the list of engines, and its age makes nobody refuse. */
   engineList?: 'kept' | 'listed';
   freshMicroseconds: number;
+  /** Beyond this age of the blueprint no order is refused for a key or path that it does not name. */
+  denialMicroseconds: number;
   feedMicroseconds: number;
   feedAskMicroseconds: number;
   notesMicroseconds: number;
@@ -113,6 +115,7 @@
   seeds: [],
   isOnlyFleet: false,
   freshMicroseconds: 1_500_000,
+  denialMicroseconds: Infinity,
   feedMicroseconds: 60_000,
   feedAskMicroseconds: 500_000,
   notesMicroseconds: 15_000,
@@ -151,6 +154,7 @@
  */
 const changeable = [
   'freshMicroseconds',
+  'denialMicroseconds',
   'weightsCutMicroseconds',
   'retryPerMille',
   'retryFleetAllowance',
@@ -202,7 +206,13 @@
     this.log = Logs.part(`proxy:${settings.name}`);
     this.freshness = new Freshness(clock, dialect, settings.engineList);
     this.pulses = new Pulses(clock);
-    this.fence = new Fence(this.freshness, clock, settings.freshMicroseconds, settings.weightsCutMicroseconds);
+    this.fence = new Fence(
+      this.freshness,
+      clock,
+      settings.freshMicroseconds,
+      settings.weightsCutMicroseconds,
+      settings.denialMicroseconds,
+    );
     this.identifier = new Identifier(this.fence, settings.retryAfterSeconds);
     this.view = new EngineView(
       settings.name,
@@ -402,7 +412,11 @@
   public settingsAre(given: ProxySettings): void {
     const change = SettingsChanges.of(this.settings, given, changeable);
     this.settings = change.settings;
-    this.fence.boundsAre(this.settings.freshMicroseconds, this.settings.weightsCutMicroseconds);
+    this.fence.boundsAre(
+      this.settings.freshMicroseconds,
+      this.settings.weightsCutMicroseconds,
+      this.settings.denialMicroseconds,
+    );
     for (const budget of this.budgets.values()) budget.settingsAre(this.budgetSettings());
     this.seedContacts.seedsAre(this.settings.seeds);
     const sentence = SettingsChanges.sentence(change);
--- a/source/edge-proxy/fence/fence.ts
+++ b/source/edge-proxy/fence/fence.ts
@@ -13,18 +13,30 @@
     /** Beyond this age nothing is taken; Infinity: what is known is acted on, however old. */
     private freshMicroseconds: number,
     private weightsCutMicroseconds: number = WeightsClocks.cutMicroseconds,
+    /** Beyond this age a key or path that is not known may have been added meanwhile. */
+    private denialMicroseconds: number = Infinity,
   ) {}
 
   /** Other bounds than those at the start; they count for whatever is asked next. */
-  public boundsAre(freshMicroseconds: number, weightsCutMicroseconds: number): void {
+  public boundsAre(
+    freshMicroseconds: number,
+    weightsCutMicroseconds: number,
+    denialMicroseconds: number = Infinity,
+  ): void {
     this.freshMicroseconds = freshMicroseconds;
     this.weightsCutMicroseconds = weightsCutMicroseconds;
+    this.denialMicroseconds = denialMicroseconds;
   }
 
   public fresh(): boolean {
     return this.freshness.ageMicroseconds() < this.freshMicroseconds;
   }
 
+  /** Whether what the applied blueprint does not allow is certain not to be allowed. */
+  public mayDeny(): boolean {
+    return this.fresh() && this.freshness.ageMicroseconds() < this.denialMicroseconds;
+  }
+
   public get blueprint(): Blueprint | undefined {
     return this.freshness.blueprint;
   }
--- a/source/edge-proxy/fence/identify.ts
+++ b/source/edge-proxy/fence/identify.ts
@@ -91,13 +91,18 @@
   ): Readonly<{ kind: 'tenant'; tenant: string }> | Readonly<{ kind: 'refuse'; refusal: Refusal }> {
     if (!this.fence.fresh()) return { kind: 'refuse', refusal: this.notFresh() };
     if (this.fence.blueprint?.keyed === false) return { kind: 'tenant', tenant: '' };
-    if (key === '') return { kind: 'refuse', refusal: Refusals.make(401, 'notRun', 'noKey', 'A key is needed.') };
+    if (key === '') return this.denied(Refusals.make(401, 'notRun', 'noKey', 'A key is needed.'));
     const tenant = this.present()?.tenants.get(key);
     return tenant === undefined
-      ? { kind: 'refuse', refusal: Refusals.make(401, 'notRun', 'unknownKey', 'This key is not known.') }
+      ? this.denied(Refusals.make(401, 'notRun', 'unknownKey', 'This key is not known.'))
       : { kind: 'tenant', tenant };
   }
 
+  /** A newer blueprint than the one that is known may allow it: then the order is told to come again instead. */
+  private denied(refusal: Refusal): Readonly<{ kind: 'refuse'; refusal: Refusal }> {
+    return { kind: 'refuse', refusal: this.fence.mayDeny() ? refusal : this.notFresh() };
+  }
+
   /** Before the body is read: a refusal that no body could change. */
   public refusedAtHead(head: OrderHead): Refusal | undefined {
     const named = this.fence.fresh() ? this.mappingOf(head, head.model ?? '') : undefined;
@@ -134,10 +139,7 @@
       mapping === undefined ||
       service === undefined
     )
-      return {
-        kind: 'refuse',
-        refusal: Refusals.make(404, 'notRun', 'noMapping', 'Nothing is mapped to this path and model.'),
-      };
+      return this.denied(Refusals.make(404, 'notRun', 'noMapping', 'Nothing is mapped to this path and model.'));
     const walled = of?.walled ?? tenant.tenant !== '';
     return {
       kind: 'resolved',
--- a/source/edge-proxy/fleetBounds.ts
+++ b/source/edge-proxy/fleetBounds.ts
@@ -4,6 +4,8 @@
 export type FleetBounds = Readonly<{
   /** A proxy out of touch with the core may go on for so long on what it knows; undefined: as long as it is. */
   outOfTouchMicroseconds: number | undefined;
+  /** A confirmed change of the configuration is in force everywhere within so long. */
+  changeMicroseconds: number;
   /** After so long from being named no order begins on the weights before. */
   weightsMicroseconds: number;
   /** Sends past the first of each order, as a part of the orders in any window, and so many besides. */
@@ -32,6 +34,7 @@
       bounds.outOfTouchMicroseconds === undefined
         ? Infinity
         : Math.max(0, bounds.outOfTouchMicroseconds - outOfTouchMargin),
+    denialMicroseconds: bounds.changeMicroseconds,
     weightsCutMicroseconds: Math.max(bounds.weightsMicroseconds / 2, bounds.weightsMicroseconds - weightsMargin),
     retryPerMille: Math.floor(bounds.retryRatio * 1000 * ratioUsed),
     // Why less than half: in one window a part kept for later and the part that comes in may both be spent.
--- a/tests/mechanisms.test.ts
+++ b/tests/mechanisms.test.ts
@@ -5,6 +5,7 @@
 
 const bounds = {
   outOfTouchMicroseconds: undefined,
+  changeMicroseconds: 2_000_000,
   weightsMicroseconds: 12_000_000,
   retryRatio: 0.2,
   retrySlack: 100,
