A held order gets its final answer when its route's timeout or its caller's deadline is over

What callers saw: with no room at the engines a request on a route with a short timeout was held for as long as the longest timeout of all routes, since the limit of holding is that of its class, and all classes carry the longest one. Change: the limit of an order in all (OrderLimits) bounds its holding as well as its sends; what is hoped for from the retry budget is bounded by it too.

--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -37,6 +37,7 @@
 import { OutlierDetector } from './outliers/outlierDetector';
 import { OutlierSettings } from './outliers/outlierSettings';
 import type { AnswerSink, Order } from './path/order';
+import { OrderLimits } from './path/orderLimits';
 import { Pipeline } from './path/pipeline';
 import { WorkPlacementSettings } from './placement/byWork';
 import { EngineView } from './placement/engineView';
@@ -296,7 +297,10 @@
       logRead: Logs.isOn('reads') ? Logs.part('reads') : undefined,
       budgetOf: (service) => this.budgetOf(service),
       holdingLeft: ({ order, resolved }) =>
-        this.desk.holdingLeft(resolved?.mapping.class ?? '', order.arrivedMicroseconds),
+        this.desk.holdingLeft(resolved?.mapping.class ?? '', {
+          arrivedMicroseconds: order.arrivedMicroseconds,
+          limitMicroseconds: OrderLimits.of(order, resolved?.mapping),
+        }),
       tell: (notes) => this.notes.tell(notes),
       mostSends: settings.mostSends,
       stillGood: (fetch) => planner.stillGood(fetch),
--- a/source/edge-proxy/holding/takeDesk.ts
+++ b/source/edge-proxy/holding/takeDesk.ts
@@ -16,6 +16,8 @@
   className: string;
   tenant: string;
   arrivedMicroseconds: number;
+  /** How long it may take in all, by its route and its caller; missing: as long as its class may be held. */
+  limitMicroseconds?: number;
   /** It was held before and lost its place to no fault of its own: it goes to the front. */
   turnKept: boolean;
   whenGone: (act: () => void) => void;
@@ -100,7 +102,7 @@
     if (full !== undefined) return Promise.resolve({ kind: 'refuse', refusal: full });
     return new Promise((resolve) => {
       // Why from its arrival: an order that was resolved anew or held again has used part of its time.
-      const left = this.holdingLeft(className, order.arrivedMicroseconds);
+      const left = this.holdingLeft(className, order);
       const held: Held = {
         order,
         settle: resolve,
@@ -136,18 +138,19 @@
           if (stands.kind === 'refuse') this.giveUp(desk, held, stands);
           else if (stands.kind === 'moved') this.giveUp(desk, held, movedAway);
           else {
-            const hopeless = held.order.hopeless(
-              this.holdingLeft(held.order.className, held.order.arrivedMicroseconds),
-            );
+            const hopeless = held.order.hopeless(this.holdingLeft(held.order.className, held.order));
             if (hopeless !== undefined) this.giveUp(desk, held, { kind: 'refuse', refusal: hopeless });
           }
         }
   }
 
-  /** How long an order that arrived then may still be held in that class. */
-  public holdingLeft(className: string, arrivedMicroseconds: number): number {
-    const limit = this.classesOf()[className]?.holdingLimitMicroseconds ?? 0;
-    return arrivedMicroseconds + limit - this.clock.nowMicroseconds();
+  /** How long an order may still be held in that class. */
+  public holdingLeft(
+    className: string,
+    { arrivedMicroseconds, limitMicroseconds = Infinity }: Pick<TakeOrder, 'arrivedMicroseconds' | 'limitMicroseconds'>,
+  ): number {
+    const classLimit = this.classesOf()[className]?.holdingLimitMicroseconds ?? 0;
+    return arrivedMicroseconds + Math.min(classLimit, limitMicroseconds) - this.clock.nowMicroseconds();
   }
 
   public heldCount(): number {
--- a/source/edge-proxy/holding/takePolicy.ts
+++ b/source/edge-proxy/holding/takePolicy.ts
@@ -1,6 +1,7 @@
 import type { Identifier } from '../fence/identify';
 import { Refusals } from '../../shared/verdict/verdict';
 import type { Policy } from '../path/order';
+import { OrderLimits } from '../path/orderLimits';
 import type { RetryBudget } from '../sends/retryBudget';
 import type { TakeDesk } from './takeDesk';
 
@@ -16,6 +17,7 @@
         className: resolved.mapping.class,
         tenant: resolved.tenant,
         arrivedMicroseconds: order.arrivedMicroseconds,
+        limitMicroseconds: OrderLimits.of(order, resolved.mapping),
         turnKept,
         whenGone: answer.whenGone,
         stillStands: () => identifier.stillStands(order, resolved),
--- a/source/edge-proxy/sends/runningSend.ts
+++ b/source/edge-proxy/sends/runningSend.ts
@@ -11,6 +11,7 @@
 import type { LinkSpeeds } from '../fetch/linkSpeeds';
 import type { PartMoves } from '../fetch/partMoves';
 import type { Context, Placed, Resolved, Step } from '../path/order';
+import { OrderLimits } from '../path/orderLimits';
 import type { DeskLink } from '../placement/deskLink';
 import type { EngineView } from '../placement/engineView';
 import type { ReadSpeeds } from '../placement/readSpeeds';
@@ -155,11 +156,7 @@
     const { service, mapping } = this.resolved;
     const { order } = this.context;
     const spent = this.parts.clock.nowMicroseconds() - order.arrivedMicroseconds;
-    return Math.min(
-      service.answerLimitMicroseconds,
-      ...(mapping.limitMicroseconds ? [mapping.limitMicroseconds - spent] : []),
-      ...(order.limitMicroseconds === undefined ? [] : [order.limitMicroseconds - spent]),
-    );
+    return Math.min(service.answerLimitMicroseconds, OrderLimits.of(order, mapping) - spent);
   }
 
   /** Called with every piece of news: an answer on weights whose time is over ends here, visibly. */
