A success without the seal of its engine or the id of its request never reaches a caller

What callers could see: an engine in trouble sends bytes that happen to be a sound HTTP answer; the proxy passed any 2xx on, with or without Postdrum-Server-Seal. Cause: the seal was one of the headers that are passed on, and nobody looked for it; an answer without an id counted as one whose protocol names none. Change: a head is read as lacking its seal where it is a success without either of the two, and then it is no answer: 502, or another engine where the request may run again, and its connection is not used again. Failures are passed on as before.

--- a/source/edge-proxy/sends/runningSend.ts
+++ b/source/edge-proxy/sends/runningSend.ts
@@ -244,12 +244,9 @@
     );
     this.meaning = meaning;
     // Why first: an answer to another order says nothing of this one, and may not be believed in anything.
-    if (meaning.orderId !== undefined && meaning.orderId !== this.context.order.id) {
-      this.step({ kind: 'failed' });
-      this.cutSend();
-      this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine gave an answer to another order.'));
-      return;
-    }
+    if (meaning.orderId !== undefined && meaning.orderId !== this.context.order.id)
+      return this.disbelieve('The engine gave an answer to another order.');
+    if (meaning.lacksSeal) return this.disbelieve('The engine gave an answer without its seal.');
     if (meaning.notRun !== undefined) {
       this.step({ kind: 'notRun' });
       this.parts.tell(this.fetch.notSent);
@@ -285,6 +282,13 @@
       );
   }
 
+  /** Nothing of this answer is passed on, and its conn carries no other one. */
+  private disbelieve(text: string): void {
+    this.step({ kind: 'failed' });
+    this.cutSend();
+    this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', text));
+  }
+
   /**
    * The engine's own word that it failed, where another engine may be asked instead. Where none may, the answer goes to
    * the caller as it is. Why not 504: its time was over, and so is the order's.
--- a/source/shared/back-end/ownWords.ts
+++ b/source/shared/back-end/ownWords.ts
@@ -17,6 +17,8 @@
     const took = Number(headers[BackEndHeaders.importMicroseconds] ?? Number.NaN);
     return {
       orderId: undefined,
+      // The instance that the answer names is looked at instead.
+      lacksSeal: false,
       notRun: headers[BackEndHeaders.notRun] === undefined ? undefined : 'busy',
       bootEpoch: headers[BackEndHeaders.bootEpoch],
       weights: headers[BackEndHeaders.weights],
--- a/source/shared/back-end/words.ts
+++ b/source/shared/back-end/words.ts
@@ -35,6 +35,8 @@
 export type HeadMeaning = Readonly<{
   /** The order that the answer says it belongs to; undefined where the protocol does not say. */
   orderId: string | undefined;
+  /** A success without the marks that every success of a back end bears: nobody can tell whose bytes these are. */
+  lacksSeal: boolean;
   /** Undefined: it ran, or may have. */
   notRun: NotRunReason | undefined;
   bootEpoch: string | undefined;
--- /dev/null
+++ b/tests/engine-answers.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { SendStage } from './support/sendStage';
+
+const sealed = { 'postdrum-request-id': 'r1', 'postdrum-server-seal': 'seal', 'content-type': 'text/event-stream' };
+const without = (name: keyof typeof sealed): Readonly<Record<string, string>> =>
+  Object.fromEntries(Object.entries(sealed).filter(([other]) => other !== name));
+
+describe('a success reaches the caller only with the seal of its engine and the id of its request', () => {
+  test('with both it is passed on', async () => {
+    const stage = new SendStage();
+    stage.head(200, sealed);
+    stage.part('id: 1\ndata: x\n\n');
+    await stage.end();
+    assert.equal(stage.step?.kind, 'done');
+    assert.equal(stage.caller.given?.headers['postdrum-server-seal'], 'seal');
+    assert.equal(stage.caller.text, 'id: 1\ndata: x\n\n');
+  });
+
+  for (const missing of ['postdrum-server-seal', 'postdrum-request-id'] as const)
+    test(`without ${missing} it is no answer: 502, its connection is not used again`, async () => {
+      const stage = new SendStage();
+      stage.head(200, without(missing));
+      stage.part('id: 1\ndata: x\n\n');
+      await stage.end();
+      assert.equal(stage.caller.begun(), false);
+      assert.equal(stage.cuts, 1);
+      assert.equal(
+        stage.step?.kind === 'refuse' ? `${stage.step.refusal.status} ${stage.step.refusal.verdict}` : '',
+        '502 mayHaveRun',
+      );
+    });
+
+  test('a failure without a seal is passed on as it came', async () => {
+    const stage = new SendStage();
+    stage.head(500, { 'postdrum-request-id': 'r1' });
+    stage.part('x');
+    await stage.end();
+    assert.equal(stage.caller.given?.status, 500);
+    assert.equal(stage.step?.kind, 'done');
+  });
+});
--- a/tests/support/rush.ts
+++ b/tests/support/rush.ts
@@ -91,6 +91,7 @@
   }),
   read: ({ headers, status }) => ({
     orderId: headers['order'],
+    lacksSeal: false,
     notRun: status === 421 ? 'otherWeights' : status === 503 ? 'busy' : undefined,
     bootEpoch: headers['boot'],
     weights: headers['weights'],
