A route whose retries are 0 sends an order to one engine

What callers could see: a request on a route with `retries` 0 ran on up to four engines, more than its route allows. Cause: 0 is the product's word for "not said", and the document's 0 was taken over as it was.

--- a/tests/dialect.test.ts
+++ b/tests/dialect.test.ts
@@ -112,6 +112,19 @@
     }
   });
 
+  test('retries: the most engines that one order may be sent to, and 0 is no word for as many as usual', () => {
+    for (const [retries, most] of [
+      [0, 1],
+      [1, 1],
+      [3, 3],
+      [undefined, 0],
+    ] as const) {
+      const text = changed((document) => Object.assign(document.routes[0] ?? {}, { retries }));
+      const { mappings } = blueprintOf(written(apply('', 'whole', text)));
+      assert.equal(mappings['r-long']?.mostSends, most, String(retries));
+    }
+  });
+
   test('without tenants no order needs a key', () => {
     const text = changed((document) => delete document['tenants']);
     assert.equal(blueprintOf(written(apply('', 'whole', text))).keyed, false);
