Engines are handed the route's timeout where the caller names no deadline

What engines saw: a request without Postdrum-Deadline-Ms came without one, though the proxy ends it at the route's timeoutMs; an engine that does not drop a request with its connection would work on. Cause: the header was written only where the caller had sent one. Change: what is left of the sooner of the two is named wherever there is one.

Test: engine-answers, "the route's where the caller names none", red before (no header), passes now; doors-words, policies, fleet-behaviour and back-ends pass whole.

--- a/source/edge-proxy/sends/runningSend.ts
+++ b/source/edge-proxy/sends/runningSend.ts
@@ -209,7 +209,7 @@
   private headers(): Readonly<Record<string, string>> {
     const { target, source, salt } = this.fetch;
     const { order } = this.context;
-    const { service, tenant, trustDomain } = this.resolved;
+    const { service, mapping, tenant, trustDomain } = this.resolved;
     return this.parts.words.write({
       orderId: order.id,
       contentType: order.contentType,
@@ -220,7 +220,7 @@
       model: service.kind === 'pool' ? service.model : '',
       weights: this.placed.weights,
       urgency: this.parts.urgencyOf(this.context),
-      leftMicroseconds: order.limitMicroseconds === undefined ? undefined : this.leftMicroseconds(),
+      leftMicroseconds: Number.isFinite(OrderLimits.of(order, mapping)) ? this.leftMicroseconds() : undefined,
       salt,
       target,
       source,
--- a/tests/engine-answers.test.ts
+++ b/tests/engine-answers.test.ts
@@ -40,3 +40,23 @@
     assert.equal(stage.step?.kind, 'done');
   });
 });
+
+describe('each send names a deadline, never later than what its caller and its route allow', () => {
+  const deadlineOf = (order: ConstructorParameters<typeof SendStage>[0]): string | undefined =>
+    new SendStage(order).sent?.headers['postdrum-deadline-ms'];
+
+  test("the caller's, or the route's where that is sooner", () => {
+    assert.equal(deadlineOf({ limitMicroseconds: 3_000_000, mapping: { limitMicroseconds: 6_000_000 } }), '3000');
+    assert.equal(deadlineOf({ limitMicroseconds: 6_000_000, mapping: { limitMicroseconds: 3_000_000 } }), '3000');
+    assert.equal(deadlineOf({ limitMicroseconds: 3_000_000 }), '3000');
+  });
+
+  test("the route's where the caller names none", () => {
+    assert.equal(deadlineOf({ mapping: { limitMicroseconds: 6_000_000 } }), '6000');
+  });
+
+  test('none where nobody names one', () => {
+    assert.equal(deadlineOf({}), undefined);
+    assert.equal(deadlineOf({ mapping: { limitMicroseconds: 0 } }), undefined);
+  });
+});
