A stopping proxy refuses what comes late and may outlast it

What callers could see: a request that arrived up to 5 s after a SIGTERM (graceS 8) was taken, and cut 7.7 s after the signal while its engine was at work: an answer that was read whole and passed on ended without being complete. Cause: while a stop listened it took everything. Change: 2.5 s into a stop, when whoever sends callers has noticed, a request whose deadline is later than the end of the stop is answered 503 with a time to come back, which a promise is; shorter ones are taken as before.

Test: doors-callers, "an order that comes late and may outlast it ...", red with the bound taken out (200 instead of 503), passes now; doors-callers and must-never-planned pass whole.

--- a/source/edge-proxy/door/callersDoor.ts
+++ b/source/edge-proxy/door/callersDoor.ts
@@ -93,9 +93,13 @@
   return headers;
 };
 
+/** When an order that a stopping proxy refuses may be sent again: at once, to another one. */
+const stoppingSeconds = 0.05;
+
 /** Reads orders from one listener and hands them to the proxy. */
 class Door {
   public readonly server: HttpServer;
+  private stop: Readonly<{ beganMicroseconds: number; plan: DrainPlan }> | undefined;
 
   public constructor(
     private readonly proxy: EdgeProxy,
@@ -111,6 +115,19 @@
     });
   }
 
+  public drain(plan: DrainPlan | undefined): Promise<void> {
+    if (plan !== undefined) this.stop = { beganMicroseconds: this.clock.nowMicroseconds(), plan };
+    return this.server.drain(plan, this.clock);
+  }
+
+  /** Whether an order that comes now may still run when a stop ends. */
+  private mayOutlastStop(limitMicroseconds: number | undefined): boolean {
+    const lastOrders = this.stop?.plan.lastOrders;
+    if (this.stop === undefined || lastOrders === undefined || limitMicroseconds === undefined) return false;
+    const passed = this.clock.nowMicroseconds() - this.stop.beganMicroseconds;
+    return passed > lastOrders.afterMicroseconds && passed + limitMicroseconds > lastOrders.endMicroseconds;
+  }
+
   private async take(order: IncomingMessage, response: ServerResponse): Promise<void> {
     const { proxy, words, clock } = this;
     const arrivedMicroseconds = clock.nowMicroseconds();
@@ -142,6 +159,9 @@
       if (body.status === undefined) return answer.cut();
       return refuse(Refusals.make(body.status, 'notRun', 'badBody', 'The body cannot be read.'), false);
     }
+    // Why after the body: its conn ends with this answer, and a caller that still writes would see a reset instead.
+    if (this.mayOutlastStop(read.order.limitMicroseconds))
+      return refuse(Refusals.make(503, 'notRun', 'stopping', 'This proxy stops.', stoppingSeconds));
     await proxy.handle(
       {
         ...read.order,
@@ -178,11 +198,12 @@
     options: Partial<DoorOptions> = {},
   ): Promise<CallersDoor> => {
     const bounds = new DoorLimits(limits, mostBodyBytes, options.limits ?? (() => undefined));
-    const { server } = new Door(proxy, bounds, options.words ?? ChatCallerWords, clock, random);
+    const door = new Door(proxy, bounds, options.words ?? ChatCallerWords, clock, random);
+    const { server } = door;
     await server.listen(address);
     return {
       address: server.address,
-      drain: (plan) => server.drain(plan, clock),
+      drain: (plan) => door.drain(plan),
       close: () => server.close(),
     };
   },
--- a/source/edge-proxy/proxyProgram.ts
+++ b/source/edge-proxy/proxyProgram.ts
@@ -35,6 +35,8 @@
 const quietMicroseconds = 1_200_000;
 const finishMicroseconds = 3_000_000;
 const lastMicroseconds = 300_000;
+/** By then whoever sends callers here has noticed, and an order taken later has no claim on the rest of the time. */
+const lastOrdersMicroseconds = 2_500_000;
 const otherFiles = 600;
 
 export const ProxyStops = {
@@ -42,15 +44,19 @@
    * How a proxy stops where callers are sent to it by somebody who notices late, and where it is killed after a time.
    * It listens until that one has noticed, and keeps enough of the time for finishing what was read.
    */
-  within: (graceMicroseconds: number): Readonly<{ drain: DrainPlan; stopLimitMicroseconds: number }> => ({
-    drain: {
-      leastMicroseconds: noticeMicroseconds,
-      quietMicroseconds,
-      mostMicroseconds: Math.max(graceMicroseconds - finishMicroseconds, graceMicroseconds / 2),
-      lateMicroseconds: 1_000_000,
-    },
-    stopLimitMicroseconds: Math.max(graceMicroseconds - lastMicroseconds, graceMicroseconds / 2),
-  }),
+  within: (graceMicroseconds: number): Readonly<{ drain: DrainPlan; stopLimitMicroseconds: number }> => {
+    const stopLimitMicroseconds = Math.max(graceMicroseconds - lastMicroseconds, graceMicroseconds / 2);
+    return {
+      drain: {
+        leastMicroseconds: noticeMicroseconds,
+        quietMicroseconds,
+        mostMicroseconds: Math.max(graceMicroseconds - finishMicroseconds, graceMicroseconds / 2),
+        lateMicroseconds: 1_000_000,
+        lastOrders: { afterMicroseconds: lastOrdersMicroseconds, endMicroseconds: stopLimitMicroseconds },
+      },
+      stopLimitMicroseconds,
+    };
+  },
 } as const;
 
 export const ProxyConns = {
--- a/source/shared/http/httpServer.ts
+++ b/source/shared/http/httpServer.ts
@@ -15,6 +15,8 @@
   mostMicroseconds: number;
   /** Conns that have sent no whole order so long after that are closed. */
   lateMicroseconds: number;
+  /** Orders that come late in a stop, and may not be over when it ends, are refused; missing: all are taken. */
+  lastOrders?: Readonly<{ afterMicroseconds: number; endMicroseconds: number }>;
 }>;
 
 export const DrainPlans = {
--- a/tests/doors-callers.test.ts
+++ b/tests/doors-callers.test.ts
@@ -406,6 +406,37 @@
     await assert.rejects(stage.caller());
   });
 
+  test('an order that comes late and may outlast it is told to go elsewhere; one that may not is answered', async (context) => {
+    const stage = await Stage.open(say('ok'));
+    // A door that is left open holds the whole file up when this test fails.
+    context.after(() => stage.door.close());
+    const kept = await stage.caller();
+    const within = (milliseconds: number): string => `postdrum-deadline-ms: ${milliseconds}\r\ncontent-length: 0`;
+    kept.write(head(1, within(6000)));
+    await kept.until((text) => text.endsWith('ok'));
+    const drained = stage.door.drain(drain);
+    const statusAt = async (microseconds: number, milliseconds: number): Promise<number | undefined> => {
+      stage.clock.pass(microseconds);
+      await turns();
+      const caller = await stage.caller();
+      caller.write(head(`${microseconds}`, within(milliseconds)));
+      await caller.until(() => false);
+      assert.match(caller.text, /connection: close/i);
+      return caller.statuses()[0];
+    };
+    assert.equal(await statusAt(2_000_000, 6000), 200, 'whoever sends callers has not noticed yet');
+    assert.equal(await statusAt(1_000_000, 6000), 503, 'it may run for longer than this proxy');
+    assert.equal(await statusAt(0, 4000), 200);
+    kept.text = '';
+    kept.write(head(2, within(6000)));
+    await kept.until(() => false);
+    assert.deepEqual(kept.statuses(), [503], 'on a conn that was open before as well');
+    assert.equal(stage.taken.length, 3);
+    stage.clock.pass(drain.mostMicroseconds);
+    await turns();
+    await drained;
+  });
+
   test('half an order does not hold it up', async () => {
     const stage = await Stage.open(say('ok'));
     const half = await stage.caller();
