--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -40,6 +40,7 @@
 import { OutlierSettings } from './outliers/outlierSettings';
 import type { AnswerSink, Order } from './path/order';
 import { OrderTrace } from './path/orderTrace';
+import { OrderLimits } from './path/orderLimits';
 import { Pipeline } from './path/pipeline';
 import { WorkPlacementSettings } from './placement/byWork';
 import { EngineView } from './placement/engineView';
@@ -64,6 +65,8 @@
   /** `listed`: something outside the fleet keeps the list of engines, and its age makes nobody refuse. */
   engineList?: 'kept' | 'listed';
   freshMicroseconds: number;
+  /** Beyond this age of the blueprint no order is refused for a key or path that it does not name. */
+  denialMicroseconds: number;
   feedMicroseconds: number;
   feedAskMicroseconds: number;
   notesMicroseconds: number;
@@ -119,6 +122,7 @@
   seeds: [],
   isOnlyFleet: false,
   freshMicroseconds: 1_500_000,
+  denialMicroseconds: Infinity,
   feedMicroseconds: 60_000,
   feedAskMicroseconds: 500_000,
   notesMicroseconds: 15_000,
@@ -157,6 +161,7 @@
  */
 const changeable = [
   'freshMicroseconds',
+  'denialMicroseconds',
   'weightsCutMicroseconds',
   'retryPerMille',
   'retryFleetAllowance',
@@ -210,7 +215,13 @@
     this.log = Logs.part(`proxy:${settings.name}`);
     this.freshness = new Freshness(clock, dialect, settings.engineList);
     this.pulses = new Pulses(clock);
-    this.fence = new Fence(this.freshness, clock, settings.freshMicroseconds, settings.weightsCutMicroseconds);
+    this.fence = new Fence(
+      this.freshness,
+      clock,
+      settings.freshMicroseconds,
+      settings.weightsCutMicroseconds,
+      settings.denialMicroseconds,
+    );
     this.identifier = new Identifier(this.fence, settings.retryAfterSeconds);
     this.receivedLoads = new ReceivedLoads(settings.name);
     this.view = new EngineView(
@@ -300,7 +311,10 @@
       logRead: Logs.isOn('reads') ? Logs.part('reads') : undefined,
       budgetOf: (service) => this.budgetOf(service),
       holdingLeft: ({ order, resolved }) =>
-        this.desk.holdingLeft(resolved?.mapping.class ?? '', order.arrivedMicroseconds),
+        this.desk.holdingLeft(resolved?.mapping.class ?? '', {
+          arrivedMicroseconds: order.arrivedMicroseconds,
+          limitMicroseconds: OrderLimits.of(order, resolved?.mapping),
+        }),
       tell: (notes) => this.notes.tell(notes),
       mostSends: settings.mostSends,
       stillGood: (fetch) => planner.stillGood(fetch),
@@ -418,7 +432,11 @@
   public settingsAre(given: ProxySettings): void {
     const change = SettingsChanges.of(this.settings, given, changeable);
     this.settings = change.settings;
-    this.fence.boundsAre(this.settings.freshMicroseconds, this.settings.weightsCutMicroseconds);
+    this.fence.boundsAre(
+      this.settings.freshMicroseconds,
+      this.settings.weightsCutMicroseconds,
+      this.settings.denialMicroseconds,
+    );
     for (const budget of this.budgets.values()) budget.settingsAre(this.budgetSettings());
     this.seedContacts.seedsAre(this.settings.seeds);
     const sentence = SettingsChanges.sentence(change);
--- a/source/edge-proxy/sends/runningSend.ts
+++ b/source/edge-proxy/sends/runningSend.ts
@@ -11,6 +11,7 @@
 import type { LinkSpeeds } from '../fetch/linkSpeeds';
 import type { PartMoves } from '../fetch/partMoves';
 import type { Context, Placed, Resolved, Step } from '../path/order';
+import { OrderLimits } from '../path/orderLimits';
 import type { DeskLink } from '../placement/deskLink';
 import type { EngineView } from '../placement/engineView';
 import type { ReadSpeeds } from '../placement/readSpeeds';
@@ -155,11 +156,7 @@
     const { service, mapping } = this.resolved;
     const { order } = this.context;
     const spent = this.parts.clock.nowMicroseconds() - order.arrivedMicroseconds;
-    return Math.min(
-      service.answerLimitMicroseconds,
-      ...(mapping.limitMicroseconds ? [mapping.limitMicroseconds - spent] : []),
-      ...(order.limitMicroseconds === undefined ? [] : [order.limitMicroseconds - spent]),
-    );
+    return Math.min(service.answerLimitMicroseconds, OrderLimits.of(order, mapping) - spent);
   }
 
   /** Called with every piece of news: an answer on weights whose time is over ends here, visibly. */
@@ -212,7 +209,7 @@
   private headers(): Readonly<Record<string, string>> {
     const { target, source, salt } = this.fetch;
     const { order } = this.context;
-    const { service, tenant, trustDomain } = this.resolved;
+    const { service, mapping, tenant, trustDomain } = this.resolved;
     return this.parts.words.write({
       orderId: order.id,
       contentType: order.contentType,
@@ -223,7 +220,7 @@
       model: service.kind === 'pool' ? service.model : '',
       weights: this.placed.weights,
       urgency: this.parts.urgencyOf(this.context),
-      leftMicroseconds: order.limitMicroseconds === undefined ? undefined : this.leftMicroseconds(),
+      leftMicroseconds: Number.isFinite(OrderLimits.of(order, mapping)) ? this.leftMicroseconds() : undefined,
       salt,
       target,
       source,
@@ -247,12 +244,9 @@
     );
     this.meaning = meaning;
     // Why first: an answer to another order says nothing of this one, and may not be believed in anything.
-    if (meaning.orderId !== undefined && meaning.orderId !== this.context.order.id) {
-      this.step({ kind: 'failed' });
-      this.cutSend();
-      this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine gave an answer to another order.'));
-      return;
-    }
+    if (meaning.orderId !== undefined && meaning.orderId !== this.context.order.id)
+      return this.disbelieve('The engine gave an answer to another order.');
+    if (meaning.lacksSeal) return this.disbelieve('The engine gave an answer without its seal.');
     if (meaning.notRun !== undefined) {
       this.step({ kind: 'notRun' });
       this.parts.tell(this.fetch.notSent);
@@ -288,6 +282,13 @@
       );
   }
 
+  /** Nothing of this answer is passed on, and its conn carries no other one. */
+  private disbelieve(text: string): void {
+    this.step({ kind: 'failed' });
+    this.cutSend();
+    this.broken(Refusals.make(502, 'mayHaveRun', 'engineFailed', text));
+  }
+
   /**
    * The engine's own word that it failed, where another engine may be asked instead. Where none may, the answer goes to
    * the caller as it is. Why not 504: its time was over, and so is the order's.
