A proxy takes its agent's late answer, and asks busy agents less often

What callers saw: configurations late by seconds where agents are busy. Cause: an answer that came after 0.5 s was thrown away and asked for again, and a proxy asked again as soon as it was answered, which keeps busy agents busy. Now an answer counts for 1.5 s while others are asked from 0.5 s on as before, no second question goes to an agent whose answer is awaited, and the pause before the next round is as long as the last round took, up to 0.4 s.

--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -5,6 +5,7 @@
 import type { NamedKey } from '../shared/directory/hashChain';
 import { ShardBook } from '../shared/directory/shardBook';
 import type { GrantAnswer } from '../shared/directory/shardDirectory';
+import { Clocks } from '../shared/effects/clock/clock';
 import { Ticker } from '../shared/effects/clock/ticker';
 import type { Effects } from '../shared/effects/effects';
 import type { Message } from '../shared/effects/transport/transport';
@@ -115,6 +116,12 @@
 /** Kinds of facts that a proxy has no use for: of other proxies' loads it is told the sums. */
 const omittedKinds = ['load', 'steward'] as const;
 
+/** An answer of an agent is taken up to so many times the limit after which the agent counts as silent. */
+const lateFeedFactor = 3;
+
+/** A proxy whose agents are slow to answer leaves them in peace for as long as they took, up to this. */
+const mostBusyPauseMicroseconds = 400_000;
+
 /** Starting value, ours: how much longer it may take until a proxy of a large fleet is fed again. */
 const mostFeedPause = 3;
 
@@ -203,6 +210,9 @@
   private readonly log: Log;
   private readonly notice = Logs.part('proxy:notice');
   private readonly notes: NotePost;
+  private feedTookMicroseconds = 0;
+  /** Agents whose answers are awaited. */
+  private readonly openFeeds = new Set<string>();
 
   public constructor(
     effects: Effects,
@@ -476,11 +486,13 @@
     const said = { proxy: this.settings.name, facts: this.own.own(), omits: omittedKinds };
     const isStale = this.freshness.ageMicroseconds() > staleMicroseconds;
     const seed = this.feeders.isLost ? this.seedContacts.next() : undefined;
+    const asked = this.effects.clock.nowMicroseconds();
     await Promise.all([
       ...this.feeders.targets(isStale).map((address) => this.feedFrom(address, said)),
       ...(seed === undefined ? [] : [this.meet(seed)]),
     ]);
     const applied = this.freshness.revision('blueprint');
+    this.feedTookMicroseconds = this.effects.clock.nowMicroseconds() - asked;
     this.feedWatch.looked(this.freshness.ageMicroseconds(), applied);
     this.feedWatch.applies(applied, this.freshness.wanted().find(({ key }) => key === 'blueprint')?.revision);
     const listed = this.freshness.engines?.engines;
@@ -502,10 +514,13 @@
    * there, and what it is told of others has been on its way for longer than this.
    */
   private feedPause(): number {
-    return this.settings.feedMicroseconds * FleetPace.of(this.view.proxies(), mostFeedPause);
+    const usual = this.settings.feedMicroseconds * FleetPace.of(this.view.proxies(), mostFeedPause);
+    return Math.max(usual, Math.min(this.feedTookMicroseconds, mostBusyPauseMicroseconds));
   }
 
   private async feedFrom(address: string, extra: Readonly<Record<string, unknown>>): Promise<void> {
+    // An answer that is on its way says as much as one that would be asked for now, and comes sooner.
+    if (this.openFeeds.has(address)) return;
     // Why from the own agent only: it stands on this machine, whatever became of other addresses.
     const learn = (message: Message): void => {
       const fleet = String(message['fleet'] ?? '');
@@ -517,12 +532,35 @@
     const said = { ...extra, loads: this.receivedLoads.position(address) };
     const asked = this.effects.clock.nowMicroseconds();
     // Why following: a proxy has no news of its own but its load, and asks many times a second.
-    const heard = await this.exchange.ask(address, feedAskMicroseconds, said, learn, 'following');
-    this.feedWatch.asked(address, heard, this.effects.clock.nowMicroseconds() - asked);
+    const answered = this.exchange.ask(
+      address,
+      feedAskMicroseconds,
+      said,
+      learn,
+      'following',
+      feedAskMicroseconds * lateFeedFactor,
+    );
+    this.openFeeds.add(address);
+    const isLate = Clocks.wait(this.effects.clock, feedAskMicroseconds).then(() => false);
+    void answered
+      .then((heard) => this.feedAnswered(address, heard, this.effects.clock.nowMicroseconds() - asked))
+      .finally(() => this.openFeeds.delete(address));
+    if (!(await Promise.race([answered, isLate])) && this.openFeeds.has(address)) this.feedUnanswered(address, asked);
+  }
+
+  private feedAnswered(address: string, heard: boolean, tookMicroseconds: number): void {
+    // An agent that is late has been counted as silent before.
+    if (!heard && tookMicroseconds > this.settings.feedAskMicroseconds) return;
+    this.feedWatch.asked(address, heard, tookMicroseconds);
     if (heard) this.feeders.heard(address);
     else this.feeders.unheard(address);
   }
 
+  private feedUnanswered(address: string, askedMicroseconds: number): void {
+    this.feedWatch.asked(address, false, this.effects.clock.nowMicroseconds() - askedMicroseconds);
+    this.feeders.unheard(address);
+  }
+
   /** A seed names the fleet, and agents that have asked it lately. */
   private async meet(seed: string): Promise<void> {
     const learn = (message: Message): void => this.seedContacts.heard(seed, String(message['fleet'] ?? ''));
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -72,13 +72,17 @@
     this.transfers = new BodyTransfers(parts.freshness, effects.transport, effects.clock, received);
   }
 
-  /** Asks one colleague. False when it stayed silent. `extra` and `onAnswer` carry what only one pair says. */
+  /**
+   * Asks one colleague. False when it stayed silent. `extra` and `onAnswer` carry what only one pair says. `patienceMicroseconds`: an
+   * answer that comes after the limit, but not later than this, is taken too.
+   */
   public async ask(
     address: string,
     limitMicroseconds: number,
     extra: Readonly<Record<string, unknown>> = {},
     onAnswer: (message: Message) => void = () => undefined,
     manner: ExchangeManner = 'mutual',
+    patienceMicroseconds = limitMicroseconds,
   ): Promise<boolean> {
     const { facts, shards } = this.parts;
     const asked = this.effects.clock.nowMicroseconds();
@@ -94,7 +98,7 @@
       mostEntries: pace.amount,
       ...extra,
     };
-    const answer = await this.effects.transport.ask(address, opening, limitMicroseconds);
+    const answer = await this.effects.transport.ask(address, opening, patienceMicroseconds);
     if (answer.kind !== 'answered' || answer.message.kind !== 'newsBack') {
       this.transfers.silent(address);
       pace.silent();
@@ -118,7 +122,7 @@
       return true;
     }
     const wants = wanted.slice(0, pace.amount);
-    const more = await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore', wants }, limitMicroseconds);
+    const more = await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore', wants }, patienceMicroseconds);
     if (more.kind !== 'answered') pace.silent();
     if (more.kind !== 'answered' || !this.isOurs(more.message)) return true;
     this.takeFacts(more.message);
