Failing tests: agents that stay behind while changes follow each other, or one node is silent

What callers see: changes are confirmed one after the other, and no agent applies any of them for seconds, while a majority of the control nodes is whole; so no proxy does either.

Found by simulated fleets of five control nodes and 15 agents with 1,480 routes (AgentFleet).

--- /dev/null
+++ b/tests/majority-read.test.ts
@@ -0,0 +1,72 @@
+/** What the answers of five control nodes prove while a change is on its way among them. */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { MajorityReads, type WordsAnswer } from '../source/shared/register/majorityRead';
+
+const names = ['a', 'b', 'c', 'd', 'e'];
+const member = { address: '', operatorsAddress: '', zone: '' };
+const view = { revision: 1, sets: [names], members: Object.fromEntries(names.map((name) => [name, member])) };
+
+/** What a control node has accepted, and which revision it knows as decided. */
+type Held = Readonly<{ epoch: number; revision: number; decided: number }>;
+
+const answerOf = (keeper: string, { epoch, revision, decided }: Held): WordsAnswer => ({
+  kind: 'words',
+  stamp: { fleet: 'fleet', keeper, incarnation: 0, known: {} },
+  membersRevision: 1,
+  view,
+  words: [
+    {
+      key: 'blueprint',
+      epoch: { number: epoch, keeper: 'a' },
+      revision,
+      digest: `digest ${revision}`,
+      decidedRevision: decided,
+      decidedDigest: `digest ${decided}`,
+      owner: 'a',
+    },
+  ],
+});
+
+const provenBy = (held: Readonly<Record<string, Held>>): readonly number[] =>
+  MajorityReads.judge(
+    Object.entries(held).map(([keeper, word]) => answerOf(keeper, word)),
+    'fleet',
+    () => undefined,
+  ).statements.map(({ revision }) => revision);
+
+const settled: Held = { epoch: 1, revision: 7, decided: 7 };
+const offered: Held = { epoch: 1, revision: 8, decided: 7 };
+
+describe('a majority read while a change is on its way', () => {
+  test('the revision before it is proven by a majority that has not accepted the change', () => {
+    assert.deepEqual(provenBy({ a: offered, b: settled, c: settled, d: settled, e: settled }), [7]);
+    assert.deepEqual(provenBy({ a: offered, b: offered, c: settled, d: settled, e: settled }), [7]);
+    assert.deepEqual(provenBy({ a: offered, b: settled, c: settled, d: settled }), [7]);
+  });
+
+  test('nothing is proven where those that have not accepted the change are no majority', () => {
+    assert.deepEqual(provenBy({ a: offered, b: settled, c: settled }), []);
+    assert.deepEqual(provenBy({ a: offered, b: offered, c: settled, d: settled }), []);
+    assert.deepEqual(provenBy({ a: offered, d: settled, e: settled }), []);
+  });
+
+  test('a change that a majority holds, or that is known as decided, is never hidden by the others', () => {
+    assert.deepEqual(provenBy({ a: offered, b: offered, c: offered, d: settled, e: settled }), [8]);
+    const told: Held = { ...settled, decided: 8 };
+    assert.deepEqual(provenBy({ a: offered, b: settled, c: settled, d: told, e: settled }), [8]);
+  });
+
+  test('two changes of different epochs on their way: only what a majority of the rest proves', () => {
+    const other: Held = { epoch: 2, revision: 8, decided: 7 };
+    assert.deepEqual(provenBy({ a: offered, b: other, c: settled, d: settled, e: settled }), [7]);
+    assert.deepEqual(provenBy({ a: offered, b: other, c: settled, d: settled }), []);
+  });
+
+  test('a value that was offered again under a higher epoch is not proven by those that hold it under the lower one', () => {
+    const again: Held = { epoch: 2, revision: 7, decided: 0 };
+    const before: Held = { epoch: 1, revision: 7, decided: 0 };
+    assert.deepEqual(provenBy({ a: again, b: before, c: before }), []);
+    assert.deepEqual(provenBy({ a: again, b: before, c: before, d: before }), [7]);
+  });
+});
