A change on its way no longer hides the decided revision before it from readers

What callers saw: while changes follow each other, or a leader was lost with a change that it alone had accepted, agents proved nothing: what they apply was confirmed by nobody, and they did not learn of changes that were confirmed.

Cause: a majority read named the newest value that any member had accepted, or nothing. With one change under way at all times there is always a member with a value that is not decided yet.

Change: where the newest value is not proven and those that have not accepted it are a majority, that majority is judged by itself. It was decided nowhere when they were asked, since every decision stands on one of them, and any majority's words are a whole reading; so what it proves was current when it was asked, as before. Readers at control nodes use the same rule.

Evidence: three tests of majority-read.test red before, green now; policies, quorum-reader, weights-known, control-read-back, operators-linearizable, duties-forgotten pass.

--- a/source/shared/register/majorityRead.ts
+++ b/source/shared/register/majorityRead.ts
@@ -44,6 +44,37 @@
   return best;
 };
 
+/** One member's word on one key. */
+type MemberWord = Readonly<{ keeper: string; word: KeyWord }>;
+
+const compareValues = (left: KeyWord, right: KeyWord): number =>
+  Epochs.compare(left.epoch, right.epoch) || left.revision - right.revision;
+
+const newestOf = (words: readonly MemberWord[]): KeyWord | undefined =>
+  words.reduce<KeyWord | undefined>(
+    (best, { word }) => (best === undefined || compareValues(word, best) > 0 ? word : best),
+    undefined,
+  );
+
+/**
+ * The newest value that is known to be decided. A value on its way that the members asked do not prove hides none before it, as long
+ * as those that have not accepted it are a majority: it was decided nowhere when they were asked, and their words alone are a whole
+ * reading. Undefined: no majority proves a value.
+ */
+const provenOf = (
+  words: readonly MemberWord[],
+  sets: MembersView['sets'],
+  isDecided: (word: KeyWord) => boolean,
+): KeyWord | undefined => {
+  const names = words.map(({ keeper }) => keeper);
+  const newest = newestOf(words);
+  if (newest === undefined || !Stamps.reached(sets, names)) return undefined;
+  const holders = words.filter(({ word }) => compareValues(word, newest) === 0).map(({ keeper }) => keeper);
+  if (Stamps.reached(sets, holders) || isDecided(newest)) return newest;
+  const others = words.filter(({ keeper }) => !holders.includes(keeper));
+  return provenOf(others, sets, isDecided);
+};
+
 export const MajorityReads = {
   /**
    * What a set of keepers' words proves. A revision is named only when it is known to be decided: it stands on a
@@ -72,30 +103,19 @@
       const words = sound.flatMap((answer) =>
         answer.words.filter((word) => word.key === key).map((word) => ({ keeper: answer.stamp.keeper, word })),
       );
-      const top = words.reduce<KeyWord | undefined>(
-        (best, { word }) =>
-          best === undefined ||
-          Epochs.compare(word.epoch, best.epoch) > 0 ||
-          (Epochs.compare(word.epoch, best.epoch) === 0 && word.revision > best.revision)
-            ? word
-            : best,
-        undefined,
-      );
-      if (top === undefined || top.digest === '') continue;
-      const holders = words
-        .filter(({ word }) => Epochs.compare(word.epoch, top.epoch) === 0 && word.revision === top.revision)
-        .map(({ keeper }) => keeper);
-      const said = words.some(({ word }) => word.decidedRevision === top.revision && word.decidedDigest === top.digest);
       const applied = appliedDigest(key);
-      const known = applied?.revision === top.revision && applied.digest === top.digest;
-      if (!Stamps.reached(view.sets, holders) && !said && !known) continue;
+      const isDecided = ({ revision, digest }: KeyWord): boolean =>
+        (applied?.revision === revision && applied.digest === digest) ||
+        words.some(({ word }) => word.decidedRevision === revision && word.decidedDigest === digest);
+      const proven = provenOf(words, view.sets, isDecided);
+      if (proven === undefined || proven.digest === '') continue;
       statements.push({
         key,
-        revision: top.revision,
-        digest: top.digest,
+        revision: proven.revision,
+        digest: proven.digest,
         weights:
           key === 'blueprint'
-            ? weightsOf(words.filter(({ word }) => word.digest === top.digest).map(({ word }) => word))
+            ? weightsOf(words.filter(({ word }) => word.digest === proven.digest).map(({ word }) => word))
             : {},
       });
     }
