Control nodes send texts that later changes have overtaken to whoever still fetches them

What callers saw: with changes every 0.2 s for four seconds and a leader 100 ms away, none of 15 agents applied any of them until 0.5 s after the last one, 4.3 s after the first was confirmed, though a majority of five control nodes was whole.

Cause: an agent learns that a revision is decided and then asks for its text by digest. A control node sent only the text that it holds now. With the next change accepted meanwhile everywhere the answer was no text, from each node asked, and the next attempt met the change after that.

The receiver applies a text only if it knows its revision to be decided, and never goes back, as before.

--- a/source/core-keeper/coreKeeper.ts
+++ b/source/core-keeper/coreKeeper.ts
@@ -20,6 +20,7 @@
 import { ChangeRouter } from './register/changeRouter';
 import { EntryTransfer } from './register/entryTransfer';
 import { Heartbeats } from './register/heartbeats';
+import { RecentEntries } from './register/recentEntries';
 import { ReplicaReport, type KeyLeader, type ReplicaStatus } from './register/replicaReport';
 import { Vacancies } from './register/vacancies';
 import { MessageHandler } from './messages/messageHandler';
@@ -68,6 +69,7 @@
   private readonly agentContacts: AgentContacts;
   private readonly changeRouter: ChangeRouter;
   private readonly waitingChanges = new WaitingChanges();
+  private readonly recent = new RecentEntries();
   private readonly heartbeats: Heartbeats;
   private readonly vacancies: Vacancies;
   private readonly report: ReplicaReport;
@@ -231,6 +233,7 @@
         leaders: this.leaders,
         leadership: (key) => this.ownership(key),
         members: this.members,
+        recent: this.recent,
         report: this.report,
         standing: this.standing,
         waitingChanges: this.waitingChanges,
@@ -276,6 +279,7 @@
     if (opened.kind !== 'opened') return opened;
     this.ledger.news.on('broken', (text) => void this.news.emit('broken', text));
     this.ledger.news.on('synced', (events) => {
+      this.recent.written(events);
       for (const event of events) {
         if (event.kind === 'accepted' && event.key === 'blueprint') this.ages.accepted(event.entry);
         // Why here too: what came with the state of others was accepted by none of this node's own steps.
--- a/source/core-keeper/messages/messageHandler.ts
+++ b/source/core-keeper/messages/messageHandler.ts
@@ -15,6 +15,7 @@
 import type { KeeperCore } from '../register/keeperCore';
 import type { Accept, ChangeOutcome, Prepare } from '../register/messages';
 import type { Ownership } from '../register/ownership';
+import type { RecentEntries } from '../register/recentEntries';
 import type { ReplicaReport } from '../register/replicaReport';
 import type { WaitingChanges } from '../register/waitingChanges';
 import type { LeaderWatch } from '../standing/leaderWatch';
@@ -35,6 +36,7 @@
   leaders: LeaderWatch;
   leadership: (key: DocumentKey) => Ownership;
   members: MemberChanges;
+  recent: RecentEntries;
   report: ReplicaReport;
   standing: StandingKeeper;
   waitingChanges: WaitingChanges;
@@ -179,17 +181,11 @@
   }
 
   private body({ key, digest }: Ask<'body'>): Message {
-    const accepted = KeeperStates.cell(this.parts.core.state, key).accepted;
-    if (!this.parts.core.votes() || accepted === null || accepted.entry.digest !== digest) return { kind: 'noBody' };
-    return {
-      kind: 'body',
-      ...this.packer.sent({
-        key,
-        revision: accepted.entry.revision,
-        digest: accepted.entry.digest,
-        text: accepted.entry.text,
-      }),
-      fleet: this.parts.core.state.fleet,
-    };
+    const { core, recent } = this.parts;
+    const accepted = KeeperStates.cell(core.state, key).accepted?.entry;
+    const entry = accepted?.digest === digest ? accepted : recent.find(key, digest);
+    if (!core.votes() || entry === undefined) return { kind: 'noBody' };
+    const { revision, text } = entry;
+    return { kind: 'body', ...this.packer.sent({ key, revision, digest, text }), fleet: core.state.fleet };
   }
 }
