An answer without a length is whole when its connection closes and was not reset

What callers saw: an engine whose answer has no length and ends with its connection was taken to have broken off: the caller's answer was cut, or the request ran again elsewhere. Cause: such an answer counted as whole only with the final event of the product's own streams, which the users' engines do not send. Change: where the protocol says so a connection that closes ends the answer; one that is reset, closes in the middle of an event, or closes before a byte came does not. The product's own protocol keeps its rule.

Test: engine-answers, "a connection that closes ends it well", red before, passes now; back-ends, named-parts, policies, doors-sender, platform-cut, outliers-fleet, rush pass whole.

--- a/source/edge-proxy/sends/runningSend.ts
+++ b/source/edge-proxy/sends/runningSend.ts
@@ -235,7 +235,8 @@
   }
 
   private onHead(head: SendHead): void {
-    if (!this.step({ kind: 'head', status: head.status, framed: head.framed })) return;
+    const framed = head.framed || this.parts.words.closeEndsAnswer;
+    if (!this.step({ kind: 'head', status: head.status, framed })) return;
     this.head = head;
     const meaning = this.parts.words.read(
       head,
@@ -395,8 +396,15 @@
     );
   }
 
+  /** An answer without a length that stops where no answer would: its conn closed too early. */
+  private closedTooEarly(): boolean {
+    if (this.head?.framed !== false) return false;
+    const hasBegun = this.state.kind === 'answering' && this.state.begun;
+    return !hasBegun || (this.meaning?.events === true && this.events.isWithinEvent);
+  }
+
   private onEnd(): void {
-    if (!this.step({ kind: 'end' })) return;
+    if (!this.step({ kind: this.closedTooEarly() ? 'failed' : 'end' })) return;
     const { answer } = this.context;
     if (this.state.kind === 'over' && this.state.how === 'whole') {
       // Why 5xx: it is the engine's own word that it failed.
--- a/source/edge-proxy/sends/wholeEvents.ts
+++ b/source/edge-proxy/sends/wholeEvents.ts
@@ -18,6 +18,11 @@
     return this.tooLong ? undefined : this.last;
   }
 
+  /** Whether the bytes so far end in the middle of an event. */
+  public get isWithinEvent(): boolean {
+    return this.rest.length > 0;
+  }
+
   /** Bytes up to the last border, or none. */
   public feed(bytes: Uint8Array): Buffer | undefined {
     const joined = this.rest.length === 0 ? Buffer.from(bytes) : Buffer.concat([this.rest, bytes]);
--- a/source/shared/back-end/ownWords.ts
+++ b/source/shared/back-end/ownWords.ts
@@ -6,6 +6,7 @@
 /** The product's own protocol. */
 export const ownWords: BackEndWords = {
   namesInstance: true,
+  closeEndsAnswer: false,
   write: ({ orderId, contentType, trustDomain, target, source }) => ({
     ...(contentType === '' ? {} : { 'content-type': contentType }),
     [BackEndHeaders.order]: orderId,
--- a/source/shared/back-end/words.ts
+++ b/source/shared/back-end/words.ts
@@ -55,4 +55,6 @@
   readonly read: (head: SendHead, model: string, engine?: string) => HeadMeaning;
   /** Whether every answer names the instance and weights that gave it. */
   readonly namesInstance: boolean;
+  /** Whether a conn that closes, and is not reset, ends an answer without a length well. */
+  readonly closeEndsAnswer: boolean;
 }
--- a/tests/engine-answers.test.ts
+++ b/tests/engine-answers.test.ts
@@ -60,3 +60,46 @@
     assert.equal(deadlineOf({ mapping: { limitMicroseconds: 0 } }), undefined);
   });
 });
+
+describe('an answer without a length ends with its connection', () => {
+  const event = (number: number): string => `id: ${number}\ndata: x\n\n`;
+
+  test('a connection that closes ends it well', async () => {
+    const stage = new SendStage();
+    stage.head(200, sealed, false);
+    stage.part(event(1));
+    stage.part(event(2));
+    await stage.end();
+    assert.equal(stage.step?.kind, 'done');
+    assert.equal(stage.caller.ended, true);
+    assert.equal(stage.caller.text, event(1) + event(2));
+  });
+
+  test('one that is reset does not: the caller sees that it broke off', async () => {
+    const stage = new SendStage();
+    stage.head(200, sealed, false);
+    stage.part(event(1));
+    await stage.reset();
+    assert.equal(stage.step?.kind, 'refuse');
+    assert.equal(stage.caller.ended, false);
+  });
+
+  test('one that closes in the middle of an event does not either', async () => {
+    const stage = new SendStage();
+    stage.head(200, sealed, false);
+    stage.part(event(1));
+    stage.part('id: 2\nda');
+    await stage.end();
+    assert.equal(stage.step?.kind, 'refuse');
+    assert.equal(stage.caller.ended, false);
+    assert.equal(stage.caller.text, event(1));
+  });
+
+  test('one that closes before anything came does not either', async () => {
+    const stage = new SendStage();
+    stage.head(200, sealed, false);
+    await stage.end();
+    assert.equal(stage.step?.kind, 'refuse');
+    assert.equal(stage.caller.begun(), false);
+  });
+});
--- a/tests/support/rush.ts
+++ b/tests/support/rush.ts
@@ -80,6 +80,7 @@
 
 const words: BackEndWords = {
   namesInstance: false,
+  closeEndsAnswer: false,
   write: ({ orderId, passed, engine, weights, salt, source, target }) => ({
     order: orderId,
     parts: passed['parts'] ?? '',
