--- a/source/shared/freshness/bodyParts.ts
+++ b/source/shared/freshness/bodyParts.ts
@@ -138,11 +138,12 @@
   }
 
   /**
-   * What was begun is finished first, also where a newer revision is known by now: changes in quick succession
+   * What has come in part is finished first, also where a newer revision is known by now: changes in quick succession
    * would else begin again and again, and none of them arrive.
    */
   private next(revisions: Revisions): Lacking | undefined {
-    if (this.open !== undefined && this.freshness.wouldTake(this.open.of)) return this.open.of;
+    const { open } = this;
+    if (open !== undefined && open.parts.length > 0 && this.freshness.wouldTake(open.of)) return open.of;
     this.open = undefined;
     return this.freshness.wanted().find(({ key, revision }) => (revisions[key] ?? 0) >= revision);
   }
