Tests: reads in trouble, full disks and a configuration of 1,480 routes at the control nodes

With the leader's disk full changes are confirmed and every node answers reads; with all disks full changes are refused as not possible now, reads go on, and the same change is taken later.

--- /dev/null
+++ b/tests/control-reads.test.ts
@@ -0,0 +1,213 @@
+/** What control nodes answer to reads of the configuration: in trouble, with full disks, and with a large document. */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { platformDialect } from '../platform/operators/dialect';
+import { Envelopes } from '../platform/operators/envelope';
+import type { ChangeOrder } from '../source/core-keeper/register/messages';
+import { ControlFleet, type ControlMachine } from './support/controlFleet';
+import { platformDocument } from './support/platformDocument';
+
+const five = { membersWanted: 5 };
+const seeds = Number(process.env['POSTDRUM_TEST_SEEDS'] ?? 6);
+
+const orderOf = (text: string, ifMatch: number, form: ChangeOrder['form'] = 'whole'): ChangeOrder => ({
+  key: 'blueprint',
+  form,
+  text,
+  ifMatch,
+  id: `${form} ${ifMatch} ${text}`,
+});
+const put = (version: number, ifMatch: number): ChangeOrder => orderOf(platformDocument(version), ifMatch);
+
+const versionIn = (text: string): number => {
+  const { document } = Envelopes.open(text);
+  return document === '' ? 0 : (JSON.parse(document) as { version: number }).version;
+};
+
+type Mend = () => void;
+
+/** Each link between two groups of nodes, both ways or one way. */
+const cutBetween = (
+  fleet: ControlFleet,
+  first: readonly ControlMachine[],
+  second: readonly ControlMachine[],
+  ways: 'both' | 'one',
+): Mend => {
+  const mends = first.flatMap((one) =>
+    second.flatMap((two) => [
+      fleet.network.cut(one.machine, two.machine),
+      ...(ways === 'both' ? [fleet.network.cut(two.machine, one.machine)] : []),
+    ]),
+  );
+  return () => mends.forEach((mend) => mend());
+};
+
+const shuffled = (fleet: ControlFleet): readonly ControlMachine[] =>
+  fleet.machines
+    .map((machine) => ({ machine, at: fleet.world.random.fraction() }))
+    .sort((left, right) => left.at - right.at)
+    .map(({ machine }) => machine);
+
+const troubles: readonly ((fleet: ControlFleet) => Mend)[] = [
+  (fleet) => {
+    const order = shuffled(fleet);
+    return cutBetween(fleet, order.slice(0, 2), order.slice(2), 'both');
+  },
+  (fleet) => {
+    const order = shuffled(fleet);
+    return cutBetween(fleet, order.slice(0, 1), order.slice(1), 'one');
+  },
+  (fleet) => {
+    const order = shuffled(fleet);
+    return cutBetween(fleet, order.slice(1), order.slice(0, 1), 'one');
+  },
+  (fleet) => {
+    const [machine] = shuffled(fleet);
+    machine?.kill(fleet.world.random.fraction() < 0.5);
+    return () => machine?.start();
+  },
+  (fleet) => {
+    const [machine] = shuffled(fleet);
+    if (machine !== undefined) machine.disk.faults.stalled = true;
+    return () => machine?.disk.release();
+  },
+  (fleet) => {
+    const [one, two] = shuffled(fleet);
+    for (const machine of [one, two]) if (machine !== undefined) machine.disk.faults.full = true;
+    return () => {
+      for (const machine of [one, two]) if (machine !== undefined) machine.disk.faults.full = false;
+    };
+  },
+];
+
+type Tally = { readonly older: string[]; answered: number; asked: number };
+
+/** Asks every node; what is answered must be no older than what was confirmed when it was asked. */
+const askAll = (fleet: ControlFleet, confirmed: Readonly<{ version: number }>, tally: Tally): void => {
+  for (const machine of fleet.machines) {
+    if (!machine.process.alive || machine.keeper === undefined) continue;
+    const { version } = confirmed;
+    const { keeper, name } = machine;
+    tally.asked += 1;
+    machine.process.enter(
+      () =>
+        void keeper.read('blueprint', 900_000).then((read) => {
+          if (read.kind !== 'read') return;
+          tally.answered += 1;
+          if (versionIn(read.text) < version) tally.older.push(`${name}: ${versionIn(read.text)} for ${version}`);
+        }),
+    );
+  }
+};
+
+describe('a read is never older than what was confirmed before it was asked for', () => {
+  for (let seed = 1; seed <= seeds; seed += 1)
+    test(`halves, one-way cuts, kills and disks in trouble, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect, five);
+      assert.ok(await fleet.begin(5));
+      const confirmed = { version: 0 };
+      const tally: Tally = { older: [], answered: 0, asked: 0 };
+      let isOver = false;
+      const ask = (): void => {
+        if (isOver) return;
+        askAll(fleet, confirmed, tally);
+        fleet.world.clock.after(150_000, ask);
+      };
+      ask();
+      for (let round = 0; round < 8; round += 1) {
+        const trouble = troubles[Math.floor(fleet.world.random.fraction() * troubles.length)];
+        const mend = trouble?.(fleet);
+        for (let change = 0; change < 2; change += 1) {
+          const next = confirmed.version + 1;
+          const outcome = await fleet.persist(put(next, confirmed.version), 12_000_000);
+          assert.equal(outcome?.kind, 'taken', `round ${round}, version ${next}`);
+          confirmed.version = next;
+          await fleet.world.runFor(Math.floor(fleet.world.random.fraction() * 600_000));
+        }
+        mend?.();
+        await fleet.world.runFor(Math.floor(fleet.world.random.fraction() * 2_000_000));
+      }
+      await fleet.world.runFor(2_000_000);
+      isOver = true;
+      await fleet.world.runFor(1_500_000);
+      assert.deepEqual(tally.older, []);
+      assert.ok(tally.answered > tally.asked / 2, `${tally.answered} of ${tally.asked} reads were answered`);
+    });
+});
+
+describe('full disks', () => {
+  for (const seed of [1, 2, 3])
+    test(`the leader's disk is full: changes are confirmed and every node answers reads, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect, five);
+      assert.ok(await fleet.begin(5));
+      assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+      const leader = fleet.machines.find(({ keeper, name }) => keeper?.owners()['blueprint']?.owner === name);
+      assert.ok(leader !== undefined);
+      leader.disk.faults.full = true;
+      for (const version of [2, 3, 4]) {
+        const began = fleet.world.nowMicroseconds;
+        assert.equal((await fleet.persist(put(version, version - 1), 6_000_000))?.kind, 'taken');
+        assert.ok(fleet.world.nowMicroseconds - began < 3_500_000);
+        for (const machine of fleet.machines) {
+          const read = await fleet.read(machine, 1_000_000);
+          assert.equal(read?.kind === 'read' ? versionIn(read.text) : read?.kind, version, machine.name);
+        }
+      }
+      leader.kill(true);
+      leader.disk.faults.full = false;
+      leader.start();
+      assert.ok(await fleet.settled(5, 10_000_000));
+      const read = await fleet.read(leader);
+      assert.equal(read?.kind === 'read' ? versionIn(read.text) : read?.kind, 4);
+    });
+
+  test('all are full: changes are refused as not possible now, reads go on, and the same change is taken later', async () => {
+    const fleet = new ControlFleet(7, platformDialect, five);
+    assert.ok(await fleet.begin(5));
+    assert.equal((await fleet.change(fleet.machine(1), put(1, 0)))?.kind, 'taken');
+    for (const { disk } of fleet.machines) disk.faults.full = true;
+    for (const machine of fleet.machines) {
+      const outcome = await fleet.change(machine, put(2, 1));
+      const isPlain = outcome?.kind === 'refused' ? ['full', 'noMajority'].includes(outcome.reason) : true;
+      assert.ok(outcome === undefined || (outcome.kind !== 'taken' && isPlain), JSON.stringify(outcome));
+      const read = await fleet.read(machine);
+      assert.equal(read?.kind === 'read' ? versionIn(read.text) : read?.kind, 1, machine.name);
+    }
+    for (const { disk } of fleet.machines) disk.faults.full = false;
+    assert.equal((await fleet.persist(put(2, 1), 6_000_000))?.kind, 'taken');
+  });
+});
+
+describe('a configuration of 1,480 routes over links of 15 MB a second', () => {
+  const acknowledgeMicroseconds = 6_000_000;
+  const large = (version: number): string => {
+    const document = JSON.parse(platformDocument(version)) as { routes: Record<string, unknown>[] };
+    const [route] = document.routes;
+    const more = Array.from({ length: 1480 }, (_, index) => ({
+      ...route,
+      name: `r-${index}-${(index * 2_654_435_761) % 4_294_967_296}`,
+      hostname: `h${index % 40}.example`,
+      pathPrefix: `/p${index}/`,
+    }));
+    return JSON.stringify({ ...document, routes: [...document.routes, ...more] });
+  };
+
+  for (const seed of [1, 2])
+    test(`put, changed by one route and read back at each node within the bounds, seed ${seed}`, async () => {
+      const fleet = new ControlFleet(seed, platformDialect, five);
+      assert.ok(await fleet.begin(5));
+      fleet.network.linkBytesPerSecond = 15_000_000;
+      const timed = async (order: ChangeOrder, machine: ControlMachine): Promise<void> => {
+        const began = fleet.world.nowMicroseconds;
+        assert.equal((await fleet.change(machine, order, acknowledgeMicroseconds))?.kind, 'taken');
+        assert.ok(fleet.world.nowMicroseconds - began < acknowledgeMicroseconds / 2);
+      };
+      await timed(orderOf(large(3), 0), fleet.machine(2));
+      const patch = { version: 5, upsert: { routes: [(JSON.parse(large(5)) as { routes: object[] }).routes[9]] } };
+      await timed(orderOf(JSON.stringify(patch), 3, 'pieces'), fleet.machine(4));
+      for (const machine of fleet.machines) {
+        const read = await fleet.read(machine, 1_000_000);
+        assert.equal(read?.kind === 'read' ? versionIn(read.text) : read?.kind, 5, machine.name);
+      }
+    });
+});
