--- a/tests/core-link.test.ts
+++ b/tests/core-link.test.ts
@@ -15,6 +15,10 @@
 const { readMicroseconds, readAskMicroseconds, sharedReadMicroseconds, ownReadMicroseconds } = AgentDefaults;
 /** A way to the keepers that takes most of the patience with a reading. */
 const slowLinkMicroseconds = 200_000;
+/** One that takes longer than it. */
+const lateMicroseconds = readAskMicroseconds + 100_000;
+/** After this a proxy may no longer rely on a configuration that nobody confirmed. */
+const freshMicroseconds = 1_500_000;
 const edgeMachine = '10.2.0.1';
 const self = { key: 'member/edge-1', version: [1, 1], value: { name: 'edge-1', address: `${edgeMachine}:1` } };
 
@@ -193,4 +197,11 @@
     }
     assert.deepEqual(linked.askedInVain, []);
   });
+
+  test('words of all control nodes that come later than the patience still confirm the configuration', async () => {
+    const linked = await LinkedFleet.begin();
+    for (const number of [1, 2, 3])
+      linked.fleet.network.slowDown(edgeMachine, linked.machineOf(number), lateMicroseconds);
+    assert.ok((await linked.worstAge(5_000_000)) < freshMicroseconds);
+  });
 });
