Feeding of proxies after review: unreadable answers, second answers, agents that know little

Found by the review, each red before: an answer that cannot be read ended the proxy (unhandled rejection); a lost second answer kept an agent from being asked for 1.56 s and had it called silent; sums of an agent that had just started shrank the fleet that retries are shared among from 195 to 1; an engine named as a member of every object was a TypeError.

--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -16,7 +16,8 @@
 import { StandstillWatch } from '../shared/log/standstillWatch';
 import { Metrics } from '../shared/metrics/metrics';
 import { SettingsChanges } from '../shared/settings/settingsChange';
-import { FactBook } from '../shared/news/facts';
+import { FactBook, type FactVersion } from '../shared/news/facts';
+import type { LoadFact } from '../shared/news/factTypes';
 import { NewsExchange } from '../shared/news/newsExchange';
 import { Pulses } from '../shared/news/pulses';
 import { FleetPace } from '../shared/pace/fleetPace';
@@ -521,44 +522,36 @@
   private async feedFrom(address: string, extra: Readonly<Record<string, unknown>>): Promise<void> {
     // An answer that is on its way says as much as one that would be asked for now, and comes sooner.
     if (this.openFeeds.has(address)) return;
-    // Why from the own agent only: it stands on this machine, whatever became of other addresses.
+    const { clock } = this.effects;
+    const { feedAskMicroseconds } = this.settings;
+    const asked = clock.nowMicroseconds();
+    let isHeard = false;
     const learn = (message: Message): void => {
-      const fleet = String(message['fleet'] ?? '');
-      if (address === this.settings.agentAddress) this.fleet.learn(fleet);
-      if (fleet !== '' && fleet === this.fleet.name)
-        this.receivedLoads.take(address, message['loads'], (version) => this.own.loadSaidAs(version));
+      isHeard = true;
+      this.feedWatch.asked(address, true, clock.nowMicroseconds() - asked);
+      this.feeders.heard(address);
+      this.learn(address, message, asked);
     };
-    const { feedAskMicroseconds } = this.settings;
     const said = { ...extra, loads: this.receivedLoads.position(address) };
-    const asked = this.effects.clock.nowMicroseconds();
-    // Why following: a proxy has no news of its own but its load, and asks many times a second.
-    const answered = this.exchange.ask(
-      address,
-      feedAskMicroseconds,
-      said,
-      learn,
-      'following',
-      feedAskMicroseconds * lateFeedFactor,
-    );
     this.openFeeds.add(address);
-    const isLate = Clocks.wait(this.effects.clock, feedAskMicroseconds).then(() => false);
-    void answered
-      .then((heard) => this.feedAnswered(address, heard, this.effects.clock.nowMicroseconds() - asked))
+    // Why following: a proxy has no news of its own but its load, and asks many times a second.
+    const exchanged = this.exchange
+      .ask(address, feedAskMicroseconds, said, learn, 'following', feedAskMicroseconds * lateFeedFactor)
+      .catch((error: unknown) => this.log(`The answer of the agent at ${address} cannot be read: ${Logs.text(error)}.`))
       .finally(() => this.openFeeds.delete(address));
-    if (!(await Promise.race([answered, isLate])) && this.openFeeds.has(address)) this.feedUnanswered(address, asked);
-  }
-
-  private feedAnswered(address: string, heard: boolean, tookMicroseconds: number): void {
-    // An agent that is late has been counted as silent before.
-    if (!heard && tookMicroseconds > this.settings.feedAskMicroseconds) return;
-    this.feedWatch.asked(address, heard, tookMicroseconds);
-    if (heard) this.feeders.heard(address);
-    else this.feeders.unheard(address);
+    await Promise.race([exchanged, Clocks.wait(clock, feedAskMicroseconds)]);
+    if (isHeard) return;
+    this.feedWatch.asked(address, false, clock.nowMicroseconds() - asked);
+    this.feeders.unheard(address);
   }
 
-  private feedUnanswered(address: string, askedMicroseconds: number): void {
-    this.feedWatch.asked(address, false, this.effects.clock.nowMicroseconds() - askedMicroseconds);
-    this.feeders.unheard(address);
+  private learn(address: string, message: Message, askedMicroseconds: number): void {
+    const fleet = String(message['fleet'] ?? '');
+    // Why from the own agent only: it stands on this machine, whatever became of other addresses.
+    if (address === this.settings.agentAddress) this.fleet.learn(fleet);
+    if (fleet === '' || fleet !== this.fleet.name) return;
+    const ownLoad = (version: FactVersion): LoadFact | undefined => this.own.loadSaidAs(version);
+    this.receivedLoads.take(address, message['loads'], ownLoad, askedMicroseconds);
   }
 
   /** A seed names the fleet, and agents that have asked it lately. */
--- a/source/edge-proxy/feeding/receivedLoads.ts
+++ b/source/edge-proxy/feeding/receivedLoads.ts
@@ -6,7 +6,7 @@
 
 /** What is known of all other proxies together. */
 export type OthersTogether = Readonly<{
-  /** Rises with each update that changed something. */
+  /** Rises with each update. */
   changes: number;
   /** Names of the other proxies that seem to be there. */
   names: readonly string[];
@@ -16,6 +16,9 @@
   everSeen: number;
 }>;
 
+/** Whose update it was, and when this proxy asked for it, in microseconds of its clock. */
+type Source = Readonly<{ address: string; book: string; askedMicroseconds: number }>;
+
 type Followed = Readonly<{ position: LoadPosition; sums: LoadSumTables; proxies: readonly string[] }>;
 
 /** A proxy has few agents that it follows at a time; the longest unheard is begun anew. */
@@ -43,7 +46,7 @@
 
 export class ReceivedLoads {
   private readonly followed = new Map<string, Followed>();
-  private latest: OthersTogether | undefined;
+  private latest: (OthersTogether & Source) | undefined;
 
   public constructor(private readonly self: string) {}
 
@@ -57,8 +60,17 @@
     return this.followed.get(address)?.position ?? null;
   }
 
-  /** An agent answered. `ownLoad`: the load that this proxy said under a version, which the sums may contain. */
-  public take(address: string, told: unknown, ownLoad: (version: FactVersion) => LoadFact | undefined): void {
+  /**
+   * An agent answered. `ownLoad`: the load that this proxy said under a version, which the sums may contain. `askedMicroseconds`: when it
+   * was asked; what was asked for earlier than the sums that are known does not replace them.
+   */
+  public take(
+    address: string,
+    told: unknown,
+    ownLoad: (version: FactVersion) => LoadFact | undefined,
+    askedMicroseconds = this.latest?.askedMicroseconds ?? 0,
+  ): void {
+    if (told === undefined) this.latest = undefined;
     if (!LoadUpdates.is(told)) return;
     const next = this.next(this.followed.get(address), told);
     this.followed.delete(address);
@@ -66,16 +78,32 @@
     this.followed.set(address, next);
     const [oldest] = this.followed.keys();
     if (this.followed.size > mostFollowed && oldest !== undefined) this.followed.delete(oldest);
+    const names = next.proxies.filter((name) => name !== this.self);
+    const source = { address, book: told.book, askedMicroseconds };
+    if (!this.isBetter(source, names.length)) return;
     const own = told.counted === null ? undefined : ownLoad(told.counted);
     const sums = own === undefined ? next.sums : LoadSums.without(next.sums, own);
     this.latest = {
+      ...source,
       changes: (this.latest?.changes ?? 0) + 1,
-      names: next.proxies.filter((name) => name !== this.self),
+      names,
       sum: LoadSums.asLoad(sums, address),
-      everSeen: told.everSeen,
+      everSeen: this.isSameSource(source) ? told.everSeen : Math.max(told.everSeen, this.latest?.everSeen ?? 0),
     };
   }
 
+  private isSameSource({ address, book }: Source): boolean {
+    return this.latest?.address === address && this.latest.book === book;
+  }
+
+  /** An agent that has just started, or is cut off, knows few proxies: what another one told of many stands. */
+  private isBetter(source: Source, proxies: number): boolean {
+    const { latest } = this;
+    if (latest === undefined) return true;
+    if (source.askedMicroseconds < latest.askedMicroseconds) return false;
+    return this.isSameSource(source) || proxies * 2 >= latest.names.length;
+  }
+
   /** Undefined: the update does not continue what is known. */
   private next(known: Followed | undefined, told: LoadUpdate): Followed | undefined {
     const { book, from, change, rows, proxies } = told;
--- a/source/edge-proxy/placement/otherProxies.ts
+++ b/source/edge-proxy/placement/otherProxies.ts
@@ -33,7 +33,8 @@
   for (const load of loads)
     for (const [name, sends] of Object.entries(load.engines)) {
       const known = engines.get(name) ?? noneElsewhere;
-      const [reading, tokens] = load.work?.[name] ?? [0, 0];
+      const [reading, tokens] =
+        load.work !== undefined && Object.hasOwn(load.work, name) ? (load.work[name] ?? [0, 0]) : [0, 0];
       engines.set(name, {
         sends: known.sends + sends,
         work: { reading: known.work.reading + reading, tokens: known.work.tokens + tokens },
--- a/source/shared/directory/shardChangeCodec.ts
+++ b/source/shared/directory/shardChangeCodec.ts
@@ -84,6 +84,13 @@
     : [];
 
 export const ShardChangeCodec = {
+  /** Whether a message of another daemon holds a change; its entries are looked at when it is unpacked. */
+  is: (value: unknown): value is PackedShardChange => {
+    if (!isRecord(value)) return false;
+    const { head, from, put, gone } = value;
+    return isRecord(head) && (from === null || typeof from === 'number') && Array.isArray(put) && Array.isArray(gone);
+  },
+
   pack: ({ head, from, put, gone }: ShardChange): PackedShardChange => ({
     head,
     from,
--- a/source/shared/loads/loadSums.ts
+++ b/source/shared/loads/loadSums.ts
@@ -26,11 +26,15 @@
   mixes: new Map(),
 });
 
+/** Names come from elsewhere, and some stand in every record. */
+const ownValue = <Value>(record: Readonly<Record<string, Value>>, name: string): Value | undefined =>
+  Object.hasOwn(record, name) ? record[name] : undefined;
+
 const rowsOf = (load: LoadFact): readonly LoadRow[] => {
   const { engines, work = {}, failing = {}, answering = [], classes, waiting, mix = {} } = load;
   return [
     ...Object.entries(engines).map(([name, sends]): LoadRow => {
-      const [reading, tokens] = work[name] ?? [0, 0];
+      const [reading, tokens] = ownValue(work, name) ?? [0, 0];
       return { table: 'engines', name, vector: [sends, reading, tokens] };
     }),
     ...Object.entries(failing).map(([name, [failed, good, tellers = 1]]): LoadRow => ({
--- a/source/shared/news/newsExchange.ts
+++ b/source/shared/news/newsExchange.ts
@@ -73,8 +73,8 @@
   }
 
   /**
-   * Asks one colleague. False when it stayed silent. `extra` and `onAnswer` carry what only one pair says. `patienceMicroseconds`: an
-   * answer that comes after the limit, but not later than this, is taken too.
+   * Asks one colleague. False when it stayed silent. `extra` and `onAnswer` carry what only one pair says. `patienceMicroseconds`: a
+   * first answer that comes after the limit, but not later than this, is taken too.
    */
   public async ask(
     address: string,
@@ -122,7 +122,7 @@
       return true;
     }
     const wants = wanted.slice(0, pace.amount);
-    const more = await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore', wants }, patienceMicroseconds);
+    const more = await this.effects.transport.ask(address, { ...lacks, kind: 'newsMore', wants }, limitMicroseconds);
     if (more.kind !== 'answered') pace.silent();
     if (more.kind !== 'answered' || !this.isOurs(more.message)) return true;
     this.takeFacts(more.message);
@@ -251,7 +251,7 @@
     this.takeFacts(message);
     const changes = message['shards'];
     if (Array.isArray(changes))
-      for (const change of changes as readonly PackedShardChange[]) shards.apply(ShardChangeCodec.unpack(change));
+      for (const change of changes.filter(ShardChangeCodec.is)) shards.apply(ShardChangeCodec.unpack(change));
   }
 
   private takeFacts(message: Message): void {
