Failing test: engines of a large fleet change their weights before its proxies know

What callers saw: long requests refused once new weights are named. Their route allows one engine a try, so what an engine turns away is refused.

--- a/tests/support/rush.ts
+++ b/tests/support/rush.ts
@@ -36,6 +36,8 @@
   hotPerMille: number;
   seconds: number;
   troubles: boolean;
+  /** New weights are named after a quarter of the time; with `troubles` they are anyway. */
+  newWeights: boolean;
   engines: number;
   /** Agents, each beside a proxy, and proxies on machines without one. */
   agents: number;
@@ -56,6 +58,7 @@
     hotPerMille: 600,
     seconds: 36,
     troubles: true,
+    newWeights: false,
     engines: 8,
     agents: 6,
     proxiesAlone: 0,
@@ -79,6 +82,8 @@
   answeredTwice: number;
   unasked: number;
   refused: number;
+  /** Long orders that engines turned away because they were changing their weights, or had. */
+  turnedAway: number;
   lateP50Microseconds: number;
   lateP90Microseconds: number;
   /** Long orders by what became of their ask at the work queue. */
@@ -161,6 +166,7 @@
 /** Engines that read one prompt after the other, keep named parts as long as there is room, and move them on request. */
 class RushEngines {
   public readonly runs: RushRun[] = [];
+  public turnedAway = 0;
   private readonly everRead = new Set<string>();
   private readonly freeAt = new Map<string, number>();
   private readonly running = new Map<string, Set<() => void>>();
@@ -235,8 +241,10 @@
         sink.head({ status, headers: said, framed: true });
         sink.end();
       });
-    if (engine.name !== headers['engine'] || engine.loading !== undefined || engine.weights !== headers['weights'])
+    if (engine.name !== headers['engine'] || engine.loading !== undefined || engine.weights !== headers['weights']) {
+      if (parts.includes(',')) this.turnedAway += 1;
       return notRun(421);
+    }
     const running = this.running.get(engine.name) ?? new Set();
     this.running.set(engine.name, running);
     if (running.size >= capacity) return notRun(503);
@@ -510,6 +518,10 @@
     await world.runFor(third);
     engines.emptyStore();
   }
+  if (options.newWeights) {
+    await world.runFor((options.seconds * 1_000_000) / 4);
+    await fleet.name('w2');
+  }
   await world.runUntil(
     () => answers.size === orders && [...answers.values()].every(({ ends }) => ends > 0),
     options.seconds * 1_000_000 + 10_000_000,
@@ -523,7 +535,8 @@
     ]),
   );
   const bytesPerSecond = Math.round((fleet.keepers.network.bytes - bytesBefore) / options.seconds);
-  return { ...outcomeOf(engines.runs, answers, hotIds, waits), deskWords, bytesPerSecond };
+  const { turnedAway } = engines;
+  return { ...outcomeOf(engines.runs, answers, hotIds, waits), turnedAway, deskWords, bytesPerSecond };
 };
 
 const outcomeOf = (
@@ -531,7 +544,7 @@
   answers: ReadonlyMap<string, RushAnswer>,
   hotIds: ReadonlySet<string>,
   waits: readonly number[],
-): Omit<RushOutcome, 'deskWords' | 'bytesPerSecond'> => {
+): Omit<RushOutcome, 'turnedAway' | 'deskWords' | 'bytesPerSecond'> => {
   const all = [...answers.values()];
   const rebuilt = runs.filter(({ again }) => again);
   const hotRebuilt = rebuilt.filter(({ id }) => hotIds.has(id));
