Engines are told of new weights once the proxies of a large fleet know that they change

What callers saw: long requests refused (their route allows one engine a try) and short ones late once new weights are named. Cause: a steward announces that its engine changes, waits until proxies should know, and then tells the engine. That wait grew with the number of agents, which are 15 since few machines of a zone run one, and not with that of the proxies, which ask the less often the more there are. Evidence: tests/large-fleet-weights, red before (4 and 1 of 580 turned away, now none); news of an engine reaches a tenth of 195 simulated proxies only after 410 ms, where the wait was 300. Now it is 750 there.

--- a/source/edge-agent/edgeAgent.ts
+++ b/source/edge-agent/edgeAgent.ts
@@ -251,7 +251,7 @@
           weightsWithinMicroseconds: settings.weightsWithinMicroseconds,
           statusMicroseconds: settings.statusMicroseconds,
           leastPart: settings.leastPart,
-          markMicroseconds: () => HeldStewardDefaults.markMicroseconds() * this.pace(mostNewsPause),
+          markMicroseconds: () => HeldStewardDefaults.markMicroseconds() * this.proxiesPace(mostNewsPause),
         },
       },
       this.log,
@@ -376,6 +376,11 @@
     return FleetPace.of(this.membership.present().length, most);
   }
 
+  /** As `pace`, for what proxies must know: there are more of them than agents, and each asks the less often the more there are. */
+  private proxiesPace(most: number): number {
+    return Math.max(this.pace(most), FleetPace.of(this.facts.countOf('load'), most));
+  }
+
   /**
    * Until its next exchange. Why shorter after a change: documents and the word on engines must be everywhere within a bound
    * that does not grow with the fleet, and what changes all the time, loads and heartbeats, may wait.
