--- a/tests/doors-sender.test.ts
+++ b/tests/doors-sender.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import type net from 'node:net';
+import net from 'node:net';
 import { describe, test } from 'node:test';
 import fc from 'fast-check';
 import { HttpBackEndSender } from '../source/shared/back-end/httpBackEnds';
@@ -509,6 +509,37 @@
     );
   });
 
+  test('an answer that came before its long order was read: the rest of that order is read by nobody as another one', async (context) => {
+    const heads: string[][] = [];
+    const sockets: net.Socket[] = [];
+    const server = net.createServer((socket) => {
+      const seen: string[] = [];
+      heads.push(seen);
+      sockets.push(socket);
+      socket.on('error', () => undefined);
+      socket.once('data', (chunk: Buffer) => {
+        seen.push(chunk.toString('latin1').slice(0, 6));
+        socket.pause();
+        socket.write('HTTP/1.1 503 Busy\r\npostdrum-not-run: 1\r\ncontent-length: 0\r\n\r\n');
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    context.after(() => {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    });
+    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    const sender = kept();
+    const body = Buffer.alloc(16 * 1024 * 1024, 'x');
+    const first = await sendRaw(sender, address, { body });
+    assert.equal(`${first.head?.status} ${first.end}`, '503 whole');
+    assert.deepEqual(sender.counts(address), { conns: 0, idle: 0 });
+    const second = await sendRaw(sender, address, { body: 'short' });
+    assert.equal(`${second.head?.status} ${second.end}`, '503 whole');
+    assert.deepEqual(heads, [['POST /'], ['POST /']], 'each order came first on a conn of its own');
+    sender.close();
+  });
+
   test('a surplus answer in the place of the next one: who rejects its head has thrown the conn away', () =>
     withEngine(
       (socket, _order, count) => {
--- a/tests/engine-answers.test.ts
+++ b/tests/engine-answers.test.ts
@@ -103,3 +103,19 @@
     assert.equal(stage.caller.begun(), false);
   });
 });
+
+describe('a caller that leaves', () => {
+  for (const begun of [false, true])
+    test(`its engine's work is ended at once, ${begun ? 'in the middle of the answer' : 'before the answer'}`, async () => {
+      const stage = new SendStage({ mapping: { resumable: true } });
+      if (begun) {
+        stage.head(200, sealed);
+        stage.part('id: 1\ndata: x\n\n');
+      }
+      assert.equal(stage.cuts, 0);
+      stage.caller.leave();
+      assert.equal(stage.cuts, 1, 'without waiting for anything');
+      await stage.settle();
+      assert.equal(stage.step?.kind, 'refuse', 'and it goes to no other engine');
+    });
+});
