Test: edge machines that are added to a running fleet serve within three seconds

add_nodes had no test of ours. It holds: two proxies without an agent of their own, the first added while a control node is down, are ready and answer within 3 s each, 3 seeds; not seen red.

--- a/source/fleet-simulator/machines/simFleet.ts
+++ b/source/fleet-simulator/machines/simFleet.ts
@@ -302,6 +302,13 @@
     if (power) keeper.disk.losePower();
   }
 
+  /** One more edge machine, not started yet; it runs no agent. */
+  public addEdge(): SimEdge {
+    const made = this.makeEdge(this.edges.length + 1);
+    this.edges.push(made);
+    return made;
+  }
+
   public killEdge(edge: SimEdge): void {
     edge.agentProcess.kill();
     edge.proxyProcess.kill();
--- a/tests/fleet-behaviour.test.ts
+++ b/tests/fleet-behaviour.test.ts
@@ -242,3 +242,21 @@
   assert.ok(calls.every(({ status, right }) => status === 200 && right));
   assert.ok(fleet.backEnds.arrivals.slice(from).every(({ engine: name }) => name !== deaf));
 });
+
+for (const seed of [21, 22, 23])
+  test(`edge machines that are added, one while a control node is down, serve within three seconds, seed ${seed}`, async () => {
+    const { world, fleet } = await started(seed);
+    fleet.killKeeper(fleet.keeper(0), false);
+    const first = fleet.addEdge();
+    fleet.startEdge(first);
+    assert.ok(await world.runUntil(() => first.proxy?.ready() === true, 3_000_000), 'the first is not ready');
+    fleet.startKeeper(fleet.keeper(0));
+    const second = fleet.addEdge();
+    fleet.startEdge(second);
+    assert.ok(await world.runUntil(() => second.proxy?.ready() === true, 3_000_000), 'the second is not ready');
+    for (const edge of [first, second]) {
+      const call = await answered(world, long(fleet, edge));
+      assert.equal(call.status, 200);
+    }
+    assert.deepEqual(judgeAll(fleet).broken, []);
+  });
