--- a/tests/support/sabotages.ts
+++ b/tests/support/sabotages.ts
@@ -156,18 +156,13 @@
       ['shared/freshness/freshness.ts', 'statement.revision < this.sinceRevision', 'statement.revision < 0'],
       [
         'shared/register/majorityRead.ts',
-        'Epochs.compare(word.epoch, best.epoch) > 0 ||',
-        'Epochs.compare(word.epoch, best.epoch) < 0 ||',
+        'best === undefined || compareValues(word, best) > 0',
+        'best === undefined || compareValues(word, best) < 0',
       ],
       [
         'shared/register/majorityRead.ts',
-        'word.revision > best.revision) ? word',
-        'word.revision < best.revision) ? word',
-      ],
-      [
-        'shared/register/majorityRead.ts',
-        '!Stamps.reached(view.sets, holders) && !said && !known',
-        'holders.length === 0 && !said && !known',
+        'Stamps.reached(sets, holders) || isDecided(newest)',
+        'holders.length > 0 || isDecided(newest)',
       ],
     ],
   },
