--- a/source/core-keeper/register/recentEntries.ts
+++ b/source/core-keeper/register/recentEntries.ts
@@ -1,7 +1,6 @@
 /**
- * The entries that this replica has accepted lately, the overtaken ones included. Whoever learns that a revision is decided fetches its
- * text a moment later, and by then the next change may have taken its place: without the text a reader that is a moment behind each
- * change would never apply one. Whether a text may be used is for its receiver to know; a digest names it.
+ * The last entries of each key that this replica has accepted, overtaken ones included, so that a reader that learned of a decided revision
+ * a moment ago can still fetch its text. Whether a text may be used is for its receiver to know; a digest names it.
  */
 import type { DocumentKey } from '../../shared/blueprint/types';
 import type { Entry } from '../../shared/register/types';
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -120,7 +120,7 @@
 /** An answer of an agent is taken up to so many times the limit after which the agent counts as silent. */
 const lateFeedFactor = 3;
 
-/** A proxy whose agents are slow to answer leaves them in peace for as long as they took, up to this. */
+/** After a slow round the next one begins as much later as the round took, up to this. */
 const mostBusyPauseMicroseconds = 400_000;
 
 /** Starting value, ours: how much longer it may take until a proxy of a large fleet is fed again. */
--- a/source/edge-proxy/feeding/feedWatch.ts
+++ b/source/edge-proxy/feeding/feedWatch.ts
@@ -5,10 +5,10 @@
 import type { Log } from '../../shared/log/log';
 import type { Metrics } from '../../shared/metrics/metrics';
 
-/** Starting value, ours: a configuration that was last confirmed so long ago is worth a sentence. */
+/** A configuration that was last confirmed so long ago is worth a sentence. */
 export const oldMicroseconds = 2_000_000;
 
-/** Starting value, ours: a newer configuration that is known for so long and not applied is worth a sentence. */
+/** A newer configuration that is known for so long and not applied is worth a sentence. */
 export const behindMicroseconds = 1_000_000;
 
 const milliseconds = (microseconds: number): number => Math.round(microseconds / 1000);
--- a/source/edge-proxy/feeding/proxyFacts.ts
+++ b/source/edge-proxy/feeding/proxyFacts.ts
@@ -10,7 +10,7 @@
 const promptProxies = 16;
 const pauseMicroseconds = 120_000;
 
-/** Loads said of late that are kept, since agents may count the one before the last. */
+/** Own loads that are remembered, since an agent may have counted the one before the last. */
 const mostKeptLoads = 6;
 
 type SaidLoad = Readonly<{ version: FactVersion; load: LoadFact }>;
--- a/source/shared/freshness/bodies.ts
+++ b/source/shared/freshness/bodies.ts
@@ -43,7 +43,7 @@
 /** `before`: the text that the receiver has; what is shipped may build on none all the same. */
 type KeptShipment = Readonly<{ digest: string; before: string; shipment: Shipment }>;
 
-/** Keeps the texts of late, so that others can be sent what changed since, and packs each once, however many ask for it. */
+/** Keeps recent texts, so that others can be sent what changed since, and packs each once, however many ask for it. */
 export class BodyPacker {
   private kept: readonly Kept[] = [];
   private shipments: readonly KeptShipment[] = [];
@@ -67,7 +67,7 @@
   }
 
   /**
-   * A text of late, to one that has the texts of the digests `bases`, the preferred one first; undefined: it is not kept any more.
+   * A recent text, to one that has the texts of the digests `bases`, the preferred one first; undefined: it is not kept any more.
    */
   public shipment(digest: string, bases: readonly string[]): Shipment | undefined {
     const text = this.find(digest);
--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -172,7 +172,7 @@
     return this.packer.shipment(digest, bases);
   }
 
-  /** Long texts of a key that are or were applied here of late, the latest first. */
+  /** Long texts of a key that are or were applied here recently, the latest first. */
   public lateTexts(key: DocumentKey): readonly Readonly<{ digest: string; text: string }>[] {
     return this.packer.texts(key);
   }
--- a/source/shared/log/standstillWatch.ts
+++ b/source/shared/log/standstillWatch.ts
@@ -3,7 +3,7 @@
 import { LimitedLogs } from './limitedLog';
 import type { Log } from './log';
 
-/** Starting value, ours: a timer that is late by so much is worth a sentence. */
+/** A timer that is late by so much is worth a sentence. */
 export const standstillMicroseconds = 500_000;
 
 export class StandstillWatch {
