The age of weights no longer grows with each exchange of news

What callers saw: 502 as oldWeights, and engines left out, before the time for the weights before was over. Cause: an age is told, and the asker counts it from when it asked, which is right: what is believed may be too old and never too young. But of two words the earlier one stood, and daemons tell each other what they were told. So each exchange made the same word older by the time it was on its way, round and round: a ratchet, 1.3 s in 8 s with ways of 20 ms. Stewards then hurry and proxies cut. Change: a word replaces the one that is known only where it is earlier by more than it was on its way. Each word that is kept is still no later than the control node's own; a daemon that has heard only of a node that learned late adopts an earlier word as before, unless the two differ by less than one ask took (500 ms at most, of 2 s that proxies keep as a margin).

--- a/source/shared/freshness/freshness.ts
+++ b/source/shared/freshness/freshness.ts
@@ -206,6 +206,7 @@
 
   /** `askedMicroseconds` is when this daemon asked; whatever came later on the way only adds to the age. */
   public hear(statement: Statement, askedMicroseconds: number): void {
+    const onTheWay = this.clock.nowMicroseconds() - askedMicroseconds;
     this.keys[statement.key].confirm({
       revision: statement.revision,
       digest: statement.digest,
@@ -224,7 +225,8 @@
         sinceMicroseconds: word.ageMicroseconds === null ? null : askedMicroseconds - word.ageMicroseconds,
       };
       const before = this.since[service];
-      next[service] = before !== undefined && before.weights === heard.weights ? earlier(before, heard) : heard;
+      next[service] =
+        before !== undefined && before.weights === heard.weights ? earlier(before, heard, onTheWay) : heard;
     }
     this.since = same ? { ...this.since, ...next } : next;
   }
@@ -259,13 +261,14 @@
 }
 
 /**
- * Of two words on the same weights: a known time before an unknown one, the earlier of two known ones. Which weights were
- * before is taken from either: a control node that joined lately does not know it.
+ * Of two words on the same weights: a known time before an unknown one, the earlier of two known ones. Why only one that is earlier
+ * by more than the word was on its way: daemons tell each other what they were told, and each time it would get older by that. Which
+ * weights were before is taken from either: a control node that joined lately does not know it.
  */
-const earlier = (left: WeightsSince, right: WeightsSince): WeightsSince => {
-  const isLeft =
-    right.sinceMicroseconds === null ||
-    (left.sinceMicroseconds !== null && left.sinceMicroseconds <= right.sinceMicroseconds);
-  const [first, second] = isLeft ? [left, right] : [right, left];
+const earlier = (known: WeightsSince, heard: WeightsSince, onTheWayMicroseconds: number): WeightsSince => {
+  const isKnown =
+    heard.sinceMicroseconds === null ||
+    (known.sinceMicroseconds !== null && known.sinceMicroseconds <= heard.sinceMicroseconds + onTheWayMicroseconds);
+  const [first, second] = isKnown ? [known, heard] : [heard, known];
   return { ...first, previous: first.previous ?? second.previous };
 };
