--- a/tests/support/agentFleet.ts
+++ b/tests/support/agentFleet.ts
@@ -7,6 +7,7 @@
 import { SimProcess } from '../../source/fleet-simulator/world/simProcess';
 import { ControlFleet, type ControlMachine } from './controlFleet';
 import { platformDocument } from './platformDocument';
+import { nameOf } from './largeConfiguration';
 
 const controlNodes = 5;
 const zones = ['zone-1', 'zone-2', 'zone-3'] as const;
@@ -25,17 +26,6 @@
   settleMicroseconds: 600_000,
 } as const;
 
-const letters = 'abcdefghijklmnopqrstuvwxyz0123456789';
-
-/** Letters that repeat nowhere, so that a document of many routes does not pack to nothing. */
-const nameOf = (seed: number, length: number): string => {
-  let state = Math.imul(seed + 1, 0x9e3779b1) >>> 0;
-  return Array.from({ length }, () => {
-    state = (Math.imul(state ^ (state >>> 15), 0x85ebca6b) + 0x2545f491) >>> 0;
-    return letters[(state >>> 8) % letters.length] ?? '';
-  }).join('');
-};
-
 /** An operator's document with so many routes more. */
 export const documentOf = (version: number, routes: number): string => {
   const small = JSON.parse(platformDocument(version)) as { routes: readonly Record<string, unknown>[] };
--- a/tests/support/largeConfiguration.ts
+++ b/tests/support/largeConfiguration.ts
@@ -6,7 +6,7 @@
 const letters = 'abcdefghijklmnopqrstuvwxyz0123456789';
 
 /** Letters that repeat nowhere, so that a document of many routes does not pack to nothing. */
-const nameOf = (seed: number, length: number): string => {
+export const nameOf = (seed: number, length: number): string => {
   let state = Math.imul(seed + 1, 0x9e3779b1) >>> 0;
   return Array.from({ length }, () => {
     state = (Math.imul(state ^ (state >>> 15), 0x85ebca6b) + 0x2545f491) >>> 0;
