--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -7,8 +7,8 @@
 const record = new Record(path.join(import.meta.dirname, 'record.txt'));
 // The doses of sites/koro-freight.toml: { kind = "garble", how = "extra late", share = 0.6, x = 0.03, for_s = 5.0 }.
 const dose = { share: 0.6, x: 0.03, seconds: 5 };
-const rounds = 10;
-const clientsPerEdge = 30;
+const rounds = 12;
+const clientsPerEdge = 27;
 const workMilliseconds = 120;
 const key = '3d3zji9n73hh2b9wu3fe';
 let code = 2;
