Log what a stopping proxy holds, and which connection a request goes out on

The logs could not tell where the lost requests were when the process ended (queued, or at an engine), nor which send of a request a refusal belonged to.

A stopping proxy now says what it holds when the signal comes, and again when its limit ends the process; each request is logged with the connection it is written to (channel conns); postdrum_rejected_responses_total counts answers to other requests.

No change of what the proxy decides.

--- a/source/edge-proxy/attempts/attempt.ts
+++ b/source/edge-proxy/attempts/attempt.ts
@@ -125,6 +125,7 @@
     );
     const { cut } = dependencies.sender.send(
       {
+        id: request.id,
         address: placed.address,
         method: request.method,
         path: request.target ?? request.path,
@@ -300,6 +301,9 @@
 
   /** Discards the whole response and closes its connection. */
   private rejectResponse(text: string): void {
+    this.dependencies.metrics.count('postdrum_rejected_responses_total', {
+      service: this.resolved.mapping.service,
+    });
     this.step({ kind: 'failed' });
     this.cancelSend();
     this.handleFailure(Refusals.make(502, 'mayHaveRun', 'engineFailed', text));
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -114,6 +114,9 @@
   demand: DemandSettings;
 }>;
 
+/** Numbers of accepted requests that wait for a place, and that have been passed to an engine. */
+export type UnfinishedRequests = Readonly<{ queued: number; atEngines: number }>;
+
 /** If the knowledge of the selected agent about the control state is older than this, another agent is asked as well. */
 const staleMicroseconds = 1_200_000;
 
@@ -422,6 +425,11 @@
     return this.shards.size;
   }
 
+  /** Requests that have been accepted and are not answered yet. */
+  public unfinishedRequests(): UnfinishedRequests {
+    return { queued: this.queue.queuedCount(), atEngines: this.sends.count };
+  }
+
   /** Counters that must be zero once all requests have ended. */
   public remainingWork(): Readonly<Record<string, number>> {
     return {
--- a/source/edge-proxy/proxyProgram.ts
+++ b/source/edge-proxy/proxyProgram.ts
@@ -12,7 +12,7 @@
 import { ClientServer } from './client-api/clientServer';
 import { ChatClientApiFormat, type ClientApiFormat } from './client-api/clientApiFormat';
 import { ReadinessServer } from './client-api/readinessServer';
-import { EdgeProxy, type ProxySettings, type ProxyProtocols } from './edgeProxy';
+import { EdgeProxy, type ProxySettings, type ProxyProtocols, type UnfinishedRequests } from './edgeProxy';
 
 export type ProxyOptions = Readonly<{
   /** Default: a clock that includes the time the machine is suspended. */
@@ -69,6 +69,9 @@
   forClients: (files: number): number => Math.max(64, files - otherFileDescriptors),
 } as const;
 
+const describeWork = ({ queued, atEngines }: UnfinishedRequests): string =>
+  `${queued} requests queued, ${atEngines} at engines`;
+
 export const ProxyProgram = {
   /** Runs one proxy on a real machine, from its start to its graceful stop, with the given protocols. */
   start: async (parts: ProxyOptions): Promise<EdgeProxy> => {
@@ -101,16 +104,20 @@
             () => !isStopping && proxy.isReady(),
           );
     proxy.start();
-    Logs.channel('proxy:notice')(`Proxy ${settings.name} listens on ${server.address}.`);
-    Programs.onShutdown(parts.stopLimitMicroseconds, async () => {
+    const notice = Logs.channel('proxy:notice');
+    notice(`Proxy ${settings.name} listens on ${server.address}.`);
+    const remaining = (): string => describeWork(proxy.unfinishedRequests());
+    const shutDown = async (): Promise<void> => {
       isStopping = true;
+      notice(`Shutting down: ${remaining()}.`);
       // The listener drains first, so that accepted requests finish while gossip still arrives.
       await server.drain(parts.drain ?? DrainPlans.atOnce);
       proxy.stop();
       if (sender instanceof PooledSender) sender.close();
       await readiness?.close();
       await transport.close();
-    });
+    };
+    Programs.onShutdown(parts.stopLimitMicroseconds, shutDown, remaining);
     return proxy;
   },
 } as const;
--- a/source/shared/back-end/connection-pool/pooledConnection.ts
+++ b/source/shared/back-end/connection-pool/pooledConnection.ts
@@ -61,6 +61,8 @@
 
   public constructor(
     public readonly address: string,
+    /** Sequence number in its pool, for the log. */
+    public readonly number: number,
     private readonly clock: Clock,
     private readonly limits: PooledConnectionLimits,
     /** Called once when the connection is open. If it cannot be opened, only `onEnd` is called. */
--- a/source/shared/back-end/connection-pool/pooledSender.ts
+++ b/source/shared/back-end/connection-pool/pooledSender.ts
@@ -49,6 +49,9 @@
 export class PooledSender implements BackEndSender {
   private readonly pools = new Map<string, AddressPool>();
   private readonly log = Logs.channel('conns');
+  /** Undefined unless the log is enabled, because there is a line for each request. */
+  private readonly requestLog = Logs.isOn('conns') ? this.log : undefined;
+  private openedConnections = 0;
   private closed = false;
   private idleLimits: IdleLimitsState = IdleLimits.initial;
 
@@ -136,7 +139,12 @@
     let text = 'request cancelled before it was sent';
     if (encoded.kind === 'unwritable') text = encoded.text;
     // This check is the last step before the first byte, so that nothing can happen in between.
-    else if (sink.maySend()) return connection.write(request, encoded.bytes, sink);
+    else if (sink.maySend()) {
+      this.requestLog?.(
+        `Request ${request.id ?? 'without an id'} is written to connection ${connection.number} to ${connection.address}.`,
+      );
+      return connection.write(request, encoded.bytes, sink);
+    }
     this.release(connection, undefined);
     let isCancelled = false;
     queueMicrotask(() => {
@@ -151,8 +159,10 @@
   private connect(request: BackEndRequest, sink: BackEndResponseSink): RequestHandle {
     let running: RequestHandle | undefined;
     let state: 'connecting' | 'connected' | 'cancelled' = 'connecting';
+    this.openedConnections += 1;
     const connection: PooledConnection = new PooledConnection(
       request.address,
+      this.openedConnections,
       this.clock,
       this.settings,
       () => {
@@ -176,7 +186,7 @@
       },
     );
     this.poolOf(request.address).conns.add(connection);
-    this.log(`Opening a connection to ${request.address}; ${this.describe(request.address)}.`);
+    this.log(`Opening connection ${connection.number} to ${request.address}; ${this.describe(request.address)}.`);
     const canceller = (how: 'cut' | 'leave') => (): void => {
       if (state === 'connecting') state = 'cancelled';
       else if (how === 'cut') running?.cut();
@@ -192,7 +202,7 @@
 
   private removeConnection(connection: PooledConnection): void {
     this.log(
-      `Closed a connection to ${connection.address} (${connection.closeReason}); ${this.describe(connection.address)}.`,
+      `Closed connection ${connection.number} to ${connection.address} (${connection.closeReason}); ${this.describe(connection.address)}.`,
     );
     const pool = this.poolOf(connection.address);
     pool.conns.delete(connection);
--- a/source/shared/back-end/protocol.ts
+++ b/source/shared/back-end/protocol.ts
@@ -221,6 +221,8 @@
 
 /** A request to a back end. */
 export type BackEndRequest = Readonly<{
+  /** Id that the response carries; a retry of the request has the same. Missing: responses carry none. */
+  id?: string;
   address: string;
   method: string;
   path: string;
--- a/source/shared/settings/program.ts
+++ b/source/shared/settings/program.ts
@@ -27,13 +27,21 @@
     process.on('SIGHUP', () => void reload());
   },
 
-  /** On SIGTERM and SIGINT, finishes accepted work and exits; exits with code 3 when the limit has passed. */
-  onShutdown: (limitMicroseconds: number, finish: () => Promise<void>): void => {
+  /**
+   * On SIGTERM and SIGINT, finishes accepted work and exits; exits with code 3 when the limit has passed, and logs then
+   * what `remaining` says is unfinished.
+   */
+  onShutdown: (limitMicroseconds: number, finish: () => Promise<void>, remaining?: () => string): void => {
     let stopping = false;
     const term = (): void => {
       if (stopping) return;
       stopping = true;
-      setTimeout(() => process.exit(3), limitMicroseconds / 1000).unref();
+      setTimeout(() => {
+        Logs.channel('stop:notice')(
+          `The shutdown reached its limit${remaining === undefined ? '' : `: ${remaining()}`}.`,
+        );
+        process.exit(3);
+      }, limitMicroseconds / 1000).unref();
       finish().then(
         () => process.exit(0),
         () => process.exit(1),
