LOST: a stopping proxy answers what it holds before its process ends

Cause: nothing ended accepted requests before the process ended. The listener refuses requests that come later than 2.5 s after the signal and may outlast the stop; those that came before keep their own deadlines, and at its limit the process exits with whatever it holds.

Change: a stop has two cut-offs. From the first on (when the listener closes at the latest, the existing time for finishing requests) no request is sent to an engine that has not been sent before: those queued are refused with 503 and notRun, in time for their clients to try elsewhere, new ones on arrival, also where the expected wait passes the cut-off. At the second, shortly before the limit, requests still at engines are abandoned: their engine's connection is reset and they get 502.

Why it works: every accepted request is in the queue, between two policies, or in an attempt; each of these three is ended by one of the cut-offs before the limit.

--- a/source/edge-proxy/admission/admissionQueue.ts
+++ b/source/edge-proxy/admission/admissionQueue.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '../../shared/metrics/metrics';
 import { Refusals, type Refusal } from '../../shared/verdict/verdict';
 import type { Revalidation } from '../identification/requestIdentifier';
+import { stoppingRefusal, type StartCutoff } from '../shutdown/startCutoff';
 import { ClassShares, type ClassLoad } from './classShares';
 
 /** The outcome of a request for admission. */
@@ -85,6 +86,8 @@
     private readonly classesOf: () => Readonly<Record<string, ServiceClass>>,
     private readonly serviceKey: (service: string, className: string) => string,
     private readonly metrics: Metrics,
+    /** Missing: requests may start at any time. */
+    private readonly startCutoff?: StartCutoff,
   ) {}
 
   public loads(): Readonly<{
@@ -117,16 +120,7 @@
         order: request,
         settle: resolve,
         cancel: this.clock.after(Math.max(0, remainingMicroseconds), () =>
-          this.removeFromQueue(queue, entry, {
-            kind: 'refuse',
-            refusal: Refusals.make(
-              503,
-              'notRun',
-              'holdingLimit',
-              'No place came free in time.',
-              this.retryAfterEstimate(request),
-            ),
-          }),
+          this.removeFromQueue(queue, entry, { kind: 'refuse', refusal: this.queueTimeRefusal(request) }),
         ),
       };
       this.enqueue(queue, entry);
@@ -162,6 +156,16 @@
         }
   }
 
+  /** Ends all queued requests; called when the time for starting requests is over. Returns their number. */
+  public refuseQueued(): number {
+    const entries = [...this.services.values()].flatMap(({ classes }) =>
+      [...classes.values()].flatMap((queue) => [...queue.tenants.values()].flat().map((entry) => ({ queue, entry }))),
+    );
+    for (const { queue, entry } of entries)
+      this.removeFromQueue(queue, entry, { kind: 'refuse', refusal: stoppingRefusal });
+    return entries.length;
+  }
+
   /** How long a request may still be queued in that class. */
   public remainingQueueMicroseconds(
     className: string,
@@ -171,7 +175,9 @@
     }: Pick<AdmissionRequest, 'arrivedMicroseconds' | 'limitMicroseconds'>,
   ): number {
     const classLimit = this.classesOf()[className]?.holdingLimitMicroseconds ?? 0;
-    return arrivedMicroseconds + Math.min(classLimit, limitMicroseconds) - this.clock.nowMicroseconds();
+    const ownMicroseconds =
+      arrivedMicroseconds + Math.min(classLimit, limitMicroseconds) - this.clock.nowMicroseconds();
+    return Math.min(ownMicroseconds, this.cutoffMicroseconds());
   }
 
   public queuedCount(): number {
@@ -189,13 +195,26 @@
     );
   }
 
+  private cutoffMicroseconds(): number {
+    return this.startCutoff?.remainingMicroseconds() ?? Infinity;
+  }
+
+  /** The refusal of a request whose time in the queue is over. */
+  private queueTimeRefusal(request: AdmissionRequest): Refusal {
+    if (this.cutoffMicroseconds() <= 0) return stoppingRefusal;
+    const retryAfterSeconds = this.retryAfterEstimate(request);
+    return Refusals.make(503, 'notRun', 'holdingLimit', 'No place came free in time.', retryAfterSeconds);
+  }
+
   private refusalOnArrival(request: AdmissionRequest, queue: ClassQueue, settings: ServiceClass): Refusal | undefined {
+    if (this.cutoffMicroseconds() <= 0) return stoppingRefusal;
     // A request that is queued again was accepted before, and its time limit keeps running.
     if (request.keepsQueuePosition) return undefined;
     if (queue.queued >= settings.holdingMost)
       return Refusals.make(503, 'notRun', 'holdingFull', 'Too many orders wait.', this.retryAfterEstimate(request));
     const wait = this.expectedWaitMicroseconds(queue, queue.queued);
     // Refused on arrival because queueing it until its limit and refusing it then only costs the client time.
+    if (wait > this.cutoffMicroseconds()) return stoppingRefusal;
     return wait > settings.holdingLimitMicroseconds
       ? Refusals.make(
           503,
--- a/source/edge-proxy/attempts/attempt.ts
+++ b/source/edge-proxy/attempts/attempt.ts
@@ -15,6 +15,7 @@
 import type { SchedulerClient } from '../placement/schedulerClient';
 import type { EngineView } from '../placement/engineView';
 import type { PrefillSpeeds } from '../placement/prefillSpeeds';
+import { abandonedRefusal } from '../shutdown/startCutoff';
 import type { RetryBudget } from './retryBudget';
 import type { AnswerOutcome } from '../outliers/outlierDetector';
 import { FinalEventDetector, AttemptStates, type AttemptEvent, type AttemptState } from './attemptState';
@@ -58,6 +59,8 @@
   silentMicroseconds: number;
   /** How long ago the engine last answered its controller. */
   seenAgeMicroseconds: (engine: string) => number;
+  /** Whether the time for sending requests to engines is over. */
+  startsAreOver: () => boolean;
 }>;
 
 /** Free attempts at unreachable engines per request; further ones are paid from the budget. */
@@ -202,6 +205,11 @@
       this.abandon(Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The weights were replaced while it ran.', 1));
   }
 
+  /** Ends the attempt although its engine may still answer, because the process ends. */
+  public abandonForShutdown(): void {
+    this.abandon(abandonedRefusal);
+  }
+
   private checkBeforeWrite(): boolean {
     if (this.state.kind === 'over') return false;
     this.blocked = this.finalCheck();
--- a/source/edge-proxy/attempts/sendPolicy.ts
+++ b/source/edge-proxy/attempts/sendPolicy.ts
@@ -1,4 +1,5 @@
 import { Refusals } from '../../shared/verdict/verdict';
+import { abandonedRefusal, stoppingRefusal } from '../shutdown/startCutoff';
 import { noFetch } from '../cache-imports/fetchPlanner';
 import type { RequestContext, PlacedRequest, Policy, ResolvedRequest, PolicyResult } from '../pipeline/request';
 import { Attempt, type AttemptDependencies } from './attempt';
@@ -7,6 +8,7 @@
 export class SendPolicy implements Policy {
   public readonly name = 'send';
   private readonly running = new Set<Attempt>();
+  private isClosed = false;
 
   public constructor(private readonly dependencies: AttemptDependencies) {}
 
@@ -40,6 +42,14 @@
     for (const attempt of [...this.running]) attempt.recheck();
   }
 
+  /** Abandons all running attempts and starts no more, because the process ends. Returns their number. */
+  public close(): number {
+    this.isClosed = true;
+    const attempts = [...this.running];
+    for (const attempt of attempts) attempt.abandonForShutdown();
+    return attempts.length;
+  }
+
   /** Number of running attempts. */
   public get count(): number {
     return this.running.size;
@@ -51,7 +61,10 @@
     resolved: ResolvedRequest,
     placed: PlacedRequest,
   ): PolicyResult | undefined {
-    const { fence, identifier } = this.dependencies;
+    const { fence, identifier, startsAreOver } = this.dependencies;
+    if (this.isClosed) return { kind: 'refuse', refusal: context.mayHaveRun ? abandonedRefusal : stoppingRefusal };
+    // A retry of a request that may have run goes on: a refusal could not promise the client that nothing has run.
+    if (startsAreOver() && !context.mayHaveRun) return { kind: 'refuse', refusal: stoppingRefusal };
     // Checked again here because the process may have been frozen since the request was admitted.
     if (!fence.isFresh()) return { kind: 'refuse', refusal: identifier.notFresh() };
     if (context.answer.gone())
--- a/source/edge-proxy/client-api/clientServer.ts
+++ b/source/edge-proxy/client-api/clientServer.ts
@@ -9,6 +9,7 @@
 import { Refusals, type Refusal } from '../../shared/verdict/verdict';
 import type { EdgeProxy } from '../edgeProxy';
 import type { ResponseSink } from '../pipeline/request';
+import { stoppingRefusal } from '../shutdown/startCutoff';
 import { ChatClientApiFormat, type ClientApiFormat } from './clientApiFormat';
 import { ClientServerLimits } from './clientServerLimits';
 
@@ -94,9 +95,6 @@
   return headers;
 };
 
-/** `retry-after` of a request that a stopping proxy refuses: the client may retry at once at another proxy. */
-const stoppingRetryAfterSeconds = 0.05;
-
 /** Reads requests from one listener and passes them to the proxy. */
 class RequestListener {
   public readonly server: HttpServer;
@@ -162,8 +160,7 @@
     }
     // Checked after the body because this response closes the connection, and a client that is still writing would see
     // a reset instead.
-    if (this.mayOutlastShutdown(parsed.order.limitMicroseconds))
-      return refuse(Refusals.make(503, 'notRun', 'stopping', 'This proxy stops.', stoppingRetryAfterSeconds));
+    if (this.mayOutlastShutdown(parsed.order.limitMicroseconds)) return refuse(stoppingRefusal);
     await proxy.handle(
       {
         ...parsed.order,
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -55,6 +55,7 @@
 import { CostPlacer } from './placement/costPlacer';
 import { RetryBudget, type RetryBudgetSettings } from './attempts/retryBudget';
 import { SendPolicy } from './attempts/sendPolicy';
+import { StartCutoff } from './shutdown/startCutoff';
 
 export type ProxySettings = Readonly<{
   name: string;
@@ -117,6 +118,9 @@
 /** Numbers of accepted requests that wait for a place, and that have been passed to an engine. */
 export type UnfinishedRequests = Readonly<{ queued: number; atEngines: number }>;
 
+/** How long a stopping proxy may send requests to engines, and how long it may wait for their responses. */
+export type RequestCutoffs = Readonly<{ startMicroseconds: number; finishMicroseconds: number }>;
+
 /** If the knowledge of the selected agent about the control state is older than this, another agent is asked as well. */
 const staleMicroseconds = 1_200_000;
 
@@ -199,6 +203,7 @@
   private readonly heartbeats: HolderHeartbeats;
   private readonly view: EngineView;
   private readonly demand: DemandView;
+  private readonly startCutoff: StartCutoff;
   private readonly queue: AdmissionQueue;
   private readonly sends: SendPolicy;
   private readonly pipeline: Pipeline;
@@ -252,6 +257,7 @@
       new OutlierDetector(settings.name, clock, settings.outliers, Logs.channel(`proxy:${settings.name}:outliers`)),
       () => this.receivedLoads.others,
     );
+    this.startCutoff = new StartCutoff(clock);
     this.demand = new DemandView(this.facts, clock, settings.demand);
     const readSpeeds = new PrefillSpeeds();
     // The initial value is 1000 because these are ratios of the measured import time to the expected one, in per mille.
@@ -296,6 +302,7 @@
       () => this.freshness.blueprint?.classes ?? {},
       (service, className) => `${service}/${className}`,
       this.metrics,
+      this.startCutoff,
     );
     const planner = new FetchPlanner(
       this.view,
@@ -336,6 +343,7 @@
       maxAttempts: settings.mostSends,
       isPlanValid: (fetch) => planner.isStillValid(fetch),
       seenAgeMicroseconds: (engine) => this.heartbeats.ageMicroseconds(engine),
+      startsAreOver: () => this.startCutoff.isPassed(),
     });
     const traceLog = Logs.isOn('requests') ? Logs.channel('requests') : undefined;
     this.pipeline = new Pipeline(
@@ -450,6 +458,23 @@
     this.notes.stop();
   }
 
+  /**
+   * Ends all requests before the process ends, so that each gets an answer: after the first limit those that wait are refused,
+   * after the second those that are still at engines are abandoned. Both count from now.
+   */
+  public endRequestsWithin({ startMicroseconds, finishMicroseconds }: RequestCutoffs): void {
+    const { clock } = this.effects;
+    this.startCutoff.set(clock.nowMicroseconds() + startMicroseconds);
+    clock.after(startMicroseconds, () => {
+      const refused = this.queue.refuseQueued();
+      if (refused > 0) this.notice(`The shutdown leaves no time for ${refused} queued requests; they are refused.`);
+    });
+    clock.after(finishMicroseconds, () => {
+      const abandoned = this.sends.close();
+      if (abandoned > 0) this.notice(`The shutdown ends; ${abandoned} requests at engines are abandoned.`);
+    });
+  }
+
   /** Applies changed settings: those that may change at runtime take effect at once, the rest after a restart. */
   public applySettings(changed: ProxySettings): void {
     const change = SettingsChanges.apply(this.settings, changed, reloadable);
