TWICE: a connection to an engine never carries the same request twice

Cause: a response is matched to an attempt by its connection and the id of the request. An engine that repeats a refusal late gives it in the place of the next response on that connection; if that next request is the second attempt of the same one, the id is the same, and the repeated refusal is believed while the engine runs the request. The pool made this the usual case: the connection used last is reused first.

Change: a pooled connection remembers the requests that it has carried (hashes of their ids) and is passed over for a further attempt of one of them; another idle connection is taken, or one is opened.

Why it works: a repeated response comes on the connection of the first one. On a connection that has never carried the id before, a response with that id can only belong to the attempt that is under way there. This holds for any response and for a client that uses an id again, not only for refusals.

--- a/source/shared/back-end/connection-pool/pooledConnection.ts
+++ b/source/shared/back-end/connection-pool/pooledConnection.ts
@@ -3,6 +3,7 @@
 import type { Cancel, Clock } from '../../effects/clock/clock';
 import { Logs } from '../../log/log';
 import type { RequestHandle, BackEndRequest, BackEndResponseSink } from '../protocol';
+import { CarriedRequests } from './carriedRequests';
 import { ResponseParser, type ResponseEvent } from './responseParser';
 import type { IdleLimitSettings } from './idleLimits';
 
@@ -45,13 +46,15 @@
 
 /**
  * One connection to a back end. It carries one request at a time; the next one follows only after the complete response.
- * It never reconnects.
+ * It never reconnects, and must not carry the same request twice: a back end may repeat a response later, and on the connection
+ * of the first response the id in it would not tell the repeated response from that to the second attempt.
  */
 export class PooledConnection {
   public idleSinceMicroseconds = 0;
   public usableMicroseconds = 0;
   /** The back end has stated how long it keeps the connection open. */
   public isTimeoutStated = false;
+  private readonly carried = new CarriedRequests();
   private readonly socket: net.Socket;
   private runningRequest: RunningRequest | undefined;
   private isClosed = false;
@@ -97,6 +100,16 @@
     return this.isClosed;
   }
 
+  /** Whether the connection may carry a request with this id; undefined: its response carries no id. */
+  public mayCarry(id: string | undefined): boolean {
+    return id === undefined || !this.carried.has(id);
+  }
+
+  /** Whether the connection has carried as many requests as it may. */
+  public get isExhausted(): boolean {
+    return this.carried.isFull;
+  }
+
   /** Writes a request. The caller has already checked `maySend`. The handle is valid for this request only. */
   public write(request: BackEndRequest, bytes: Buffer, sink: BackEndResponseSink): RequestHandle {
     this.cancelTimer();
@@ -111,6 +124,7 @@
       hasResponseBytes: false,
     };
     this.hasCarriedRequest = true;
+    if (request.id !== undefined) this.carried.add(request.id);
     this.runningRequest = run;
     this.socket.write(bytes);
     return { cut: () => this.cut(run), leave: () => this.leave(run) };
--- a/source/shared/back-end/connection-pool/pooledSender.ts
+++ b/source/shared/back-end/connection-pool/pooledSender.ts
@@ -42,7 +42,8 @@
 const noHandle: RequestHandle = { cut: () => undefined };
 
 /**
- * A sender with a connection pool; the most recently used connection is reused first. Connections are opened on demand,
+ * A sender with a connection pool; the most recently used connection is reused first, except for a retry of a request that
+ * it has carried before. Connections are opened on demand,
  * and at most one is opened for a request. A request is written only once: a failure after its first byte is
  * `mayHaveRun`, on a reused connection as on a new one.
  */
@@ -63,12 +64,13 @@
 
   public readonly send = (request: BackEndRequest, sink: BackEndResponseSink): RequestHandle => {
     const { address } = request;
-    const idleConnection = this.takeIdle(address, request.runsOnce === true);
+    const idleConnection = this.takeIdle(request);
     if (idleConnection !== undefined) return this.writeTo(idleConnection, request, sink);
     const { maxOpen: most } = this.boundOf(address);
     const { conns, idle } = this.poolOf(address);
-    // Idle connections are left only if the request must run at most once and even the most recently used one has been idle
-    // too long for it. At the limit, the least recently used of them makes room for a new connection.
+    // Idle connections are left only if they have carried this request before, or if it must run at most once and even the
+    // most recently used one has been idle too long for it. At the limit, the least recently used of them makes room for a
+    // new connection.
     if (conns.size >= most) idle[0]?.destroy('replaced by a new connection at the limit');
     if (this.closed || this.poolOf(address).conns.size >= most) {
       const text = this.closed ? 'the connection pool is closed' : 'no connection is free';
@@ -104,13 +106,11 @@
     return created;
   }
 
-  private takeIdle(address: string, runsOnce: boolean): PooledConnection | undefined {
+  private takeIdle({ address, id, runsOnce = false }: BackEndRequest): PooledConnection | undefined {
     const { idleLimit } = this.settings;
     const limit = IdleLimits.limitOf(this.idleLimits, address, this.clock.nowMicroseconds(), idleLimit);
-    for (;;) {
-      const pool = this.poolOf(address);
-      const connection = pool.idle.at(-1);
-      if (connection === undefined) return undefined;
+    const pool = this.poolOf(address);
+    for (const connection of pool.idle.toReversed()) {
       const idle = connection.idleMicroseconds;
       // This is checked besides the connection's timer because timers are late after the process was frozen.
       if (idle >= connection.usableMicroseconds) {
@@ -129,9 +129,11 @@
       );
       // The other connections have been idle for even longer.
       if (runsOnce && idle >= maxIdle) return undefined;
-      pool.idle = pool.idle.slice(0, -1);
+      if (!connection.mayCarry(id)) continue;
+      pool.idle = pool.idle.filter((other) => other !== connection);
       return connection;
     }
+    return undefined;
   }
 
   private writeTo(connection: PooledConnection, request: BackEndRequest, sink: BackEndResponseSink): RequestHandle {
@@ -233,6 +235,7 @@
     if (
       this.closed ||
       connection.closed ||
+      connection.isExhausted ||
       pool.idle.length >= this.boundOf(connection.address).maxIdle ||
       usableMicroseconds <= 0
     ) {
