LOST: a shutdown no longer cuts off responses that a slow reader is still receiving

Clients would see: a response that ends early, with its connection closed, when the process that took the request is stopped as planned.

Cause: when the server stops listening it closes idle connections, and Node.js counts a connection as idle as soon as its response has ended, although part of it may be waiting for the reader.

--- a/source/shared/http/httpServer.ts
+++ b/source/shared/http/httpServer.ts
@@ -48,6 +48,24 @@
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
+/**
+ * Leaves idle connections open while a response is still being written out. Node.js counts a connection as idle as soon as
+ * its response has ended, and would discard what a slow reader has not received yet.
+ */
+class DrainingServer extends http.Server {
+  public constructor(
+    options: http.ServerOptions,
+    private readonly hasUnwrittenResponses: () => boolean,
+  ) {
+    super(options);
+  }
+
+  /** Also called by `close`. */
+  public override closeIdleConnections(): void {
+    if (!this.hasUnwrittenResponses()) super.closeIdleConnections();
+  }
+}
+
 /** An HTTP server with limits, which may change while it runs, and with a stop that answers all received requests. */
 export class HttpServer {
   private readonly conns = new Map<Duplex, TrackedConnection>();
@@ -58,7 +76,9 @@
   public readonly server: http.Server;
 
   public constructor(private readonly limits: () => HttpLimits) {
-    this.server = http.createServer({ connectionsCheckingInterval: 500, noDelay: true });
+    this.server = new DrainingServer({ connectionsCheckingInterval: 500, noDelay: true }, () =>
+      this.hasUnwrittenResponses(),
+    );
     this.applyLimits();
     this.server.on('connection', (socket: Socket) => this.onConnection(socket));
     this.server.on('request', (request: IncomingMessage, response: ServerResponse) =>
@@ -120,6 +140,12 @@
     });
   }
 
+  private hasUnwrittenResponses(): boolean {
+    return [...this.conns.values()].some(({ exchanges }) =>
+      [...exchanges].some(({ response }) => response.writableEnded && !response.writableFinished),
+    );
+  }
+
   private applyLimits(): void {
     const limits = this.limits();
     if (limits === this.appliedLimits) return;
