A response without a request id is no refusal where every response carries one

Related path of TWICE: a response that can be assigned to no request was believed. On the users' platform every answer of an engine carries the id back; a 503 or 421 without it was still taken to say that this request did not run, so the request could be sent again or its client told 503 while the engine ran it. Not seen on the users' machines; found by reading.

Change: the codec says whether all responses carry the id; if so, one without it ends the attempt as one that may have run, and its connection is reset, as for the id of another request.

Test: tests/engine-responses.test.ts, the 503, 429 and 421 cases red before.

--- a/source/edge-proxy/attempts/attempt.ts
+++ b/source/edge-proxy/attempts/attempt.ts
@@ -263,8 +263,7 @@
     );
     this.meaning = meaning;
     // Checked first because nothing in a response to another request may be trusted.
-    if (meaning.orderId !== undefined && meaning.orderId !== this.context.request.id)
-      return this.rejectResponse('The engine gave an answer to another order.');
+    if (!this.isOwnResponse(meaning)) return this.rejectResponse('The engine gave an answer to another order.');
     if (meaning.lacksSeal) return this.rejectResponse('The engine gave an answer without its seal.');
     if (meaning.notRun !== undefined) {
       this.step({ kind: 'notRun' });
@@ -307,6 +306,12 @@
       );
   }
 
+  private isOwnResponse({ orderId }: ResponseFields): boolean {
+    return orderId === undefined
+      ? !this.dependencies.backEndFormat.responsesCarryId
+      : orderId === this.context.request.id;
+  }
+
   /** Discards the whole response and closes its connection. */
   private rejectResponse(text: string): void {
     this.dependencies.metrics.count('postdrum_rejected_responses_total', {
--- a/source/shared/back-end/backEndCodec.ts
+++ b/source/shared/back-end/backEndCodec.ts
@@ -54,6 +54,8 @@
   readonly write: (meaning: RequestFields) => Headers;
   /** `engine`: the intended one, to tell a response of another instance from one on other weights. */
   readonly read: (head: BackEndResponseHead, model: string, engine?: string) => ResponseFields;
+  /** Whether every response carries the id of its request; one without an id belongs to no request then. */
+  readonly responsesCarryId: boolean;
   /** Whether every response names the instance and the weights that produced it. */
   readonly namesInstance: boolean;
   /** Whether a response without a length is complete when its connection is closed without a reset. */
--- a/source/shared/back-end/nativeCodec.ts
+++ b/source/shared/back-end/nativeCodec.ts
@@ -5,6 +5,7 @@
 
 /** Codec of the product's native protocol between proxies and back ends. */
 export const nativeCodec: BackEndCodec = {
+  responsesCarryId: false,
   namesInstance: true,
   closeEndsAnswer: false,
   write: ({ orderId, contentType, trustDomain, target, source }) => ({
--- a/tests/engine-responses.test.ts
+++ b/tests/engine-responses.test.ts
@@ -31,6 +31,24 @@
       );
     });
 
+  // REFUSED, TWICE: guards against a refusal that belongs to no request being taken for the response to this one.
+  for (const [status, headers] of [
+    [503, { 'postdrum-not-run': '1' }],
+    [429, { 'postdrum-not-run': '1' }],
+    [421, {}],
+    [500, {}],
+  ] as const)
+    test(`answers 502 and closes the connection on a ${status} without the id of the request`, async () => {
+      const stage = new AttemptHarness();
+      stage.head(status, headers);
+      await stage.end();
+      assert.equal(stage.cuts, 1);
+      assert.equal(
+        stage.step?.kind === 'refuse' ? `${stage.step.refusal.status} ${stage.step.refusal.verdict}` : '',
+        '502 mayHaveRun',
+      );
+    });
+
   test('forwards an error response without a seal unchanged', async () => {
     const stage = new AttemptHarness();
     stage.head(500, { 'postdrum-request-id': 'r1' });
--- a/tests/support/rush.ts
+++ b/tests/support/rush.ts
@@ -107,6 +107,7 @@
 const storeName = 'store';
 
 const words: BackEndCodec = {
+  responsesCarryId: false,
   namesInstance: false,
   closeEndsAnswer: false,
   write: ({ orderId, passed, engine, weights, salt, source, target }) => ({
