The plan of a graceful stop and its cut-offs stand in a module of their own

A move without a change of behaviour: gracefulStops.ts takes the times of a stop and of its cut-offs out of the proxy's program.

--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -55,6 +55,7 @@
 import { CostPlacer } from './placement/costPlacer';
 import { RetryBudget, type RetryBudgetSettings } from './attempts/retryBudget';
 import { SendPolicy } from './attempts/sendPolicy';
+import type { RequestCutoffs } from './shutdown/gracefulStops';
 import { StartCutoff } from './shutdown/startCutoff';
 
 export type ProxySettings = Readonly<{
@@ -118,9 +119,6 @@
 /** Numbers of accepted requests that wait for a place, and that have been passed to an engine. */
 export type UnfinishedRequests = Readonly<{ queued: number; atEngines: number }>;
 
-/** How long a stopping proxy may send requests to engines, and how long it may wait for their responses. */
-export type RequestCutoffs = Readonly<{ startMicroseconds: number; finishMicroseconds: number }>;
-
 /** If the knowledge of the selected agent about the control state is older than this, another agent is asked as well. */
 const staleMicroseconds = 1_200_000;
 
--- a/source/edge-proxy/proxyProgram.ts
+++ b/source/edge-proxy/proxyProgram.ts
@@ -12,13 +12,8 @@
 import { ClientServer } from './client-api/clientServer';
 import { ChatClientApiFormat, type ClientApiFormat } from './client-api/clientApiFormat';
 import { ReadinessServer } from './client-api/readinessServer';
-import {
-  EdgeProxy,
-  type ProxySettings,
-  type ProxyProtocols,
-  type RequestCutoffs,
-  type UnfinishedRequests,
-} from './edgeProxy';
+import { EdgeProxy, type ProxySettings, type ProxyProtocols, type UnfinishedRequests } from './edgeProxy';
+import { RequestCutoffs } from './shutdown/gracefulStops';
 
 export type ProxyOptions = Readonly<{
   /** Default: a clock that includes the time the machine is suspended. */
@@ -36,58 +31,9 @@
   stopLimitMicroseconds: number;
 }>;
 
-/**
- * After a stop begins, the proxy listens at least so long, so that the load balancer notices the stop, and until no new connection
- * has arrived for `weightsChangeDelayMicroseconds`.
- */
-const minDrainMicroseconds = 2_300_000;
-const quietMicroseconds = 1_200_000;
-/** Time kept for finishing accepted requests, and for the end of the process, before it is killed. */
-const finishMicroseconds = 3_000_000;
-const exitMarginMicroseconds = 300_000;
-/** Time kept for writing the last responses to their clients. */
-const flushMicroseconds = 200_000;
-/** By then the load balancer has noticed the stop, and a request accepted later is not entitled to the remaining time. */
-const lastRequestsMicroseconds = 2_500_000;
 /** File descriptors that are needed for connections to back ends and for files. */
 const otherFileDescriptors = 600;
 
-/**
- * When the requests of a process that ends after the given limit are ended. At least half of the time is left for starting them,
- * and half of the rest for their responses.
- */
-const requestCutoffs = (stopLimitMicroseconds: number): RequestCutoffs => {
-  const startMicroseconds = Math.max(
-    stopLimitMicroseconds - finishMicroseconds + exitMarginMicroseconds,
-    stopLimitMicroseconds / 2,
-  );
-  const flush = Math.min(flushMicroseconds, (stopLimitMicroseconds - startMicroseconds) / 2);
-  return { startMicroseconds, finishMicroseconds: stopLimitMicroseconds - flush };
-};
-
-export const GracefulStops = {
-  /**
-   * Plan for a graceful stop behind a load balancer that notices the stop late, in a process that is killed after the grace period.
-   * The proxy accepts requests until the load balancer has noticed, and keeps enough time for finishing them.
-   */
-  within: (graceMicroseconds: number): Readonly<{ drain: DrainPlan; stopLimitMicroseconds: number }> => {
-    const stopLimitMicroseconds = Math.max(graceMicroseconds - exitMarginMicroseconds, graceMicroseconds / 2);
-    return {
-      drain: {
-        minListenMicroseconds: minDrainMicroseconds,
-        quietMicroseconds,
-        maxListenMicroseconds: Math.max(graceMicroseconds - finishMicroseconds, graceMicroseconds / 2),
-        incompleteRequestMicroseconds: 1_000_000,
-        lateRequests: {
-          afterMicroseconds: lastRequestsMicroseconds,
-          endMicroseconds: requestCutoffs(stopLimitMicroseconds).finishMicroseconds,
-        },
-      },
-      stopLimitMicroseconds,
-    };
-  },
-} as const;
-
 export const ConnectionLimits = {
   /** Maximum number of client connections, given the limit of file descriptors and what else the process needs. */
   forClients: (files: number): number => Math.max(64, files - otherFileDescriptors),
@@ -134,7 +80,7 @@
     const shutDown = async (): Promise<void> => {
       isStopping = true;
       notice(`Shutting down: ${remaining()}.`);
-      proxy.endRequestsWithin(requestCutoffs(parts.stopLimitMicroseconds));
+      proxy.endRequestsWithin(RequestCutoffs.within(parts.stopLimitMicroseconds));
       // The listener drains first, so that accepted requests finish while gossip still arrives.
       await server.drain(parts.drain ?? DrainPlans.atOnce);
       proxy.stop();
--- a/source/shared/http/httpServer.ts
+++ b/source/shared/http/httpServer.ts
@@ -8,7 +8,7 @@
 
 /** Phases of a graceful stop. The server keeps listening at first, because those that route clients here notice late. */
 export type DrainPlan = Readonly<{
-  /** The server listens at least this long, and until no new connection has arrived for `weightsChangeDelayMicroseconds`, */
+  /** The server listens at least this long, and until no new connection has arrived for `quietMicroseconds`, */
   minListenMicroseconds: number;
   quietMicroseconds: number;
   /** but at most this long. */
--- a/tests/client-server.test.ts
+++ b/tests/client-server.test.ts
@@ -6,7 +6,7 @@
 import { ReadinessServer } from '../source/edge-proxy/client-api/readinessServer';
 import type { EdgeProxy } from '../source/edge-proxy/edgeProxy';
 import type { ResponseSink, ProxyRequest } from '../source/edge-proxy/pipeline/request';
-import { GracefulStops } from '../source/edge-proxy/proxyProgram';
+import { GracefulStops } from '../source/edge-proxy/shutdown/gracefulStops';
 import type { ClientLimits } from '../source/shared/configuration/types';
 import { realRandom } from '../source/shared/effects/random/random';
 import { HttpLimits } from '../source/shared/http/httpLimits';
