--- a/tests/support/attemptHarness.ts
+++ b/tests/support/attemptHarness.ts
@@ -57,7 +57,14 @@
 }
 
 /** What a test varies of the request. */
-export type AttemptRequest = Readonly<{ limitMicroseconds?: number; mapping?: Partial<Route> }>;
+export type AttemptRequest = Readonly<{
+  limitMicroseconds?: number;
+  mapping?: Partial<Route>;
+  /** An earlier attempt of the request may have run. */
+  mayHaveRun?: boolean;
+  /** The proxy stops, and the time for sending requests to engines is over. */
+  startsAreOver?: boolean;
+}>;
 
 /** Sends one request in the format of the users' platform to an engine whose response the test gives. */
 export class AttemptHarness {
@@ -66,9 +73,15 @@
   public sent: BackEndRequest | undefined;
   public step: PolicyResult | undefined;
   public cuts = 0;
+  public readonly policy: SendPolicy;
   private sink: BackEndResponseSink | undefined;
 
-  public constructor({ limitMicroseconds, mapping = {} }: AttemptRequest = {}) {
+  public constructor({
+    limitMicroseconds,
+    mapping = {},
+    mayHaveRun = false,
+    startsAreOver = false,
+  }: AttemptRequest = {}) {
     const sender: BackEndSender = {
       send: (order, sink) => {
         this.sent = order;
@@ -77,7 +90,7 @@
         return { cut: () => (this.cuts += 1) };
       },
     };
-    const policy = new SendPolicy(
+    this.policy = new SendPolicy(
       stub<AttemptDependencies>({
         sender,
         backEndFormat: PlatformBackEndCodec,
@@ -101,6 +114,7 @@
             canExpectAnotherRetry: () => false,
           }),
         isPlanValid: () => true,
+        startsAreOver: () => startsAreOver,
         prefillLog: undefined,
         silentMicroseconds: Infinity,
         maxAttempts: 4,
@@ -128,9 +142,9 @@
       sends: 0,
       rounds: 0,
       avoidedEngines: [],
-      mayHaveRun: false,
+      mayHaveRun,
     } as unknown as RequestContext;
-    void policy.apply(context).then((step) => {
+    void this.policy.apply(context).then((step) => {
       this.step = step;
     });
   }
