--- a/review/5/run.cjs
+++ b/review/5/run.cjs
@@ -5,7 +5,7 @@
 const { Relay } = require('../stand-ins-2/relay.cjs');
 
 const trouble = process.env.TROUBLE !== '0';
-const cutMs = 5000;
+const cutMs = 4000;
 const leaseTermMs = 3000;
 const thawMs = 300;
 
