--- a/review/4/run.cjs
+++ b/review/4/run.cjs
@@ -5,6 +5,8 @@
 const trouble = process.env.TROUBLE !== '0';
 const share = 0.6; // of the engines, as the site file has it for garble
 const x = 0.03; // of their answers
+const spanMs = 5000; // as long as the site file has it
+const restMs = 2000;
 const seconds = 25;
 const perSecond = 150;
 
@@ -13,6 +15,8 @@
   const { recorder } = fleet;
   const whole = new Map();
   const brokenOff = new Set();
+  let trafficSince = Infinity;
+  const isInSpan = () => Date.now() >= trafficSince && (Date.now() - trafficSince) % (spanMs + restMs) < spanMs;
   const watchdog = setTimeout(() => {
     recorder.note('the case took too long');
     void fleet.close().then(() => process.exit(2));
@@ -42,7 +46,7 @@
             'content-type': isStream ? 'text/event-stream' : 'application/json',
             connection: 'close',
           }).map(([name, value]) => `${name}: ${value}\r\n`);
-          const breaksOff = isIll && Math.random() < x;
+          const breaksOff = isIll && isInSpan() && Math.random() < x;
           const count = breaksOff ? 1 + Math.floor(Math.random() * (pieces.length - 1)) : pieces.length;
           socket.write(`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n${pieces.slice(0, count).join('')}`);
           if (breaksOff) {
@@ -94,6 +98,7 @@
       }
     };
     const waiting = [];
+    trafficSince = Date.now();
     for (let index = 0; index < seconds * perSecond; index += 1) {
       waiting.push(one(index));
       await sleep(1000 / perSecond - 1);
