MIXED: a response without a length whose connection is reset is never complete

Cause: when data and a reset have both arrived, Node.js emits the data and then `end`, as for a connection that was closed in order, and no error. The pooled connection took every `end` for an orderly close, so a response that ends with its connection was complete.

Change: at `end` the connection tells a reset by the missing peer, and then fails with "the connection was reset" as after an error; only an orderly `end` completes a response without a length, a `close` event alone no longer does.

Related paths, read: the native protocol takes an unframed response only with its final event; answers to control calls are whole JSON values or none; bodies of clients, operators and messages between processes all carry lengths or chunks.

--- a/source/shared/back-end/connection-pool/pooledConnection.ts
+++ b/source/shared/back-end/connection-pool/pooledConnection.ts
@@ -4,6 +4,7 @@
 import { Logs } from '../../log/log';
 import type { RequestHandle, BackEndRequest, BackEndResponseSink } from '../protocol';
 import { CarriedRequests } from './carriedRequests';
+import { connectionEndOf } from './connectionEnd';
 import { ResponseParser, type ResponseEvent } from './responseParser';
 import type { IdleLimitSettings } from './idleLimits';
 
@@ -86,9 +87,9 @@
       this.onOpen();
     });
     this.socket.on('data', (chunk) => this.onData(chunk));
-    this.socket.on('end', () => this.onSocketEnd('the connection closed'));
-    this.socket.on('error', (error) => this.onSocketEnd(Logs.errorMessage(error)));
-    this.socket.on('close', () => this.onSocketEnd('the connection closed'));
+    this.socket.on('end', () => this.onSocketEnd());
+    this.socket.on('error', (error) => this.destroy(Logs.errorMessage(error)));
+    this.socket.on('close', () => this.destroy('the connection closed'));
   }
 
   /** Reason for which the connection was closed. */
@@ -205,14 +206,16 @@
     if (!run.isPaused) this.deliver(run);
   }
 
-  private onSocketEnd(reason: string): void {
+  private onSocketEnd(): void {
     if (this.isClosed) return;
+    // A reset completes no response: its rest may be missing.
+    if (connectionEndOf(this.socket) === 'reset') return this.destroy('the connection was reset');
     const { runningRequest: run } = this;
     // While reading is paused, the buffered bytes are delivered first; the end is handled when reading resumes.
-    if (run === undefined || run.isPaused) return this.destroy(reason);
-    const event = reason === 'the connection closed' ? run.parser.close() : undefined;
+    if (run === undefined || run.isPaused) return this.destroy('the connection closed');
+    const event = run.parser.close();
     if (event?.kind === 'end') this.onResponseEnd(run, event);
-    else this.destroy(event?.kind === 'broken' ? event.text : reason);
+    else this.destroy(event?.kind === 'broken' ? event.text : 'the connection closed');
   }
 
   private deliver(run: RunningRequest): void {
