--- a/source/fleet-simulator/machines/simFleet.ts
+++ b/source/fleet-simulator/machines/simFleet.ts
@@ -3,6 +3,7 @@
 import type { ChangeRequest, ChangeOutcome } from '../../core-keeper/register/messages';
 import { AgentDefaults, EdgeAgent } from '../../edge-agent/edgeAgent';
 import { EdgeProxy, ProxyDefaults, type ProxySettings } from '../../edge-proxy/edgeProxy';
+import { nativeConfigurationFormat, type ConfigurationFormat } from '../../shared/configuration/configurationFormat';
 import type {
   Configuration,
   ControlNodeMember,
@@ -241,6 +242,8 @@
     /** The first octet of the fleet's addresses. Two fleets of one world share a network and need distinct addresses. */
     private readonly addressPrefix = '10',
     network?: SimNetwork,
+    /** The format of the operators' configuration at the control nodes. */
+    private readonly dialect: ConfigurationFormat = nativeConfigurationFormat,
   ) {
     this.network = network ?? new SimNetwork(world);
     this.storeName = `${addressPrefix}.4.0.1`;
@@ -304,13 +307,14 @@
     const process = new SimProcess(this.world, controlNode.name, controlNode.machine, this.randomDrift());
     controlNode.process = process;
     const effects = { clock: process.clock, random: this.world.random, transport: this.network.transportOf(process) };
-    const created = new ControlNode(effects, controlNode.disk.diskFor(process), {
+    const settings = {
       ...ControlNodeDefaults,
       name: controlNode.name,
       member: controlNode.member,
       seeds: this.seeds,
       replaces: controlNode.replaces,
-    });
+    };
+    const created = new ControlNode(effects, controlNode.disk.diskFor(process), settings, this.dialect);
     controlNode.node = created;
     created.events.on('broken', () => {
       controlNode.exits += 1;
--- a/tests/support/longPollEngines.ts
+++ b/tests/support/longPollEngines.ts
@@ -17,20 +17,26 @@
   engine: string;
   holder: string;
   term: number;
+  model: string;
   weights: string;
   outcome: DirectiveOutcome;
   atMicroseconds: number;
 }>;
 
-/** State of one simulated engine. `state` is what the list reports; `loading` are the weights being loaded. */
+/**
+ * State of one simulated engine. `state` is what the list reports; `loading` are the weights being loaded, of `loadingModel`.
+ * `weights` are those of its first model, `furtherModels` has the weights of others.
+ */
 export type LongPollEngine = {
   readonly name: string;
   readonly machine: string;
   readonly service: string;
   weights: string;
+  readonly furtherModels: Map<string, string>;
   bootEpoch: string;
   alive: boolean;
   loading: string | undefined;
+  loadingModel: string;
   state: 'ready' | 'draining';
   sequence: number;
   log: KvEvent[];
@@ -40,7 +46,8 @@
   highestTerm: number;
 };
 
-const model = 'm';
+/** Name of the first model of each engine. */
+export const firstModel = 'm';
 const loadMicroseconds = 400_000;
 const keptEvents = 200;
 
@@ -68,9 +75,11 @@
       machine,
       service,
       weights,
+      furtherModels: new Map(),
       bootEpoch: `boot-${name}`,
       alive: true,
       loading: undefined,
+      loadingModel: firstModel,
       state: 'ready',
       sequence: 0,
       log: [],
@@ -89,6 +98,11 @@
     return found;
   }
 
+  /** The weights of all models on an engine. */
+  public modelsOf({ weights, furtherModels }: LongPollEngine): Readonly<Record<string, string>> {
+    return { [firstModel]: weights, ...Object.fromEntries(furtherModels) };
+  }
+
   /** Caches a key with this size, or evicts it with size 0, and records the event. */
   public keep(name: string, key: string, size: number): void {
     const engine = this.get(name);
@@ -110,14 +124,14 @@
   public listed(): readonly ListedEngine[] {
     // Engines without a service are stores, which are not listed.
     const listed = [...this.engines.values()].filter(({ service }) => service !== '');
-    return listed.map(({ name, machine, service, state, weights }) => ({
-      name,
-      service,
-      address: `${machine}:1`,
+    return listed.map((engine) => ({
+      name: engine.name,
+      service: engine.service,
+      address: `${engine.machine}:1`,
       zone: '',
-      state,
+      state: engine.state,
       capacity: 8,
-      weights: { [model]: weights },
+      weights: this.modelsOf(engine),
     }));
   }
 
@@ -161,11 +175,11 @@
             this.calls.status += 1;
             return {
               bootEpoch: '',
-              weights: engine.weights,
+              weights: engine.furtherModels.size === 0 ? engine.weights : '',
               capacity: 0,
               inFlight: 0,
               accepting: true,
-              models: { [model]: engine.weights },
+              models: this.modelsOf(engine),
               busy: engine.loading !== undefined,
             };
           },
@@ -200,22 +214,26 @@
 
   private handleDirective(
     engine: LongPollEngine,
-    directive: Readonly<{ steward: string; term: number; weights: string; engine?: string }>,
+    directive: Readonly<{ steward: string; term: number; weights: string; model?: string; engine?: string }>,
   ): DirectiveOutcome {
+    const { model = firstModel } = directive;
     const outcome = this.outcomeOf(engine, directive);
     this.receivedDirectives.push({
       engine: engine.name,
       holder: directive.steward,
       term: directive.term,
+      model,
       weights: directive.weights,
       outcome,
       atMicroseconds: this.world.nowMicroseconds,
     });
     if (outcome !== 'begun') return outcome;
     engine.loading = directive.weights;
+    engine.loadingModel = model;
     this.world.schedule(loadMicroseconds, () => {
       if (!engine.alive || engine.loading === undefined) return;
-      engine.weights = engine.loading;
+      if (model === firstModel) engine.weights = engine.loading;
+      else engine.furtherModels.set(model, engine.loading);
       engine.loading = undefined;
       for (const key of [...engine.cachedKeys.keys()]) this.keep(engine.name, key, 0);
     });
@@ -224,13 +242,19 @@
 
   private outcomeOf(
     engine: LongPollEngine,
-    { term, weights, engine: meant }: Readonly<{ term: number; weights: string; engine?: string }>,
+    {
+      term,
+      weights,
+      model = firstModel,
+      engine: meant,
+    }: Readonly<{ term: number; weights: string; model?: string; engine?: string }>,
   ): DirectiveOutcome {
+    if (!Object.hasOwn(this.modelsOf(engine), model)) return 'failed';
     if (meant !== undefined && meant !== engine.name) return 'failed';
     if (engine.checksTerms && term < engine.highestTerm) return 'oldTerm';
     engine.highestTerm = Math.max(engine.highestTerm, term);
     if (engine.loading !== undefined) return 'otherUnderWay';
-    return engine.weights === weights ? 'done' : 'begun';
+    return this.modelsOf(engine)[model] === weights ? 'done' : 'begun';
   }
 
   private async held(engine: LongPollEngine, after: number, hold: number): Promise<KvEvents | undefined> {
--- a/tests/support/longPollFleet.ts
+++ b/tests/support/longPollFleet.ts
@@ -27,7 +27,8 @@
     private readonly settings: Partial<AgentSettings> = {},
     private readonly dialect: ConfigurationFormat = nativeConfigurationFormat,
   ) {
-    this.controlFleet = new SimFleet(world, { ...defaultShape, edges: 0, engines: 0, spareEngines: 0 });
+    const shape = { ...defaultShape, edges: 0, engines: 0, spareEngines: 0 };
+    this.controlFleet = new SimFleet(world, shape, undefined, undefined, dialect);
     this.engines = new LongPollEngines(world, this.controlFleet.network);
     for (let number = 1; number <= agents; number += 1) this.agents.push(this.make(number));
   }
@@ -44,11 +45,16 @@
     return SimBlueprints.initial(weights);
   }
 
-  public async start(weights = 'w1'): Promise<void> {
+  public start(weights = 'w1'): Promise<void> {
+    return this.startWith(this.blueprint(weights));
+  }
+
+  /** Starts control nodes and agents, and configures a document in the format of the fleet. */
+  public async startWith(document: unknown): Promise<void> {
     for (const keeper of this.controlFleet.controlNodes) this.controlFleet.startControlNode(keeper);
     for (const { agent } of this.agents) void agent.start();
-    if ((await this.controlFleet.changeUntilAccepted('blueprint', this.blueprint(weights))) === undefined)
-      throw new Error('the first blueprint was not accepted');
+    if ((await this.controlFleet.changeUntilAccepted('blueprint', document)) === undefined)
+      throw new Error('the first configuration was not accepted');
   }
 
   public async configureWeights(weights: string): Promise<void> {
