VERSION: each model of a service has its own weights, salts and directives

A version of the first model did reach the engines, but then every request for the second one carried that number in Postdrum-Expect-Version and was turned away everywhere.

Cause: the translation of the operators' document kept only the first of a service's models, while naming a version accepted any of them. Evidence: in virtual time an engine got no directive for the second model, and all requests carried the first one's version and salt.

Change: a service with several models is translated into one pool for each of them; the first keeps the service's name, all share the engines that are listed for it. The pool of a request follows from its model, and with it the weights that it may run on, the version in its header and the salt of its parts; retries are still budgeted by service. Control nodes report the age of weights by pool; a pool that gets another model takes over no previous weights. The controller of an engine looks at all its models and sends the first directive that is due; the gossip entry of an engine names the weights of each model where the operators' service has several. Engines that run only some of the models get only requests for these. For services with one model nothing changes on the wire or in gossip.

Related paths: LiveSalts and the shard of an engine cover all its models; the check of a configuration and the status report name them; readiness counts an engine of any.

--- a/source/core-keeper/register/weightsAges.ts
+++ b/source/core-keeper/register/weightsAges.ts
@@ -2,14 +2,19 @@
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Entry, WeightsAge } from '../../shared/register/types';
 
-type ServiceWeights = Readonly<{ weights: string; previous: string | null; sinceMicroseconds: number | null }>;
+type PoolWeights = Readonly<{
+  model: string;
+  weights: string;
+  previous: string | null;
+  sinceMicroseconds: number | null;
+}>;
 
 /**
- * How long this control node has held the current weights of each service. A node that restored its blueprint from disk at startup
+ * How long this control node has held the current weights of each pool. A node that restored its blueprint from disk at startup
  * does not know the age and reports null; a receiver with no other information must treat the weights as long established.
  */
 export class WeightsAges {
-  private weightsByService: Readonly<Record<string, ServiceWeights>> = {};
+  private weightsByPool: Readonly<Record<string, PoolWeights>> = {};
   private lastEntry: Entry | undefined;
 
   public constructor(
@@ -28,8 +33,8 @@
   public ages(): Readonly<Record<string, WeightsAge>> {
     const now = this.clock.nowMicroseconds();
     return Object.fromEntries(
-      Object.entries(this.weightsByService).map(([service, { weights, previous, sinceMicroseconds }]) => [
-        service,
+      Object.entries(this.weightsByPool).map(([pool, { weights, previous, sinceMicroseconds }]) => [
+        pool,
         { weights, previous, ageMicroseconds: sinceMicroseconds === null ? null : now - sinceMicroseconds },
       ]),
     );
@@ -41,15 +46,16 @@
     // The text was validated by a control node before it was accepted, so it is parsed without full checks.
     const checked = this.dialect.readTrusted(entry.text);
     if (checked.kind !== 'good') return;
-    const next: Record<string, ServiceWeights> = {};
+    const next: Record<string, PoolWeights> = {};
     for (const [name, service] of Object.entries(checked.value.services)) {
       if (service.kind !== 'pool') continue;
-      const before = this.weightsByService[name];
+      const { model, weights } = service;
+      const known = this.weightsByPool[name];
+      // Versions of another model say nothing of this one: the pool of a name may get another model.
+      const before = known?.model === model ? known : undefined;
       next[name] =
-        before !== undefined && before.weights === service.weights
-          ? before
-          : { weights: service.weights, previous: before?.weights ?? null, sinceMicroseconds };
+        before?.weights === weights ? before : { model, weights, previous: before?.weights ?? null, sinceMicroseconds };
     }
-    this.weightsByService = next;
+    this.weightsByPool = next;
   }
 }
--- a/source/edge-agent/engine-control/engineStatusPublisher.ts
+++ b/source/edge-agent/engine-control/engineStatusPublisher.ts
@@ -16,12 +16,14 @@
   /** `status` is undefined if the engine does not answer. */
   public publish(engine: Engine, status: EngineStatus | undefined, changing: boolean): void {
     const previous = this.facts.value<EngineEntry>(GossipKeys.engine(this.name));
+    const models = status === undefined ? previous?.models : status.models;
     const value: EngineEntry = {
       engine: this.name,
       kind: engine.kind === 'store' ? 'store' : 'engine',
       address: engine.address,
       bootEpoch: status?.bootEpoch ?? previous?.bootEpoch ?? '',
       weights: status?.weights ?? previous?.weights ?? '',
+      ...(models === undefined ? {} : { models }),
       capacity: status?.capacity ?? previous?.capacity ?? 0,
       inFlight: status?.inFlight ?? 0,
       accepting: status?.accepting ?? false,
--- a/source/edge-agent/engine-control/liveSalts.ts
+++ b/source/edge-agent/engine-control/liveSalts.ts
@@ -1,4 +1,5 @@
 import type { Configuration, Pool } from '../../shared/configuration/types';
+import type { NamedPool } from '../../shared/configuration/pools';
 import { Identities } from '../../shared/directory/identity';
 import { PromptParts } from '../../shared/directory/promptParts';
 import type { Freshness } from '../../shared/freshness/freshness';
@@ -12,10 +13,14 @@
 
   public constructor(private readonly freshness: Freshness) {}
 
-  /** For an engine: the salts of its pool under the weights that it runs; undefined if the pool is not known. */
-  public engine(service: string, weights: string): Salts | undefined {
-    const pool = this.freshness.blueprint?.services[service];
-    return pool?.kind === 'pool' ? this.cached(`${service}/${weights}`, [[pool, weights]]) : undefined;
+  /** For an engine: the salts of its pools under the weights that it runs; undefined if it has no known pool. */
+  public engine(pools: readonly NamedPool[], weightsOf: (pool: Pool) => string): Salts | undefined {
+    if (pools.length === 0) return undefined;
+    const key = pools.map(({ name, pool }) => `${name}/${weightsOf(pool)}`).join(' ');
+    return this.cached(
+      key,
+      pools.map(({ pool }) => [pool, weightsOf(pool)]),
+    );
   }
 
   /** For a store: the salts of all pools under the present and the previous weights; undefined without a configuration. */
--- a/source/edge-agent/engine-control/longPollEngineController.ts
+++ b/source/edge-agent/engine-control/longPollEngineController.ts
@@ -1,5 +1,6 @@
 import type { BackEndControl, Directive, EngineStatus } from '../../shared/back-end/protocol';
-import type { Engine, Pool } from '../../shared/configuration/types';
+import { Pools, type NamedPool } from '../../shared/configuration/pools';
+import type { Engine } from '../../shared/configuration/types';
 import type { NamedKey } from '../../shared/directory/hashChain';
 import type { ShardCatalog } from '../../shared/directory/shardCatalog';
 import { ShardDirectory, ShardLimits, type FillGrantAnswer } from '../../shared/directory/shardDirectory';
@@ -7,8 +8,8 @@
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { Log } from '../../shared/log/log';
 import type { GossipStore } from '../../shared/gossip/gossipStore';
-import { GossipKeys, type EngineEntry } from '../../shared/gossip/entryTypes';
-import { WeightsRollout } from '../../shared/weights/weightsRollout';
+import { EngineEntries, GossipKeys, type EngineEntry } from '../../shared/gossip/entryTypes';
+import { WeightsRollout, type RolloutStates } from '../../shared/weights/weightsRollout';
 import { EngineStatusPublisher } from './engineStatusPublisher';
 import { EventReader, type EventReaderSettings } from './eventReader';
 import type { LiveSalts } from './liveSalts';
@@ -45,6 +46,9 @@
 
 type ObservedStatus = Readonly<{ status: EngineStatus; atMicroseconds: number }>;
 
+type LoadDirective = Extract<Directive, { kind: 'loadWeights' }> & Readonly<{ model: string }>;
+type SentDirective = Readonly<{ model: string; weights: string; atMicroseconds: number }>;
+
 /** Controls a cache holder that supports long polling for events: it follows the events and requests the status only when needed. */
 export class LongPollEngineController implements EngineController {
   private readonly shard: ShardDirectory;
@@ -59,7 +63,7 @@
   private nextStatusMicroseconds = -Infinity;
   /** On the steady clock: since when no directive is known to have been sent. */
   private noDirectiveSince: number;
-  private lastDirective: Readonly<{ weights: string; atMicroseconds: number }> | undefined;
+  private lastDirective: SentDirective | undefined;
   private isChangingWeights = false;
   private changePublishedMicroseconds = 0;
   /** On the same clock as the times of the status requests. */
@@ -105,7 +109,7 @@
       settings.events,
       engine.kind === 'engine',
       facts.value<EngineEntry>(GossipKeys.engine(name))?.bootEpoch ?? '',
-      () => this.knownStatus()?.weights ?? '',
+      () => this.shardWeights(this.knownStatus()),
       () => this.onEventsCall(),
       log,
     );
@@ -160,28 +164,55 @@
     this.reader.stop();
   }
 
-  /** The known status of the engine: its own last answer, or what the list of engines says until there is one. */
+  /**
+   * The known status of the engine: its own last answer, or what the list of engines says until there is one. `models` are
+   * those of the operators' configuration, and only given if there are several.
+   */
   private knownStatus(): EngineStatus | undefined {
     const { bootEpoch } = this.shard.index.present;
-    const model = this.pool()?.model ?? '';
-    const { capacity = 0, weights } = this.engine;
+    const { capacity = 0, weights: listed } = this.engine;
     if (this.engine.kind === 'store') return { bootEpoch, weights: '', capacity: 0, inFlight: 0, accepting: true };
     const observed = this.lastObserved?.status;
-    if (observed !== undefined)
+    if (observed !== undefined) {
+      const { inFlight, accepting, busy, models: reported = {} } = observed;
+      const weights = this.weightsOfPools(reported, observed.weights);
       return {
-        ...observed,
+        ...weights,
         bootEpoch,
-        weights: observed.models?.[model] ?? observed.weights,
+        inFlight,
+        accepting,
         capacity: observed.capacity || capacity,
+        ...(busy === undefined ? {} : { busy }),
       };
-    return weights === undefined
+    }
+    return listed === undefined
       ? undefined
-      : { bootEpoch, weights: weights[model] ?? '', capacity, inFlight: 0, accepting: true };
+      : { ...this.weightsOfPools(listed, ''), bootEpoch, capacity, inFlight: 0, accepting: true };
   }
 
-  private pool(): Pool | undefined {
-    const service = this.freshness.blueprint?.services[this.engine.service];
-    return service?.kind === 'pool' ? service : undefined;
+  /** The weights of the models that the operators list for the engine's service; `unnamed` are those of its only model. */
+  private weightsOfPools(
+    reported: Readonly<Record<string, string>>,
+    unnamed: string,
+  ): Pick<EngineStatus, 'weights' | 'models'> {
+    const pools = this.pools();
+    const weightsOf = (model: string): string =>
+      (Object.hasOwn(reported, model) ? reported[model] : undefined) ?? (pools.length > 1 ? '' : unnamed);
+    const weights = weightsOf(pools[0]?.pool.model ?? '');
+    if (pools.length <= 1) return { weights };
+    return { weights, models: Object.fromEntries(pools.map(({ pool: { model } }) => [model, weightsOf(model)])) };
+  }
+
+  /** The weights under which the engine caches parts, as one text for its shard. */
+  private shardWeights(status: EngineStatus | undefined): string {
+    if (status?.models === undefined) return status?.weights ?? '';
+    return Object.entries(status.models)
+      .map(([model, weights]) => `${model}=${weights}`)
+      .join(',');
+  }
+
+  private pools(): readonly NamedPool[] {
+    return Pools.atService(this.freshness.blueprint?.services ?? {}, this.engine.service);
   }
 
   /** Called when an events call was answered or the holder has become unreachable. */
@@ -204,21 +235,26 @@
   }
 
   private updateSpreadFilter(): void {
-    const salts =
-      this.engine.kind === 'store'
-        ? this.liveSalts.store()
-        : this.liveSalts.engine(this.engine.service, this.shard.index.present.weights);
+    const salts = this.engine.kind === 'store' ? this.liveSalts.store() : this.liveSaltsOfEngine();
     if (salts === this.spreadSalts) return;
     this.spreadSalts = salts;
     this.shard.publishOnly((name) => salts === undefined || salts.has(name.slice(0, name.lastIndexOf('/'))));
   }
 
+  private liveSaltsOfEngine(): ReadonlySet<string> | undefined {
+    const pools = this.pools();
+    const status = this.knownStatus();
+    if (pools.length <= 1 || status === undefined)
+      return this.liveSalts.engine(pools.slice(0, 1), () => this.shard.index.present.weights);
+    return this.liveSalts.engine(pools, ({ model }) => EngineEntries.weightsOf(status, model));
+  }
+
   private async reconcileEngine(): Promise<void> {
     if (this.reader.reachability.kind !== 'there') return;
     if (this.isStatusDue()) await this.requestStatus();
     const status = this.knownStatus();
     if (status === undefined || !this.holdsLease()) return;
-    this.shard.observe(this.shard.index.present.bootEpoch, status.weights);
+    this.shard.observe(this.shard.index.present.bootEpoch, this.shardWeights(status));
     const dueDirective = this.directiveIfDue(status);
     if (dueDirective === undefined) {
       this.isChangingWeights = status.busy === true;
@@ -234,7 +270,7 @@
     this.publishStatus();
     if (this.clock.steadyMicroseconds() - this.changePublishedMicroseconds < this.settings.publishAheadMicroseconds())
       return;
-    if (status.busy !== true && this.maySendDirective(dueDirective.weights)) await this.sendDirective(dueDirective);
+    if (status.busy !== true && this.maySendDirective(dueDirective)) await this.sendDirective(dueDirective);
   }
 
   /** The remaining wait before directives may be sent; negative after its end. A first holder has no predecessor to wait for. */
@@ -253,12 +289,20 @@
       (this.lastObserved === undefined || this.lastObserved.atMicroseconds < this.changingSince)
     )
       return true;
-    if (this.lastDirective !== undefined && this.knownStatus()?.weights !== this.lastDirective.weights) return true;
+    if (this.isLastDirectivePending()) return true;
     if (this.lastObserved?.status.busy === true) return true;
     const lastMicroseconds = this.lastObserved?.atMicroseconds;
     return lastMicroseconds !== undefined && now - lastMicroseconds >= this.settings.statusMicroseconds;
   }
 
+  /** Whether the engine is not known to run the weights that it was last directed to load. */
+  private isLastDirectivePending(): boolean {
+    if (this.lastDirective === undefined) return false;
+    const status = this.knownStatus();
+    const { model, weights } = this.lastDirective;
+    return status === undefined || EngineEntries.weightsOf(status, model) !== weights;
+  }
+
   private async requestStatus(): Promise<void> {
     const sentMicroseconds = this.clock.nowMicroseconds();
     const status = await this.backEnds.status(this.engine.address, this.settings.askMicroseconds, this.name);
@@ -266,22 +310,32 @@
     if (status !== undefined && this.holdsLease()) this.lastObserved = { status, atMicroseconds: sentMicroseconds };
   }
 
-  /** The directive to load new weights if it is due. An engine that is leaving the fleet gets none, as it would not serve with them. */
-  private directiveIfDue(status: EngineStatus): Extract<Directive, { kind: 'loadWeights' }> | undefined {
-    const { service, state } = this.engine;
-    const intended = this.freshness.weightsSince(service);
-    const pool = this.pool();
-    if (state !== 'ready' || pool === undefined || intended === undefined || pool.weights !== intended.weights)
-      return undefined;
+  /**
+   * The first directive to load new weights that is due for one of the engine's models. An engine that is leaving the fleet
+   * gets none, as it would not serve with them.
+   */
+  private directiveIfDue(status: EngineStatus): LoadDirective | undefined {
+    if (this.engine.state !== 'ready') return undefined;
+    for (const pool of this.pools()) {
+      const directive = this.directiveOfPoolIfDue(pool, status);
+      if (directive !== undefined) return directive;
+    }
+    return undefined;
+  }
+
+  private directiveOfPoolIfDue({ name, pool }: NamedPool, status: EngineStatus): LoadDirective | undefined {
+    const intended = this.freshness.weightsSince(name);
+    if (intended === undefined || pool.weights !== intended.weights) return undefined;
+    const present = EngineEntries.weightsOf(status, pool.model);
     // Empty weights mean that the engine does not run the model, so there is nothing to change on it.
-    if (status.weights === intended.weights || status.weights === '') return undefined;
+    if (present === intended.weights || present === '') return undefined;
     const limit = this.weightsWithinMicroseconds;
     const now = this.clock.nowMicroseconds();
     const mayFromMicroseconds = now + this.directiveWaitLeftMicroseconds();
     // A change that has begun is completed, whatever the other engines do meanwhile.
     if (
       !this.isChangingWeights &&
-      !WeightsRollout.isDue(this.name, intended, this.poolFacts(), service, now, limit, mayFromMicroseconds)
+      !WeightsRollout.isDue(this.name, intended, this.rolloutStates(pool.model), name, now, limit, mayFromMicroseconds)
     )
       return undefined;
     return {
@@ -296,30 +350,39 @@
   }
 
   /** Requires a newer status first: a directive without an answer may have been accepted, and one in effect need not be repeated. */
-  private maySendDirective(weights: string): boolean {
+  private maySendDirective({ model, weights }: LoadDirective): boolean {
     const asOf = this.lastObserved?.atMicroseconds ?? -Infinity;
     if (asOf < this.changingSince) return false;
-    return this.lastDirective?.weights !== weights || asOf > this.lastDirective.atMicroseconds + statusLagMicroseconds;
+    const last = this.lastDirective;
+    const isRepeated = last?.model === model && last.weights === weights;
+    return !isRepeated || asOf > last.atMicroseconds + statusLagMicroseconds;
   }
 
-  private async sendDirective(directive: Extract<Directive, { kind: 'loadWeights' }>): Promise<void> {
+  private async sendDirective(directive: LoadDirective): Promise<void> {
     // The lease is checked right before sending, because it may have ended during the status request.
     if (!this.holdsLease()) return;
     const atMicroseconds = this.clock.nowMicroseconds();
-    this.lastDirective = { weights: directive.weights, atMicroseconds };
+    this.lastDirective = { model: directive.model, weights: directive.weights, atMicroseconds };
     const outcome = await this.backEnds.directive(this.engine.address, directive, this.settings.askMicroseconds);
     // The time is taken after the answer or the timeout, because the directive may have been in flight until now.
     this.noDirectiveSince = this.clock.steadyMicroseconds();
     this.log(
-      `Engine ${this.name} was sent the directive to load ${directive.weights} under term ${this.term}: ${outcome}.`,
+      `Engine ${this.name} was sent the directive to load ${directive.weights} of ${directive.model} under term ${this.term}: ${outcome}.`,
     );
     this.nextStatusMicroseconds = this.clock.nowMicroseconds() + this.settings.changingStatusMicroseconds;
   }
 
-  private poolFacts(): Readonly<Record<string, EngineEntry | undefined>> {
+  /** What is known of the weights of one model on all engines of the service. */
+  private rolloutStates(model: string): RolloutStates {
     const engines = Object.entries(this.freshness.engines?.engines ?? {}).filter(
       ([, { kind, service, state }]) => kind === 'engine' && service === this.engine.service && state === 'ready',
     );
-    return Object.fromEntries(engines.map(([name]) => [name, this.facts.value<EngineEntry>(GossipKeys.engine(name))]));
+    return Object.fromEntries(
+      engines.map(([name]) => {
+        const entry = this.facts.value<EngineEntry>(GossipKeys.engine(name));
+        if (entry === undefined) return [name, undefined];
+        return [name, { weights: EngineEntries.weightsOf(entry, model), changing: entry.changing }];
+      }),
+    );
   }
 }
--- a/source/edge-proxy/admission/admissionPolicies.ts
+++ b/source/edge-proxy/admission/admissionPolicies.ts
@@ -15,7 +15,7 @@
       if (resolved === undefined) throw new Error('no mapping resolved');
       const budget = budgetOf(resolved.mapping.service);
       const admission = queue.admit({
-        service: resolved.mapping.service,
+        service: resolved.pool,
         className: resolved.mapping.class,
         tenant: resolved.tenant,
         arrivedMicroseconds: request.arrivedMicroseconds,
--- a/source/edge-proxy/attempts/attempt.ts
+++ b/source/edge-proxy/attempts/attempt.ts
@@ -200,7 +200,7 @@
     if (
       service.kind === 'pool' &&
       (this.dependencies.cutsResponsesOnOldWeights || this.state.kind === 'opening') &&
-      this.dependencies.fence.weights(this.resolved.mapping.service, this.placed.weights) === 'forbidden'
+      this.dependencies.fence.weights(this.resolved.pool, this.placed.weights) === 'forbidden'
     )
       this.abandon(Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The weights were replaced while it ran.', 1));
   }
@@ -299,7 +299,7 @@
     if (
       meaning.weights === undefined ||
       meaning.bootEpoch === undefined ||
-      this.dependencies.fence.weights(this.resolved.mapping.service, meaning.weights) === 'forbidden'
+      this.dependencies.fence.weights(this.resolved.pool, meaning.weights) === 'forbidden'
     )
       this.abandon(
         Refusals.make(502, 'mayHaveRun', 'oldWeights', 'The engine answered on weights that are not in service.', 1),
@@ -331,7 +331,7 @@
     const { engine } = this.placed;
     const isElsewhere = ({ name }: Readonly<{ name: string }>): boolean =>
       name !== engine && !this.context.avoidedEngines.includes(name);
-    if (!this.dependencies.view.candidates(this.resolved.mapping.service).some(isElsewhere)) return false;
+    if (!this.dependencies.view.candidates(this.resolved.pool).some(isElsewhere)) return false;
     const refusal = Refusals.make(502, 'mayHaveRun', 'engineFailed', 'The engine failed.');
     const context = this.retryContext(refusal, 'again');
     if (context === undefined) return false;
--- a/source/edge-proxy/attempts/sendPolicy.ts
+++ b/source/edge-proxy/attempts/sendPolicy.ts
@@ -78,7 +78,7 @@
     const { engine: name, bootEpoch, weights } = placed;
     // Engines that are excluded from new placements are accepted, too: the request is already placed, and an engine on
     // probation counts this very request as its trial.
-    if (this.dependencies.view.isUsable(resolved.mapping.service, { name, bootEpoch, weights })) return undefined;
+    if (this.dependencies.view.isUsable(resolved.pool, { name, bootEpoch, weights })) return undefined;
     const refusal = Refusals.make(503, 'notRun', 'noEngine', 'The engine left while the order was placed.', 1);
     return { kind: 'hold', context, refusal };
   }
--- a/source/edge-proxy/edgeProxy.ts
+++ b/source/edge-proxy/edgeProxy.ts
@@ -2,6 +2,7 @@
 import type { BackEndSender } from '../shared/back-end/protocol';
 import type { BackEndCodec } from '../shared/back-end/backEndCodec';
 import { nativeConfigurationFormat, type ConfigurationFormat } from '../shared/configuration/configurationFormat';
+import { Pools } from '../shared/configuration/pools';
 import type { NamedKey } from '../shared/directory/hashChain';
 import { ShardCatalog } from '../shared/directory/shardCatalog';
 import type { FillGrantAnswer } from '../shared/directory/shardDirectory';
@@ -417,8 +418,10 @@
   public isReady(): boolean {
     const blueprint = this.freshness.blueprint;
     if (blueprint === undefined || !this.stalenessGuard.isFresh()) return false;
-    const services = new Set(Object.values(blueprint.mappings).map(({ service }) => service));
-    return [...services].some((service) => this.view.candidates(service).length > 0);
+    const routed = new Set(Object.values(blueprint.mappings).map(({ service }) => service));
+    return Object.keys(blueprint.services)
+      .filter((name) => routed.has(Pools.engineServiceOf(blueprint.services, name)))
+      .some((name) => this.view.candidates(name).length > 0);
   }
 
   /** The largest number of daemons known to have belonged to the fleet recently, this one included. */
--- a/source/edge-proxy/identification/requestIdentifier.ts
+++ b/source/edge-proxy/identification/requestIdentifier.ts
@@ -1,3 +1,4 @@
+import { Pools } from '../../shared/configuration/pools';
 import type { Configuration, Route } from '../../shared/configuration/types';
 import { Identities } from '../../shared/directory/identity';
 import { Refusals, type Refusal } from '../../shared/verdict/verdict';
@@ -139,7 +140,11 @@
     const tenantSettings = blueprint?.tenants[tenant.tenant];
     const mapping =
       found === undefined ? undefined : mappingForRequest(found.mapping, request.id, tenantSettings?.class ?? '');
-    const service = mapping === undefined ? undefined : blueprint?.services[mapping.service];
+    const pool =
+      mapping === undefined || blueprint === undefined
+        ? ''
+        : Pools.nameFor(blueprint.services, mapping.service, read.kind === 'read' ? read.model : '');
+    const service = blueprint?.services[pool];
     if (
       index === undefined ||
       blueprint === undefined ||
@@ -158,6 +163,7 @@
         mapping,
         tenant: tenant.tenant,
         trustDomain: walled ? Identities.walledDomain(tenant.tenant) : index.sharedDomain,
+        pool,
         service,
         resolvedWith: blueprint,
       },
@@ -193,6 +199,7 @@
       current.resolved.mappingName === resolved.mappingName &&
       current.resolved.trustDomain === resolved.trustDomain &&
       current.resolved.tenant === resolved.tenant &&
+      current.resolved.pool === resolved.pool &&
       JSON.stringify(current.resolved.mapping) === JSON.stringify(resolved.mapping) &&
       isSameService(current.resolved, resolved);
     return { kind: same ? 'stands' : 'moved' };
--- a/source/edge-proxy/pipeline/request.ts
+++ b/source/edge-proxy/pipeline/request.ts
@@ -63,6 +63,8 @@
   mapping: Route;
   tenant: string;
   trustDomain: string;
+  /** Name of the pool among the services that serves the request's model: the service of the mapping, or one on its engines. */
+  pool: string;
   service: Pool | AppService;
   /** The configuration that it was resolved with. */
   resolvedWith: Configuration;
--- a/source/edge-proxy/placement/engineView.ts
+++ b/source/edge-proxy/placement/engineView.ts
@@ -1,8 +1,9 @@
+import { Pools } from '../../shared/configuration/pools';
 import type { Configuration, Engine, EngineList, SharedStore as StoreShape } from '../../shared/configuration/types';
 import type { Clock } from '../../shared/effects/clock/clock';
 import type { Freshness } from '../../shared/freshness/freshness';
 import type { GossipStore } from '../../shared/gossip/gossipStore';
-import { GossipKeys, type EngineEntry, type LoadEntry } from '../../shared/gossip/entryTypes';
+import { EngineEntries, GossipKeys, type EngineEntry, type LoadEntry } from '../../shared/gossip/entryTypes';
 import { WeightsRollout } from '../../shared/weights/weightsRollout';
 import type { StalenessGuard } from '../identification/stalenessGuard';
 import type { OtherProxiesSum } from '../agent-subscription/receivedLoads';
@@ -222,6 +223,8 @@
       known.blueprint === blueprint
     )
       return known;
+    const pool = blueprint?.services[service];
+    const model = pool?.kind === 'pool' ? pool.model : '';
     let isTimeIndependent = true;
     let hasPreviousWeights = false;
     const found = this.listed(service).flatMap(([name, engine]): readonly UsableEngine[] => {
@@ -234,11 +237,12 @@
       else isTimeIndependent = false;
       if (fact.reachable ? !fact.accepting : !this.outliers.answersThoughUnreachable(name, this.versionOf(name)))
         return [];
-      const permission = this.fence.weights(service, fact.weights);
+      const weights = EngineEntries.weightsOf(fact, model);
+      const permission = this.fence.weights(service, weights);
       if (permission !== 'intended') isTimeIndependent = false;
       if (permission === 'untilChanged') hasPreviousWeights = true;
       if (permission === 'forbidden' || this.refusals.isAbsent(name)) return [];
-      const { bootEpoch, weights, capacity } = fact;
+      const { bootEpoch, capacity } = fact;
       return [{ name, address, bootEpoch, weights, capacity, zone }];
     });
     const soon = hasPreviousWeights ? this.changingSoon(service) : undefined;
@@ -261,8 +265,10 @@
       order = { of, engines: WeightsRollout.order(service, pool.weights, names) };
       this.weightOrders.set(service, order);
     }
-    const hasChanged = (name: string): boolean =>
-      this.facts.value<EngineEntry>(GossipKeys.engine(name))?.weights === pool.weights;
+    const hasChanged = (name: string): boolean => {
+      const fact = this.facts.value<EngineEntry>(GossipKeys.engine(name));
+      return fact !== undefined && EngineEntries.weightsOf(fact, pool.model) === pool.weights;
+    };
     return new Set(WeightsRollout.upcomingEngines(order.engines, hasChanged));
   }
 
@@ -383,7 +389,9 @@
   }
 
   private listed(service: string): ListedEngines {
-    return this.servicesListed().get(service) ?? [];
+    const { blueprint } = this.freshness;
+    const engineService = blueprint === undefined ? service : Pools.engineServiceOf(blueprint.services, service);
+    return this.servicesListed().get(engineService) ?? [];
   }
 
   private servicesListed(): ReadonlyMap<string, ListedEngines> {
--- a/source/edge-proxy/placement/placementPolicies.ts
+++ b/source/edge-proxy/placement/placementPolicies.ts
@@ -146,7 +146,7 @@
       const { resolved, keys, request: order } = context;
       if (resolved === undefined || keys === undefined) throw new Error('request has no prompt keys');
       const service = resolved.mapping.service;
-      const available = view.candidates(service).filter(({ name }) => !context.avoidedEngines.includes(name));
+      const available = view.candidates(resolved.pool).filter(({ name }) => !context.avoidedEngines.includes(name));
       const isRepeatable = resolved.mapping.resumable || resolved.mapping.repeatable === true;
       // Only without prompt blocks: the probed engine would have to prefill again what other engines have cached.
       const isProbeSafe = isRepeatable && keys.blocks === 0;
--- a/source/measure/measurements/placement.ts
+++ b/source/measure/measurements/placement.ts
@@ -73,6 +73,7 @@
     mapping,
     tenant: 'tenant-1',
     trustDomain: '',
+    pool: mapping.service,
     service,
     resolvedWith: text,
   };
--- a/source/postdrum/checking/fleetCheck.ts
+++ b/source/postdrum/checking/fleetCheck.ts
@@ -1,6 +1,7 @@
+import { Pools } from '../../shared/configuration/pools';
 import type { Configuration, EngineList, Route, Pool } from '../../shared/configuration/types';
 import type { AgentStatus } from '../client/fleetClient';
-import type { EngineEntry } from '../../shared/gossip/entryTypes';
+import { EngineEntries, type EngineEntry } from '../../shared/gossip/entryTypes';
 
 /** A problem that an intended configuration would have on the fleet. */
 export type Finding = Readonly<{ path: string; finding: string }>;
@@ -50,7 +51,8 @@
 ): readonly Finding[] =>
   [...demand].flatMap(([place, count]) => {
     if (count === 0) return [];
-    const [service = '', className = ''] = place.split('/', 2);
+    const classStart = place.lastIndexOf('/');
+    const [service, className] = [place.slice(0, classStart), place.slice(classStart + 1)];
     const removal = (path: string): readonly Finding[] => [
       { path, finding: `is removed with ${count} orders running or waiting in ${place}` },
     ];
@@ -121,7 +123,8 @@
         });
     }
     for (const [name, service] of Object.entries(intended.services)) {
-      const listed = Object.entries(engines.engines).filter(([, engine]) => engine.service === name);
+      const engineService = Pools.engineServiceOf(intended.services, name);
+      const listed = Object.entries(engines.engines).filter(([, engine]) => engine.service === engineService);
       const ready = listed.filter(([, engine]) => engine.state === 'ready');
       if (ready.length === 0)
         findings.push({
@@ -138,7 +141,7 @@
           intended,
           concerned,
           findings,
-          demandOf(demand, name),
+          demandOf(demand, engineService),
         );
       else for (const [engine] of ready) concerned.push(`app engine ${engine} serves ${name}`);
     }
@@ -153,7 +156,8 @@
       if (route.path === '/-/health' || route.path === '/-/metrics')
         findings.push({ path: `/mappings/${name}`, finding: "is shadowed by the proxy's own page" });
     for (const [name, service] of Object.entries(intended.services)) {
-      if (!Object.values(intended.mappings).some((route) => routesTo(route, name)))
+      const routed = Pools.engineServiceOf(intended.services, name);
+      if (!Object.values(intended.mappings).some((route) => routesTo(route, routed)))
         findings.push({ path: `/services/${name}`, finding: `no mapping leads to this ${service.kind}` });
     }
     for (const name of Object.keys(intended.classes))
@@ -192,6 +196,7 @@
       });
   const capacity = known.reduce((sum, fact) => sum + fact.capacity, 0);
   const old = before.services[name];
+  const routed = Pools.engineServiceOf(intended.services, name);
   // Half of the capacity counts because engines load in two rounds, and the first takes half of the pool offline for some seconds.
   if (old?.kind === 'pool' && old.weights !== pool.weights && known.length > 1 && demandCount > capacity / 2)
     findings.push({
@@ -199,7 +204,7 @@
       finding: `${demandCount} orders run or wait, and half of its ${capacity} places are away while engines load; some may be refused`,
     });
   if (old?.kind === 'pool' && old.weights !== pool.weights) {
-    const loading = known.filter(({ weights }) => weights !== pool.weights);
+    const loading = known.filter((entry) => EngineEntries.weightsOf(entry, pool.model) !== pool.weights);
     concerned.push(
       `weights of ${name} ${old.weights} → ${pool.weights}: ${loading.length} engines load in two rounds (${loading.map(({ engine }) => engine).join(', ')})`,
     );
@@ -207,7 +212,7 @@
       findings.push({ path: `/services/${name}/weights`, finding: 'its only engine serves nobody while it loads' });
   }
   for (const [className, settings] of Object.entries(intended.classes)) {
-    const used = Object.values(intended.mappings).some((route) => route.class === className && routesTo(route, name));
+    const used = Object.values(intended.mappings).some((route) => route.class === className && routesTo(route, routed));
     if (used && known.length > 0 && (capacity * settings.sharePerMille) / 1000 < 1)
       findings.push({
         path: `/classes/${className}/sharePerMille`,
--- a/source/postdrum/commands/reports.ts
+++ b/source/postdrum/commands/reports.ts
@@ -1,5 +1,6 @@
 import type { CheckReport } from '../checking/fleetCheck';
 import type { FleetView, ControlNodeStatus } from '../client/fleetClient';
+import type { EngineEntry } from '../../shared/gossip/entryTypes';
 
 const age = (microseconds: number | null): string =>
   microseconds === null ? 'never' : `${(microseconds / 1000).toFixed(0)} ms`;
@@ -31,6 +32,13 @@
   return newest;
 };
 
+/** The weights of an engine, by model if it has several. */
+const weightsText = ({ weights, models = {} }: EngineEntry): string => {
+  const named = Object.entries(models).map(([model, version]) => `${model} ${version === '' ? '-' : version}`);
+  if (named.length > 0) return named.join(' and ');
+  return weights === '' ? '-' : weights;
+};
+
 /** Human-readable output of the check and status commands. */
 export const Reports = {
   check: ({ changes, concerned, findings, partial }: CheckReport): string =>
@@ -72,10 +80,11 @@
       'engines:',
       ...[...engines.values()]
         .sort((left, right) => (left.engine < right.engine ? -1 : 1))
-        .map(({ engine, kind, weights, bootEpoch, capacity, inFlight, reachable, accepting, changing }) => {
+        .map((entry) => {
+          const { engine, kind, bootEpoch, capacity, inFlight, reachable, accepting, changing } = entry;
           const controller = controllers.get(engine);
           const shard = shards.get(engine);
-          return `  ${engine}: ${kind}, ${reachable ? (changing ? 'changing' : accepting ? 'ready' : 'not accepting') : 'not reached'}, weights ${weights === '' ? '-' : weights}, boot ${bootEpoch.slice(0, 8)}, ${inFlight}/${capacity}, steward ${controller?.holder ?? 'nobody'} term ${controller?.term ?? 0}, directory ${shard?.committed ?? 0} blocks at epoch ${shard?.epoch ?? 0}`;
+          return `  ${engine}: ${kind}, ${reachable ? (changing ? 'changing' : accepting ? 'ready' : 'not accepting') : 'not reached'}, weights ${weightsText(entry)}, boot ${bootEpoch.slice(0, 8)}, ${inFlight}/${capacity}, steward ${controller?.holder ?? 'nobody'} term ${controller?.term ?? 0}, directory ${shard?.committed ?? 0} blocks at epoch ${shard?.epoch ?? 0}`;
         }),
     ].join('\n');
   },
--- a/source/shared/configuration/types.ts
+++ b/source/shared/configuration/types.ts
@@ -63,6 +63,10 @@
   blockCharacters: number;
   answerLimitMicroseconds: number;
   shape?: EngineShape;
+  /** The pools of the other models that its engines serve: their names among the services, by model. Missing: none. */
+  otherModels?: Readonly<Record<string, string>>;
+  /** The service under which the engine list has its engines; missing: the pool's own name. */
+  engineService?: string;
 }>;
 export type AppService = Readonly<{ kind: 'app'; answerLimitMicroseconds: number; shape?: EngineShape }>;
 export type Service = Pool | AppService;
--- a/source/shared/gossip/entryTypes.ts
+++ b/source/shared/gossip/entryTypes.ts
@@ -20,6 +20,8 @@
   address: string;
   bootEpoch: string;
   weights: string;
+  /** The weights of each model, where the operators' service has several; `weights` are then those of the first one. */
+  models?: Readonly<Record<string, string>>;
   capacity: number;
   inFlight: number;
   accepting: boolean;
@@ -61,6 +63,14 @@
   answering?: readonly string[];
 }>;
 
+export const EngineEntries = {
+  /** The weights of a model on an engine; empty: the engine does not run the model, or its weights are not known. */
+  weightsOf: ({ weights, models }: Pick<EngineEntry, 'weights' | 'models'>, model: string): string => {
+    if (models === undefined) return weights;
+    return (Object.hasOwn(models, model) ? models[model] : undefined) ?? '';
+  },
+} as const;
+
 /** Keys of gossip entries: the kind, a slash and the name. */
 export const GossipKeys = {
   member: (name: string): string => `member/${name}`,
--- a/source/shared/weights/weightsRollout.ts
+++ b/source/shared/weights/weightsRollout.ts
@@ -1,7 +1,9 @@
 import type { WeightsSince } from '../freshness/freshness';
-import type { EngineEntry } from '../gossip/entryTypes';
 import { Rendezvous } from '../rendezvous/rendezvous';
 
+/** The weights of a model on each engine of a pool, and whether the engine loads weights; undefined: nothing is known of it. */
+export type RolloutStates = Readonly<Record<string, Readonly<{ weights: string; changing: boolean }> | undefined>>;
+
 /** The part of the time limit that the rounds may take; the rest is a reserve for failures. */
 const rolloutPerMille = 550;
 
@@ -38,7 +40,7 @@
   isDue: (
     engine: string,
     intended: WeightsSince,
-    pool: Readonly<Record<string, EngineEntry | undefined>>,
+    pool: RolloutStates,
     service: string,
     nowMicroseconds: number,
     limitMicroseconds: number,
