WALL: a request's salt does not depend on the parts of its prompt being understood

Cause: the salt, all that keeps tenants and versions apart in an engine's cache, was a field of the cache plan, and a request whose parts the proxy had not read (an ID of over 64 hex digits, a token count of over 9, no token count, an empty part) got the plan without one, while the header that names its parts was passed on unchanged.

Change: the salt is no part of the plan any more. It follows from the request's pool, the weights that its engine is expected to run and its trust domain alone, when the request is written. A request to a service without listed models that names parts, readable or not, has a salt of its trust domain; it had none.

Related paths: a plan that was no longer valid was replaced by the one without a salt, which can no longer happen; STALE has the same cause, since the salt holds the version.

--- a/source/edge-proxy/attempts/attempt.ts
+++ b/source/edge-proxy/attempts/attempt.ts
@@ -12,6 +12,7 @@
 import type { PartImports } from '../cache-imports/partImports';
 import type { RequestContext, PlacedRequest, ResolvedRequest, PolicyResult } from '../pipeline/request';
 import { RequestLimits } from '../pipeline/requestLimits';
+import { Salts } from '../placement/salts';
 import type { SchedulerClient } from '../placement/schedulerClient';
 import type { EngineView } from '../placement/engineView';
 import type { PrefillSpeeds } from '../placement/prefillSpeeds';
@@ -225,7 +226,7 @@
   }
 
   private headers(): Readonly<Record<string, string>> {
-    const { target, source, salt } = this.fetch;
+    const { target, source } = this.fetch;
     const { request } = this.context;
     const { service, mapping, tenant, trustDomain } = this.resolved;
     return this.dependencies.backEndFormat.write({
@@ -239,13 +240,20 @@
       weights: this.placed.weights,
       urgency: this.dependencies.urgencyOf(this.context),
       leftMicroseconds: Number.isFinite(RequestLimits.of(request, mapping)) ? this.remainingMicroseconds() : undefined,
-      salt,
+      salt: this.salt(),
       target,
       source,
       after: this.context.after ?? request.after,
     });
   }
 
+  /** The salt under which the engine caches the request's parts; empty if it has none to cache. */
+  private salt(): string {
+    const { service, trustDomain } = this.resolved;
+    const mayBeCached = service.kind === 'pool' || this.context.request.namesParts === true;
+    return mayBeCached ? Salts.ofRequest(service, this.placed.weights, trustDomain) : '';
+  }
+
   private step(event: AttemptEvent): boolean {
     const before = this.state;
     this.state = AttemptStates.next(before, event);
@@ -435,7 +443,7 @@
     const { request } = context;
     const tokens = request.parts?.map(({ size }) => size).join('+') ?? '';
     this.dependencies.prefillLog(
-      `Request ${request.id} (${tokens} tokens) at ${placed.engine}: weights ${placed.weights}, cached parts ${placed.cachedParts}, salt and first part ${fetch.salt}/${request.parts?.[0]?.name ?? ''}, import from ${fetch.source?.holder ?? 'nobody'} ${fetch.move === undefined ? 'without estimate' : `expected in ${Math.round(fetch.move.microseconds / 1000)} ms`}, export to store ${fetch.target === undefined ? 'no' : 'yes'}, ${placed.tokensToPrefill} tokens to prefill behind ${this.loadAtStart.pendingPrefillTokens}, ${this.loadAtStart.inFlight} in flight; first event ${Math.round(elapsedMicroseconds / 1000)} ms after sending, sent ${Math.round((this.sentMicroseconds - request.arrivedMicroseconds) / 1000)} ms after arrival.`,
+      `Request ${request.id} (${tokens} tokens) at ${placed.engine}: weights ${placed.weights}, cached parts ${placed.cachedParts}, salt and first part ${this.salt()}/${request.parts?.[0]?.name ?? ''}, import from ${fetch.source?.holder ?? 'nobody'} ${fetch.move === undefined ? 'without estimate' : `expected in ${Math.round(fetch.move.microseconds / 1000)} ms`}, export to store ${fetch.target === undefined ? 'no' : 'yes'}, ${placed.tokensToPrefill} tokens to prefill behind ${this.loadAtStart.pendingPrefillTokens}, ${this.loadAtStart.inFlight} in flight; first event ${Math.round(elapsedMicroseconds / 1000)} ms after sending, sent ${Math.round((this.sentMicroseconds - request.arrivedMicroseconds) / 1000)} ms after arrival.`,
     );
   }
 
--- a/source/edge-proxy/cache-imports/fetchPlanner.ts
+++ b/source/edge-proxy/cache-imports/fetchPlanner.ts
@@ -23,8 +23,6 @@
   firstEventNotes: readonly FillReport[];
   noResponseNotes: readonly FillReport[];
   notSentNotes: readonly FillReport[];
-  /** Cache salt of the request's parts; empty if the blocks have names that are used only once. */
-  salt: string;
   /** The planned import of named parts, with its expected cost. */
   move?: PartImport | undefined;
   /** Names of the parts that the engine will cache because of this request. */
@@ -51,7 +49,6 @@
   firstEventNotes: [],
   noResponseNotes: [],
   notSentNotes: [],
-  salt: '',
   fills: [],
 };
 
--- a/source/edge-proxy/cache-imports/partsPlanner.ts
+++ b/source/edge-proxy/cache-imports/partsPlanner.ts
@@ -38,9 +38,8 @@
     keys: PromptKeys,
     lookUp: LookupResult,
   ): FetchPlan {
-    const salt = keys.salt(placed.weights);
     const parts = keys.parts(placed.weights);
-    if (parts.length === 0 || service.kind !== 'pool') return { ...noFetch, salt };
+    if (parts.length === 0 || service.kind !== 'pool') return noFetch;
     const engine = {
       name: placed.engine,
       zone: this.view.zoneOf(placed.engine) ?? '',
@@ -57,7 +56,6 @@
     if (move !== undefined) this.metrics.count('postdrum_imports_total', { from: this.kindOf(move.holder) });
     return {
       ...noFetch,
-      salt,
       target: fills ? { store: store.address, keys: names } : undefined,
       source:
         move === undefined
--- a/source/edge-proxy/pipeline/request.ts
+++ b/source/edge-proxy/pipeline/request.ts
@@ -25,8 +25,10 @@
   passed?: Readonly<Record<string, string>>;
   /** Model named in the headers; missing: it is in the body. */
   model?: string;
-  /** The prompt's parts, where the client names them; missing: the prompt is in the body. */
+  /** The prompt's parts, where the client names them; missing: the prompt is in the body, or its parts can't be read. */
   parts?: readonly PromptPart[];
+  /** The client names the prompt's parts, whether they can be read or not. */
+  namesParts?: boolean;
   /** Length of the prompt. */
   promptTokens?: number;
   /** Maximum length of the output. */
--- a/source/edge-proxy/placement/salts.ts
+++ b/source/edge-proxy/placement/salts.ts
@@ -1,4 +1,4 @@
-import type { Configuration, Pool } from '../../shared/configuration/types';
+import type { Configuration, Pool, Service } from '../../shared/configuration/types';
 import { Identities } from '../../shared/directory/identity';
 import { PromptParts } from '../../shared/directory/promptParts';
 
@@ -20,6 +20,13 @@
     return salt;
   },
 
+  /**
+   * The salt that a request carries to an engine on these weights. It depends on nothing that the request says of its
+   * prompt: whatever the engine caches of it is found only within its trust domain and under the same weights.
+   */
+  ofRequest: (service: Service, weights: string, trustDomain: string): string =>
+    service.kind === 'pool' ? Salts.of(service, weights, trustDomain) : PromptParts.saltWithoutModel(trustDomain),
+
   /** All salts that may be in use now, with the pool on `weights` and the other pools on their intended weights. */
   allCurrent: (configuration: Configuration, pool: Pool, weights: string): ReadonlySet<string> => {
     const sets = currentSalts.get(configuration) ?? new Map<string, ReadonlySet<string>>();
--- a/source/shared/directory/promptParts.ts
+++ b/source/shared/directory/promptParts.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import type { Pool } from '../configuration/types';
 import type { NamedKey } from './hashChain';
 import { Identities } from './identity';
@@ -16,6 +17,13 @@
   salt: (pool: Pool, weights: string, trustDomain: string): string =>
     Identities.logical(Identities.ofPool(pool, weights, trustDomain, '', 0)).slice(0, 16),
 
+  /**
+   * The salt of a service without listed models. Nothing is known of what its engines cache, but what they keep of a
+   * tenant's prompts must be found only within the tenant's trust domain.
+   */
+  saltWithoutModel: (trustDomain: string): string =>
+    createHash('sha256').update(`trust domain\n${trustDomain}`).digest('hex').slice(0, 16),
+
   /** The name under which holders report a part. */
   nameOf: (salt: string, part: string): string => `${salt}/${part}`,
 
--- a/tests/platform-http-formats.test.ts
+++ b/tests/platform-http-formats.test.ts
@@ -55,6 +55,7 @@
       key: '3d3zji9n73hh2b9wu3fe',
       contentType: '',
       model: 'daka510000',
+      namesParts: true,
       parts: [
         { name: '5c1e07a2', size: 800 },
         { name: '91bd3f06', size: 410 },
--- a/tests/support/attemptHarness.ts
+++ b/tests/support/attemptHarness.ts
@@ -9,7 +9,7 @@
 import type { AttemptDependencies } from '../../source/edge-proxy/attempts/attempt';
 import { SendPolicy } from '../../source/edge-proxy/attempts/sendPolicy';
 import { World } from '../../source/fleet-simulator/world/world';
-import type { Route } from '../../source/shared/configuration/types';
+import type { Route, Service } from '../../source/shared/configuration/types';
 import type {
   BackEndSender,
   BackEndResponseHead,
@@ -18,6 +18,8 @@
 } from '../../source/shared/back-end/protocol';
 import { Metrics } from '../../source/shared/metrics/metrics';
 
+import { pool } from './pool';
+
 /** A stub that accepts every call and returns undefined, save for the given properties. */
 const stub = <Stubbed>(given: { readonly [Name in keyof Stubbed]?: unknown } = {}): Stubbed =>
   new Proxy(given, {
@@ -64,6 +66,10 @@
   mayHaveRun?: boolean;
   /** The proxy stops, and the time for sending requests to engines is over. */
   startsAreOver?: boolean;
+  /** Missing: a pool with one model. */
+  service?: Service;
+  trustDomain?: string;
+  namesParts?: boolean;
 }>;
 
 /** Sends one request in the format of the users' platform to an engine whose response the test gives. */
@@ -81,6 +87,9 @@
     mapping = {},
     mayHaveRun = false,
     startsAreOver = false,
+    service = { ...pool, answerLimitMicroseconds: 60_000_000 },
+    trustDomain = '',
+    namesParts = false,
   }: AttemptRequest = {}) {
     const sender: BackEndSender = {
       send: (order, sink) => {
@@ -128,14 +137,15 @@
         body: '',
         contentType: '',
         arrivedMicroseconds: this.world.nowMicroseconds,
+        namesParts,
         ...(limitMicroseconds === undefined ? {} : { limitMicroseconds }),
       },
       answer: this.client,
       resolved: {
         tenant: 't',
-        trustDomain: '',
+        trustDomain,
         mapping: { service: 's', class: 'c', resumable: false, ...mapping },
-        service: { kind: 'pool', model: 'm', answerLimitMicroseconds: 60_000_000 },
+        service,
       },
       placed: { engine: 'i-1', address: '10.0.0.1:1', bootEpoch: 'i-1', weights: '1', cachedParts: 0 },
       fetch: noFetch,
