Parts with long names are cached, and one of them no longer hides what a holder caches

A request whose parts have IDs of over 64 hex digits was placed without regard to its cache, and one name of over 256 characters, or one part without a salt, in the events or the list of a holder made the whole answer unreadable: the holder counted as one that does not answer. Found by reading; not seen on the users' machines.

In the directory a name of over 64 characters is replaced by a digest, at the proxies and at the controllers alike, so names stay short there.

--- a/source/shared/directory/promptParts.ts
+++ b/source/shared/directory/promptParts.ts
@@ -9,6 +9,12 @@
 /** A part as holders keep it. Its name is derived from the identity, so every daemon computes the same name for the same part. */
 export type PartKey = NamedKey & Readonly<{ size: number }>;
 
+/** Longer part names are replaced by a digest, so that the names in the directory have a bounded length. */
+const maxPartNameCharacters = 64;
+
+const boundedName = (part: string): string =>
+  part.length <= maxPartNameCharacters ? part : createHash('sha256').update(part).digest('hex').slice(0, 32);
+
 export const PromptParts = {
   /**
    * Prefix of the names of all parts of one identity, derived from the owner and from what produced the parts. It covers the logical
@@ -24,8 +30,8 @@
   saltWithoutModel: (trustDomain: string): string =>
     createHash('sha256').update(`trust domain\n${trustDomain}`).digest('hex').slice(0, 16),
 
-  /** The name under which holders report a part. */
-  nameOf: (salt: string, part: string): string => `${salt}/${part}`,
+  /** The name of a part in the directory, from the salt and the name under which its holder reports it. */
+  nameOf: (salt: string, part: string): string => `${salt}/${boundedName(part)}`,
 
   keys: (parts: readonly PromptPart[], salt: string): readonly PartKey[] =>
     parts.map(({ name, size }) => {
--- a/tests/engine-protocols.test.ts
+++ b/tests/engine-protocols.test.ts
@@ -11,6 +11,7 @@
   type Directive,
   type EngineStatus,
 } from '../source/shared/back-end/protocol';
+import { PromptParts } from '../source/shared/directory/promptParts';
 import { realClock } from '../source/shared/effects/clock/realClock';
 import { seededRandom } from '../source/shared/effects/random/random';
 import { EngineHttp, httpNeighbours } from '../source/stand-in-engine/engineHttp';
@@ -276,6 +277,42 @@
   });
 });
 
+// Guards against one part with a long name or without a salt making a holder's whole answer unreadable.
+test('platform: events and lists are read whatever the length of the names of parts, also without a salt', async (context) => {
+  const engine = new PlatformEngine();
+  const address = await engine.open();
+  const client = new EngineControlClient();
+  context.after(() => {
+    client.close();
+    return engine.close();
+  });
+  const longName = 'ab'.repeat(2_000);
+  engine.keep('s1', '5c1e07a2', 800);
+  engine.keep('s1', longName, 400);
+  engine.keep(null, '91bd3f06', 200);
+  const names = [
+    PromptParts.nameOf('s1', '5c1e07a2'),
+    PromptParts.nameOf('s1', longName),
+    PromptParts.nameOf('', '91bd3f06'),
+  ];
+  const events = await client.events(address, 0, '', limit);
+  assert.ok(events !== undefined && events !== 'later');
+  assert.deepEqual(
+    events.events.map(({ key }) => key),
+    names,
+  );
+  assert.deepEqual((await client.list(address, limit))?.keys, names);
+  const [, long] = PromptParts.keys(
+    [
+      { name: '5c1e07a2', size: 800 },
+      { name: longName, size: 400 },
+    ],
+    's1',
+  );
+  assert.equal(long?.name, names[1], 'a proxy looks the part up under the same name');
+  assert.ok((long?.name.length ?? 0) < 100, 'and the directory stores a short one');
+});
+
 test('platform: an order has all fields of the API and reaches only the intended engine', async () => {
   await withEngine(async (engine, door, address) => {
     const directive: Directive = {
--- a/tests/support/platformEngine.ts
+++ b/tests/support/platformEngine.ts
@@ -2,7 +2,8 @@
 import type net from 'node:net';
 import { ControlHeaders, ControlPaths } from '../../platform/engines/controlNames';
 
-type Event = readonly [number, '+' | '-', string, string, number, string];
+type Salt = string | null;
+type Event = readonly [number, '+' | '-', Salt, string, number, string];
 /** How a simulated server misbehaves. */
 export type ServerFault = 'none' | 'garbage' | 'cut' | 'silent' | 'wrongShape' | 'error' | 'tooMany';
 
@@ -22,7 +23,7 @@
   private highest = 0;
   private next = 0;
   private log: Event[] = [];
-  private readonly kept = new Map<string, readonly [salt: string, part: string, size: number]>();
+  private readonly kept = new Map<string, readonly [salt: Salt, part: string, size: number]>();
   private readonly waiting = new Set<() => void>();
   private readonly sockets = new Set<net.Socket>();
   private readonly server = http.createServer((order, response) => void this.answer(order, response));
@@ -48,7 +49,7 @@
     return new Promise((resolve) => this.server.close(() => resolve()));
   }
 
-  public keep(salt: string, part: string, size: number): void {
+  public keep(salt: Salt, part: string, size: number): void {
     if (size > 0) this.kept.set(`${salt}/${part}`, [salt, part, size]);
     else this.kept.delete(`${salt}/${part}`);
     this.next += 1;
