MIXED: a response to an HTTP/1.0 client that is cut short is reset, not closed in order

When the proxy cut such a response, it closed the connection in order, and the part looked like the whole. The clients of the users' page speak HTTP/1.1, where the last chunk is missing.

Change: cutting a response that has begun with neither length nor chunks resets its connection. Others are closed as before, so that what was written still arrives.

--- a/source/edge-proxy/client-api/clientServer.ts
+++ b/source/edge-proxy/client-api/clientServer.ts
@@ -30,6 +30,7 @@
 class HttpResponseSink implements ResponseSink {
   private clientGone = false;
   private bodyStarted = false;
+  private hasLength = false;
   private readonly goneListeners: (() => void)[] = [];
 
   public constructor(
@@ -54,6 +55,7 @@
 
   public readonly head: ResponseSink['head'] = ({ status, headers }) => {
     if (this.clientGone) return;
+    this.hasLength = Object.keys(headers).some((name) => name.toLowerCase() === 'content-length');
     this.response.writeHead(status, { ...headers, ...this.connectionHeaders() });
     // The head is not flushed at once because the first part usually follows in the same tick and both go out together.
     process.nextTick(() => {
@@ -77,7 +79,10 @@
   };
 
   public readonly cut = (): void => {
-    // Without the last chunk the client sees that the response was cut off.
+    // Without the last chunk, or with fewer bytes than its length, the client sees that the response was cut off. A response
+    // with neither, as to a client of HTTP/1.0, would be complete at the end of its connection, so that one is reset.
+    const isFramed = this.hasLength || this.response.chunkedEncoding;
+    if (this.response.headersSent && !isFramed) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   };
 
--- a/tests/client-server.test.ts
+++ b/tests/client-server.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import net from 'node:net';
 import { describe, test } from 'node:test';
 import fc from 'fast-check';
 import { PlatformClientApiFormat } from '../platform/callers/clientApiFormat';
@@ -81,6 +82,47 @@
   for (let turn = 0; turn < count; turn += 1) await new Promise((resolve) => setImmediate(resolve));
 };
 
+/** How a connection ends for a client that sends this request, and the text that it has received by then. */
+const endOfConnection = (address: string, request: string): Promise<Readonly<{ text: string; end: string }>> =>
+  new Promise((resolve) => {
+    const [host, port] = address.split(':');
+    const socket = net.connect({ host, port: Number(port) });
+    let text = '';
+    let end = 'none';
+    socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+    // The peer's address is missing if the reset arrived together with data; Node.js reports it as an end then.
+    socket.on('end', () => (end = socket.remoteAddress === undefined ? 'reset' : 'closed'));
+    socket.on('error', () => (end = 'reset'));
+    socket.on('close', () => resolve({ text, end }));
+    socket.write(request);
+  });
+
+describe('a response that is cut short never appears complete', () => {
+  for (const [version, length] of [
+    ['1.1', undefined],
+    ['1.1', '100'],
+    ['1.0', undefined],
+    ['1.0', '100'],
+  ] as const)
+    // MIXED: guards against a response to an HTTP/1.0 client that is complete at the end of its connection although it was cut.
+    test(`for HTTP/${version}, ${length === undefined ? 'without a length' : 'with a length'}`, async () => {
+      const harness = await ServerHarness.open(({ answer }) => {
+        answer.head({ status: 200, headers: length === undefined ? {} : { 'content-length': length } });
+        void answer.part(Buffer.from('a part'));
+        setImmediate(() => answer.cut());
+      });
+      const request = head(1).replace('HTTP/1.1', `HTTP/${version}`);
+      for (let turn = 0; turn < 20; turn += 1) {
+        const { text, end } = await endOfConnection(harness.server.address, request);
+        const isFramed = /transfer-encoding: chunked|content-length: 100/i.test(text);
+        assert.ok(!text.endsWith('0\r\n\r\n'), 'without the last chunk');
+        assert.equal(end, isFramed ? 'closed' : 'reset', `after ${text}`);
+        assert.ok(!isFramed || text.includes('a part'), 'what was written before the cut arrives');
+      }
+      await harness.server.close();
+    });
+});
+
 describe('the HTTP server for clients', () => {
   test('passes on bodies byte for byte, however they are split and framed', async () => {
     const harness = await ServerHarness.open(respond('ok'));
