Weights that an engine never loads for one model do not hold up those of another

The controller sent the first directive that was due, so an engine that never carries it out would not get the one for its next model. Found by reading.

Change: a directive that a later status shows without effect is repeated after those for the engine's other models. What an engine reports of its models stands in a module of its own (modelWeights.ts).

Test: several-models ("an engine that never loads the weights of one model"), red with the order of before.

--- a/source/edge-agent/engine-control/longPollEngineController.ts
+++ b/source/edge-agent/engine-control/longPollEngineController.ts
@@ -14,6 +14,7 @@
 import { EventReader, type EventReaderSettings } from './eventReader';
 import type { LiveSalts } from './liveSalts';
 import type { EngineController } from './engineController';
+import { ModelWeights } from './modelWeights';
 
 export type LongPollControllerSettings = Readonly<{
   askMicroseconds: number;
@@ -109,7 +110,7 @@
       settings.events,
       engine.kind === 'engine',
       facts.value<EngineEntry>(GossipKeys.engine(name))?.bootEpoch ?? '',
-      () => this.shardWeights(this.knownStatus()),
+      () => this.weightsText(),
       () => this.onEventsCall(),
       log,
     );
@@ -174,10 +175,9 @@
     if (this.engine.kind === 'store') return { bootEpoch, weights: '', capacity: 0, inFlight: 0, accepting: true };
     const observed = this.lastObserved?.status;
     if (observed !== undefined) {
-      const { inFlight, accepting, busy, models: reported = {} } = observed;
-      const weights = this.weightsOfPools(reported, observed.weights);
+      const { inFlight, accepting, busy, weights: unnamed, models: byModel = {} } = observed;
       return {
-        ...weights,
+        ...ModelWeights.ofPools(this.pools(), { byModel, unnamed }),
         bootEpoch,
         inFlight,
         accepting,
@@ -185,30 +185,14 @@
         ...(busy === undefined ? {} : { busy }),
       };
     }
-    return listed === undefined
-      ? undefined
-      : { ...this.weightsOfPools(listed, ''), bootEpoch, capacity, inFlight: 0, accepting: true };
+    if (listed === undefined) return undefined;
+    const weights = ModelWeights.ofPools(this.pools(), { byModel: listed, unnamed: '' });
+    return { ...weights, bootEpoch, capacity, inFlight: 0, accepting: true };
   }
 
-  /** The weights of the models that the operators list for the engine's service; `unnamed` are those of its only model. */
-  private weightsOfPools(
-    reported: Readonly<Record<string, string>>,
-    unnamed: string,
-  ): Pick<EngineStatus, 'weights' | 'models'> {
-    const pools = this.pools();
-    const weightsOf = (model: string): string =>
-      (Object.hasOwn(reported, model) ? reported[model] : undefined) ?? (pools.length > 1 ? '' : unnamed);
-    const weights = weightsOf(pools[0]?.pool.model ?? '');
-    if (pools.length <= 1) return { weights };
-    return { weights, models: Object.fromEntries(pools.map(({ pool: { model } }) => [model, weightsOf(model)])) };
-  }
-
-  /** The weights under which the engine caches parts, as one text for its shard. */
-  private shardWeights(status: EngineStatus | undefined): string {
-    if (status?.models === undefined) return status?.weights ?? '';
-    return Object.entries(status.models)
-      .map(([model, weights]) => `${model}=${weights}`)
-      .join(',');
+  private weightsText(): string {
+    const status = this.knownStatus();
+    return status === undefined ? '' : ModelWeights.asText(status);
   }
 
   private pools(): readonly NamedPool[] {
@@ -254,7 +238,7 @@
     if (this.isStatusDue()) await this.requestStatus();
     const status = this.knownStatus();
     if (status === undefined || !this.holdsLease()) return;
-    this.shard.observe(this.shard.index.present.bootEpoch, this.shardWeights(status));
+    this.shard.observe(this.shard.index.present.bootEpoch, ModelWeights.asText(status));
     const dueDirective = this.directiveIfDue(status);
     if (dueDirective === undefined) {
       this.isChangingWeights = status.busy === true;
@@ -311,16 +295,16 @@
   }
 
   /**
-   * The first directive to load new weights that is due for one of the engine's models. An engine that is leaving the fleet
+   * The next directive to load new weights that is due for one of the engine's models. An engine that is leaving the fleet
    * gets none, as it would not serve with them.
    */
   private directiveIfDue(status: EngineStatus): LoadDirective | undefined {
     if (this.engine.state !== 'ready') return undefined;
-    for (const pool of this.pools()) {
-      const directive = this.directiveOfPoolIfDue(pool, status);
-      if (directive !== undefined) return directive;
-    }
-    return undefined;
+    const due = this.pools().flatMap((pool) => this.directiveOfPoolIfDue(pool, status) ?? []);
+    const last = due.find((directive) => this.isLastDirective(directive));
+    if (last !== undefined && !this.wouldShowLastDirective()) return last;
+    // A directive without effect is repeated after those for the other models: an engine may never carry it out.
+    return due.find((directive) => directive !== last) ?? last;
   }
 
   private directiveOfPoolIfDue({ name, pool }: NamedPool, status: EngineStatus): LoadDirective | undefined {
@@ -350,12 +334,20 @@
   }
 
   /** Requires a newer status first: a directive without an answer may have been accepted, and one in effect need not be repeated. */
-  private maySendDirective({ model, weights }: LoadDirective): boolean {
+  private maySendDirective(directive: LoadDirective): boolean {
     const asOf = this.lastObserved?.atMicroseconds ?? -Infinity;
-    if (asOf < this.changingSince) return false;
-    const last = this.lastDirective;
-    const isRepeated = last?.model === model && last.weights === weights;
-    return !isRepeated || asOf > last.atMicroseconds + statusLagMicroseconds;
+    return asOf >= this.changingSince && (!this.isLastDirective(directive) || this.wouldShowLastDirective());
+  }
+
+  private isLastDirective({ model, weights }: LoadDirective): boolean {
+    return this.lastDirective?.model === model && this.lastDirective.weights === weights;
+  }
+
+  /** Whether a status is known that would show the effect of the last directive. */
+  private wouldShowLastDirective(): boolean {
+    const { lastDirective: last, lastObserved: observed } = this;
+    if (last === undefined || observed === undefined) return false;
+    return observed.atMicroseconds > last.atMicroseconds + statusLagMicroseconds;
   }
 
   private async sendDirective(directive: LoadDirective): Promise<void> {
--- a/tests/several-models.test.ts
+++ b/tests/several-models.test.ts
@@ -80,3 +80,15 @@
   assert.deepEqual(enginesOf(secondModel), fleet.engines.slice(0, 2));
   assert.equal(servedOf(fleet), 2 * requestsPerModel);
 });
+
+test('an engine that never loads the weights of one model still gets those of another', async () => {
+  const fleet = new ModelFleet(new World(6));
+  const [failing = ''] = fleet.engines;
+  fleet.fleet.engines.get(failing).failingModel = firstModel;
+  await fleet.start();
+  await fleet.nameVersion(firstModel, 2);
+  const acknowledged = await fleet.nameVersion(secondModel, 2);
+  await fleet.world.runFor(acknowledged + versionMicroseconds - fleet.world.nowMicroseconds);
+  assert.equal(fleet.modelsOf(failing)[secondModel], '2');
+  assert.deepEqual(directiveViolations(fleet.fleet.engines.receivedDirectives), []);
+});
--- a/tests/support/longPollEngines.ts
+++ b/tests/support/longPollEngines.ts
@@ -37,6 +37,8 @@
   alive: boolean;
   loading: string | undefined;
   loadingModel: string;
+  /** A model whose weights it never loads. */
+  failingModel: string | undefined;
   state: 'ready' | 'draining';
   sequence: number;
   log: KvEvent[];
@@ -80,6 +82,7 @@
       alive: true,
       loading: undefined,
       loadingModel: firstModel,
+      failingModel: undefined,
       state: 'ready',
       sequence: 0,
       log: [],
@@ -249,7 +252,7 @@
       engine: meant,
     }: Readonly<{ term: number; weights: string; model?: string; engine?: string }>,
   ): DirectiveOutcome {
-    if (!Object.hasOwn(this.modelsOf(engine), model)) return 'failed';
+    if (model === engine.failingModel || !Object.hasOwn(this.modelsOf(engine), model)) return 'failed';
     if (meant !== undefined && meant !== engine.name) return 'failed';
     if (engine.checksTerms && term < engine.highestTerm) return 'oldTerm';
     engine.highestTerm = Math.max(engine.highestTerm, term);
