A change stays on offer to the leader when connections to it fail

Cause: a node that cannot reach the leader offers its change, and the leader fetches it at its next heartbeat. The offer was withdrawn as soon as the request to the leader failed: in the trace it was made at 700 ms, the connection timed out at 766 ms, and the next heartbeat came later, again and again until the change's own time was over.

Change: when the request fails, the change is offered at once if it was not yet, and stays on offer for the time of one more request, while the leader's heartbeats arrive.

--- a/source/core-keeper/register/changeRouter.ts
+++ b/source/core-keeper/register/changeRouter.ts
@@ -119,13 +119,15 @@
   /**
    * Sends a change to the leader and stops waiting as soon as its heartbeats stop: it will not answer, and another replica can take
    * over. If its heartbeats arrive but no answer does, connections from this node may fail in one direction only, so the change is
-   * offered for the leader to fetch.
+   * offered for the leader to fetch. The offer outlasts a failed connection, long enough for a heartbeat to tell the leader of it.
    */
   private askLeader(request: ChangeRequest, leader: string): Promise<RequestOutcome> {
     return new Promise((resolve) => {
       let isOpen = true;
+      let isOffered = false;
       let withdrawOffer = (): void => undefined;
       const finish = (answer: RequestOutcome): void => {
+        if (!isOpen) return;
         isOpen = false;
         withdrawOffer();
         resolve(answer);
@@ -137,14 +139,21 @@
         else this.clock.after(leaderCheckIntervalMicroseconds, checkLeader);
       };
       const offer = (): void => {
-        if (!isOpen) return;
+        if (!isOpen || isOffered) return;
+        isOffered = true;
         withdrawOffer = this.waiting.offer(request, (outcome) =>
           finish({ kind: 'answered', message: { kind: 'changed', outcome: outcome ?? null } }),
         );
       };
       this.clock.after(leaderCheckIntervalMicroseconds, checkLeader);
       this.clock.after(this.limits.askMicroseconds, offer);
-      void this.transport.ask(leader, { kind: 'change', order: request }, this.limits.passMicroseconds).then(finish);
+      void this.transport
+        .ask(leader, { kind: 'change', order: request }, this.limits.passMicroseconds)
+        .then((answer) => {
+          if (answer.kind === 'answered') return finish(answer);
+          offer();
+          this.clock.after(this.limits.askMicroseconds, () => finish(answer));
+        });
     });
   }
 
